--- a/src/entry.c
+++ b/src/entry.c
@@ -56,13 +56,19 @@
 	post(e, m);
 }
 
-static void on_message(void *ctx, struct ph_msg_box *box)
+static int on_frame(void *ctx, const char *data, size_t len)
 {
 	struct ph_entry *e = ctx;
-	struct mail *m = mail_new(e, MAIL_MESSAGE);
+	struct ph_msg_box *box;
+	struct mail *m;
+	int err = ph_msg_decode(e->mem, data, len, &box);
 
+	if (err)
+		return err;
+	m = mail_new(e, MAIL_MESSAGE);
 	m->box = box;
 	post(e, m);
+	return 0;
 }
 
 static void post_addr(struct ph_entry *e, enum mail_type type, const char *addr)
@@ -84,7 +90,7 @@
 }
 
 static const struct ph_peer_events peer_events = {
-	.message = on_message,
+	.frame = on_frame,
 	.refused = on_refused,
 	.broken = on_broken,
 };
--- /dev/null
+++ b/src/front.c
@@ -0,0 +1,420 @@
+#include <string.h>
+
+#include "front.h"
+#include "log.h"
+
+#define PART "front"
+/* A batch that was not accepted is sent again: two round trips to another
+ * domain and a busy receiver. */
+#define RESEND_US 80000U
+/* Without an acceptance for this long the batch may lie in a lost link. */
+#define ACCEPT_MAX_US 400000U
+/* A dead owner's successor is found by then: suspicion, claim, heartbeat. */
+#define SUCCESSOR_US 600000U
+/* Way to and from a pool of another domain. */
+#define OTHER_DOMAIN_US 4000U
+/* When to come back if no pool can be reached. */
+#define NO_POOL_RETRY_US 1000000U
+#define TRIES_MAX 4U
+
+struct job {
+	struct job *next;
+	uint64_t token;
+	uint64_t seq;
+	struct ph_work *work;
+	uint64_t arrived_us;
+	char domain[PH_NAME_BYTES];
+	struct ph_owner owner;
+	uint64_t sent_us;
+	uint64_t first_sent_us;
+	bool accepted;
+	/** When the owner was found missing; 0: it is there. */
+	uint64_t orphaned_us;
+	/** Waits for the pool's next owner. */
+	bool homeless;
+	uint32_t tries;
+	uint32_t refused[TRIES_MAX];
+	uint64_t retry_after_us;
+};
+
+struct ph_front {
+	const struct ph_mem *mem;
+	struct ph_front_options opt;
+	uint64_t last_seq;
+	struct job *jobs;
+	/** Core time sent to a domain since its last heartbeat. */
+	struct {
+		char domain[PH_NAME_BYTES];
+		uint64_t heard_us;
+		uint64_t sent_milli_us;
+		uint64_t sent_milli;
+	} sent[PH_DOMAINS_MAX];
+};
+
+struct ph_front *ph_front_new(const struct ph_front_options *options)
+{
+	struct ph_front *f = options->mem->calloc(1, sizeof(*f));
+
+	f->mem = options->mem;
+	f->opt = *options;
+	f->last_seq = options->first_seq;
+	return f;
+}
+
+static void job_free(struct ph_front *f, struct job *j)
+{
+	struct job **at = &f->jobs;
+
+	while (*at != j)
+		at = &(*at)->next;
+	*at = j->next;
+	ph_work_free(f->mem, j->work);
+	f->mem->free(j);
+}
+
+void ph_front_free(struct ph_front *f)
+{
+	if (!f)
+		return;
+	while (f->jobs)
+		job_free(f, f->jobs);
+	f->mem->free(f);
+}
+
+size_t ph_front_count(const struct ph_front *f)
+{
+	const struct job *j;
+	size_t n = 0;
+
+	for (j = f->jobs; j; j = j->next)
+		n++;
+	return n;
+}
+
+/* ## Choice of a pool */
+
+static uint64_t core_need(const struct ph_work *w)
+{
+	return (uint64_t)w->count * w->need.cpu_milli;
+}
+
+/* Work that is ahead, over the speed at which the pool works it off. */
+static uint64_t queue_wait(const struct ph_pool_load *load,
+			   const struct ph_work *w)
+{
+	uint64_t need = core_need(w);
+	uint64_t missing = 0;
+
+	if (!load->capacity_milli)
+		return UINT64_MAX / 2;
+	if (need > load->free_milli)
+		missing = (need - load->free_milli) * w->estimate_us;
+	return (load->backlog_milli_us + missing) / load->capacity_milli;
+}
+
+static uint64_t spill_wait_us(const struct ph_pool_load *load, bool own,
+			      const struct ph_work *w)
+{
+	return queue_wait(load, w) + (own ? 0 : OTHER_DOMAIN_US);
+}
+
+const struct ph_spill_policy ph_spill_wait = { "wait", spill_wait_us };
+
+static uint64_t spill_none_us(const struct ph_pool_load *load, bool own,
+			      const struct ph_work *w)
+{
+	(void)load;
+	(void)w;
+	return own ? 0 : UINT64_MAX / 4;
+}
+
+const struct ph_spill_policy ph_spill_none = { "none", spill_none_us };
+
+/* Adds what this instance sent to a pool since its owner was last heard. */
+static void add_sent(struct ph_front *f, size_t i, const char *domain,
+		     struct ph_owner *o)
+{
+	if (strcmp(f->sent[i].domain, domain) != 0 ||
+	    f->sent[i].heard_us != o->heard_us) {
+		ph_strcopy(f->sent[i].domain, PH_NAME_BYTES, domain);
+		f->sent[i].heard_us = o->heard_us;
+		f->sent[i].sent_milli = 0;
+		f->sent[i].sent_milli_us = 0;
+	}
+	if (f->sent[i].sent_milli > o->load.free_milli) {
+		o->load.backlog_milli_us += f->sent[i].sent_milli_us;
+		o->load.free_milli = 0;
+	} else {
+		o->load.free_milli -= (uint32_t)f->sent[i].sent_milli;
+	}
+}
+
+static bool was_refused(const struct job *j, uint32_t domain)
+{
+	uint32_t i;
+
+	for (i = 0; i < j->tries && i < TRIES_MAX; i++)
+		if (j->refused[i] == domain)
+			return true;
+	return false;
+}
+
+/* Picks the pool with the least expected wait; false if none has an owner. */
+static bool choose(struct ph_front *f, struct job *j, uint64_t now_us,
+		   uint32_t *domain_index)
+{
+	uint64_t best_wait = UINT64_MAX;
+	const char *domain;
+	uint32_t i;
+
+	for (i = 0; (domain = ph_members_domain(f->opt.members, i)); i++) {
+		struct ph_owner o;
+		uint64_t wait;
+
+		if (was_refused(j, i) ||
+		    !ph_members_owner(f->opt.members, now_us, domain, &o) ||
+		    (!o.self && !o.load.usable))
+			continue;
+		add_sent(f, i, domain, &o);
+		wait = f->opt.policy->wait_us(
+			&o.load, !strcmp(domain, f->opt.domain), j->work);
+		if (wait >= best_wait)
+			continue;
+		best_wait = wait;
+		j->owner = o;
+		ph_strcopy(j->domain, sizeof(j->domain), domain);
+		*domain_index = i;
+	}
+	return best_wait != UINT64_MAX;
+}
+
+/* ## Messages to owners */
+
+static void send_work(struct ph_front *f, struct job *j, uint64_t now_us)
+{
+	struct ph_poolmsg m = { .type = PH_POOLMSG_SUBMIT, .seq = j->seq };
+
+	ph_strcopy(m.pool, sizeof(m.pool), j->domain);
+	j->work->age_us = now_us - j->arrived_us;
+	m.work = j->work;
+	j->sent_us = now_us;
+	f->opt.sink->send(f->opt.ctx, &j->owner, &m);
+}
+
+static void send_seq(struct ph_front *f, const struct ph_owner *owner,
+		     enum ph_poolmsg_type type, uint64_t seq)
+{
+	struct ph_poolmsg m = { .type = type, .seq = seq };
+
+	f->opt.sink->send(f->opt.ctx, owner, &m);
+}
+
+static void first_send(struct ph_front *f, struct job *j, uint64_t now_us)
+{
+	j->seq = ++f->last_seq;
+	j->accepted = false;
+	j->orphaned_us = 0;
+	j->homeless = false;
+	j->first_sent_us = now_us;
+	send_work(f, j, now_us);
+}
+
+static void answer(struct ph_front *f, struct job *j,
+		   enum ph_front_outcome outcome, uint64_t retry_after_us,
+		   const char *reason, uint64_t now_us)
+{
+	static const char *const names[] = { "completed", "failed", "not_run",
+					     "unknown" };
+
+	ph_event(PART,
+		 "event=job_end job=%s outcome=%s reason=\"%s\" pool=%s "
+		 "owner=%s tries=%u took_us=%llu aim_us=%llu retry_us=%llu",
+		 j->work->job, names[outcome], reason, j->domain,
+		 j->owner.name, j->tries,
+		 (unsigned long long)(now_us - j->arrived_us),
+		 (unsigned long long)j->work->aim_us,
+		 (unsigned long long)retry_after_us);
+	f->opt.sink->answer(f->opt.ctx, j->token, outcome, retry_after_us);
+	job_free(f, j);
+}
+
+/* Sends a job that has not run to a pool, or refuses it. */
+static void dispatch(struct ph_front *f, struct job *j, uint64_t now_us)
+{
+	uint32_t domain = 0;
+	uint32_t i;
+
+	if (j->tries >= TRIES_MAX || !choose(f, j, now_us, &domain)) {
+		answer(f, j, PH_FRONT_NOT_RUN,
+		       j->retry_after_us ? j->retry_after_us : NO_POOL_RETRY_US,
+		       j->tries ? "no pool has room" : "no pool can be reached",
+		       now_us);
+		return;
+	}
+	j->refused[j->tries++] = domain;
+	i = domain;
+	f->sent[i].sent_milli += core_need(j->work);
+	f->sent[i].sent_milli_us += core_need(j->work) * j->work->estimate_us;
+	first_send(f, j, now_us);
+}
+
+/* ## Events */
+
+static struct job *find_seq(struct ph_front *f, uint64_t seq)
+{
+	struct job *j;
+
+	for (j = f->jobs; j; j = j->next)
+		if (j->seq == seq)
+			return j;
+	return NULL;
+}
+
+void ph_front_submit(struct ph_front *f, uint64_t now_us, uint64_t token,
+		     struct ph_work *work)
+{
+	struct job *j = f->mem->calloc(1, sizeof(*j));
+
+	j->token = token;
+	j->work = work;
+	j->arrived_us = now_us - work->age_us;
+	j->next = f->jobs;
+	f->jobs = j;
+	dispatch(f, j, now_us);
+}
+
+void ph_front_hangup(struct ph_front *f, uint64_t now_us, uint64_t token)
+{
+	struct job *j;
+
+	for (j = f->jobs; j; j = j->next)
+		if (j->token == token)
+			break;
+	if (!j)
+		return;
+	ph_event(PART, "event=caller_gone job=%s pool=%s took_us=%llu",
+		 j->work->job, j->domain,
+		 (unsigned long long)(now_us - j->arrived_us));
+	if (!j->homeless)
+		send_seq(f, &j->owner, PH_POOLMSG_CANCEL, j->seq);
+	job_free(f, j);
+}
+
+void ph_front_accepted(struct ph_front *f, uint64_t seq)
+{
+	struct job *j = find_seq(f, seq);
+
+	if (j)
+		j->accepted = true;
+}
+
+static void moved(struct job *j, const struct ph_result *result,
+		  uint64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(result->done); i++)
+		j->work->done[i] |= result->done[i];
+	j->work->resumed = true;
+	j->homeless = true;
+	j->orphaned_us = now_us;
+}
+
+void ph_front_result(struct ph_front *f, uint64_t now_us, const char *from,
+		     uint64_t seq, const struct ph_result *result)
+{
+	struct job *j = find_seq(f, seq);
+
+	(void)from;
+	if (!j || j->homeless)
+		return;
+	switch (result->verdict) {
+	case PH_VERDICT_DONE:
+		answer(f, j, PH_FRONT_COMPLETED, 0, "", now_us);
+		break;
+	case PH_VERDICT_FAILED:
+		answer(f, j, PH_FRONT_FAILED, 0, result->reason, now_us);
+		break;
+	case PH_VERDICT_NOT_RUN:
+		if (!j->retry_after_us ||
+		    result->retry_after_us < j->retry_after_us)
+			j->retry_after_us = result->retry_after_us;
+		dispatch(f, j, now_us);
+		break;
+	case PH_VERDICT_BROKEN:
+		answer(f, j, PH_FRONT_UNKNOWN, 0, result->reason, now_us);
+		break;
+	case PH_VERDICT_MOVED:
+		moved(j, result, now_us);
+		break;
+	}
+}
+
+void ph_front_paused(struct ph_front *f, uint64_t now_us)
+{
+	while (f->jobs) {
+		struct job *j = f->jobs;
+
+		if (!j->homeless)
+			send_seq(f, &j->owner, PH_POOLMSG_CANCEL, j->seq);
+		answer(f, j, PH_FRONT_UNKNOWN, 0, "this instance stood still",
+		       now_us);
+	}
+}
+
+/* ## Time */
+
+/* Looks for the pool's next owner; its runs are claimed there by name. */
+static void follow(struct ph_front *f, struct job *j, uint64_t now_us)
+{
+	struct ph_owner o;
+
+	if (ph_members_owner(f->opt.members, now_us, j->domain, &o) &&
+	    (strcmp(o.name, j->owner.name) != 0 || j->homeless) &&
+	    (o.token != j->owner.token || !j->homeless)) {
+		ph_event(PART, "event=job_resumed job=%s pool=%s from=%s to=%s",
+			 j->work->job, j->domain, j->owner.name, o.name);
+		j->owner = o;
+		j->work->resumed = true;
+		first_send(f, j, now_us);
+		return;
+	}
+	if (now_us > j->orphaned_us + SUCCESSOR_US)
+		answer(f, j, PH_FRONT_UNKNOWN, 0, "the pool's owner is lost",
+		       now_us);
+}
+
+static void job_tick(struct ph_front *f, struct job *j, uint64_t now_us)
+{
+	bool lost = j->homeless ||
+		    !ph_members_live(f->opt.members, now_us, j->owner.name);
+
+	if (lost) {
+		if (!j->orphaned_us)
+			j->orphaned_us = now_us;
+		follow(f, j, now_us);
+		return;
+	}
+	j->orphaned_us = 0;
+	if (j->accepted || now_us < j->sent_us + RESEND_US)
+		return;
+	if (now_us > j->first_sent_us + ACCEPT_MAX_US) {
+		send_seq(f, &j->owner, PH_POOLMSG_CANCEL, j->seq);
+		answer(f, j, PH_FRONT_UNKNOWN, 0, "the owner doesn't answer",
+		       now_us);
+		return;
+	}
+	send_work(f, j, now_us);
+}
+
+void ph_front_tick(struct ph_front *f, uint64_t now_us)
+{
+	struct job *j = f->jobs;
+
+	while (j) {
+		struct job *next = j->next;
+
+		job_tick(f, j, now_us);
+		j = next;
+	}
+}
--- /dev/null
+++ b/src/front.h
@@ -0,0 +1,79 @@
+#ifndef PH_FRONT_H
+#define PH_FRONT_H
+
+/*
+ * Jobs of callers at the entry instance that holds their connections: each
+ * is sent to the owner of a pool, follows the pool to its next owner, and is
+ * answered whole. Nothing of it is stored.
+ */
+
+#include "members.h"
+
+struct ph_front;
+
+/** How a job ended for its caller. */
+enum ph_front_outcome {
+	PH_FRONT_COMPLETED,
+	PH_FRONT_FAILED,
+	/** Not run; the caller may come again after a time. */
+	PH_FRONT_NOT_RUN,
+	/** Something may have run; all of it is stopped or ends in time. */
+	PH_FRONT_UNKNOWN,
+};
+
+struct ph_front_sink {
+	/** Sends a batch, a cancellation or an acknowledgement to an owner. */
+	void (*send)(void *ctx, const struct ph_owner *owner,
+		     const struct ph_poolmsg *msg);
+	void (*answer)(void *ctx, uint64_t token,
+		       enum ph_front_outcome outcome, uint64_t retry_after_us);
+};
+
+/** Choice of a pool; a variant of the policy. */
+struct ph_spill_policy {
+	const char *name;
+	/** Expected wait at a pool for a batch, its way included. */
+	uint64_t (*wait_us)(const struct ph_pool_load *load, bool own_domain,
+			    const struct ph_work *work);
+};
+
+/** Own domain first, another's if the saved wait exceeds the way. */
+extern const struct ph_spill_policy ph_spill_wait;
+/** The baseline: the own domain's pool as long as it has an owner. */
+extern const struct ph_spill_policy ph_spill_none;
+
+struct ph_front_options {
+	const struct ph_mem *mem;
+	const char *name;
+	const char *domain;
+	const struct ph_spill_policy *policy;
+	const struct ph_members *members;
+	/** First handle of a batch; above those of earlier lives. */
+	uint64_t first_seq;
+	const struct ph_front_sink *sink;
+	void *ctx;
+};
+
+struct ph_front *ph_front_new(const struct ph_front_options *options);
+void ph_front_free(struct ph_front *front);
+
+/** Takes a job over; token names the caller's request in the answer. */
+void ph_front_submit(struct ph_front *front, uint64_t now_us, uint64_t token,
+		     struct ph_work *work);
+
+/** The caller has gone: nothing is answered any more. */
+void ph_front_hangup(struct ph_front *front, uint64_t now_us, uint64_t token);
+
+void ph_front_accepted(struct ph_front *front, uint64_t seq);
+void ph_front_result(struct ph_front *front, uint64_t now_us, const char *from,
+		     uint64_t seq, const struct ph_result *result);
+
+/** This process stood still: what it had under way is stopped. */
+void ph_front_paused(struct ph_front *front, uint64_t now_us);
+
+void ph_front_tick(struct ph_front *front, uint64_t now_us);
+
+/** Jobs under way. */
+size_t ph_front_count(const struct ph_front *front);
+
+#endif
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -12,6 +12,8 @@
 #define US_PER_MS 1000U
 #define IDLE_HANDLES_MAX 256U
 #define CONNECT_TIMEOUT_MS 1000L
+/* Idle connections kept: a handful to each of some hundred servers. */
+#define CONNECTIONS_KEPT 1024U
 
 struct transfer {
 	struct transfer *next;
@@ -267,6 +269,8 @@
 	apr_thread_mutex_create(&client->lock, APR_THREAD_MUTEX_DEFAULT,
 				client->pool);
 	client->multi = curl_multi_init();
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+			  (long)CONNECTIONS_KEPT);
 	if (options->connections_per_host)
 		curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
 				  (long)options->connections_per_host);
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -53,6 +53,8 @@
 				reply->type ? reply->type : "application/json");
 	if (reply->header)
 		MHD_add_response_header(r, reply->header, reply->value);
+	if (reply->close)
+		MHD_add_response_header(r, MHD_HTTP_HEADER_CONNECTION, "close");
 	req->status = reply->status;
 	req->abort = reply->abort != 0;
 	req->response = r;
@@ -199,6 +201,14 @@
 					   MHD_GET_ARGUMENT_KIND, name);
 }
 
+int ph_http_req_fd(const struct ph_http_req *req)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		req->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	return info ? info->connect_fd : -1;
+}
+
 void ph_http_req_reply(struct ph_http_req *req,
 		       const struct ph_http_reply *reply)
 {
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -42,6 +42,9 @@
 const char *ph_http_req_header(const struct ph_http_req *req, const char *name);
 const char *ph_http_req_arg(const struct ph_http_req *req, const char *name);
 
+/** Socket of the request's connection, to see whether its caller is there. */
+int ph_http_req_fd(const struct ph_http_req *req);
+
 /** A reply; the body is copied. */
 struct ph_http_reply {
 	int status;
@@ -53,6 +56,8 @@
 	const char *value;
 	/** Breaks the connection without an answer. */
 	int abort;
+	/** Closes the connection behind the answer. */
+	int close;
 };
 
 /** Answers a request, from any thread; req is gone afterwards. */
--- a/src/log.c
+++ b/src/log.c
@@ -1,15 +1,30 @@
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "buf.h"
 #include "log.h"
 
 #define LINE_BYTES 512
+#define EVENT_BYTES 768
+#define US_PER_S 1000000U
+#define NS_PER_US 1000U
 
 static char instance[PH_NAME_BYTES];
 static int quiet_flag;
 
+/* Decision lines of the present second, shared by all threads. */
+static struct {
+	uint64_t per_second;
+	uint64_t second;
+	uint64_t count;
+	uint64_t dropped;
+	uint64_t dropped_told;
+} events;
+
 void ph_log_name(const char *name)
 {
 	ph_strcopy(instance, sizeof(instance), name);
@@ -35,3 +50,87 @@
 	fprintf(stderr, "%ld.%06ld %s %s: %s\n", (long)now.tv_sec,
 		now.tv_nsec / 1000, instance, part, line);
 }
+
+void ph_log_events(uint64_t per_second)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	events.per_second = per_second;
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+uint64_t ph_log_dropped(void)
+{
+	return __atomic_load_n(&events.dropped, __ATOMIC_RELAXED);
+}
+
+/* Tells whether one more line may be written in this second. */
+static int admit(uint64_t second)
+{
+	if (__atomic_exchange_n(&events.second, second, __ATOMIC_RELAXED) !=
+	    second)
+		__atomic_store_n(&events.count, 0, __ATOMIC_RELAXED);
+	return __atomic_add_fetch(&events.count, 1, __ATOMIC_RELAXED) <=
+	       events.per_second;
+}
+
+static void write_line(const char *line, size_t len)
+{
+	if (write(STDOUT_FILENO, line, len) != (ssize_t)len)
+		__atomic_add_fetch(&events.dropped, 1, __ATOMIC_RELAXED);
+}
+
+static size_t line_head(char *line, size_t size, const struct timespec *now,
+			const char *part)
+{
+	return (size_t)snprintf(line, size,
+				"t=%lld.%06ld instance=%s part=%s ",
+				(long long)now->tv_sec,
+				now->tv_nsec / (long)NS_PER_US, instance, part);
+}
+
+/* Says how many lines were dropped since it was said last. */
+static void tell_dropped(const struct timespec *now)
+{
+	char line[EVENT_BYTES];
+	uint64_t dropped = ph_log_dropped();
+	size_t len;
+
+	if (dropped == events.dropped_told)
+		return;
+	len = line_head(line, sizeof(line), now, "log");
+	len += (size_t)snprintf(line + len, sizeof(line) - len,
+				"event=lines_dropped count=%llu\n",
+				(unsigned long long)(dropped -
+						     events.dropped_told));
+	events.dropped_told = dropped;
+	write_line(line, len);
+}
+
+void ph_event(const char *part, const char *format, ...)
+{
+	char line[EVENT_BYTES];
+	struct timespec now;
+	va_list args;
+	size_t len;
+	int n;
+
+	if (quiet_flag || !events.per_second)
+		return;
+	clock_gettime(CLOCK_REALTIME, &now);
+	if (!admit((uint64_t)now.tv_sec)) {
+		__atomic_add_fetch(&events.dropped, 1, __ATOMIC_RELAXED);
+		return;
+	}
+	tell_dropped(&now);
+	len = line_head(line, sizeof(line), &now, part);
+	va_start(args, format);
+	n = vsnprintf(line + len, sizeof(line) - len - 1, format, args);
+	va_end(args);
+	len += (size_t)n;
+	if (len > sizeof(line) - 2)
+		len = sizeof(line) - 2;
+	line[len++] = '\n';
+	write_line(line, len);
+}
--- /dev/null
+++ b/src/members.c
@@ -0,0 +1,554 @@
+#include <string.h>
+
+#include "ident.h"
+#include "log.h"
+#include "members.h"
+
+#define PART "members"
+#define CONTACTS_MAX 64U
+/* Contacts that have not answered are greeted at this interval. */
+#define CONTACT_EVERY_US 300000U
+/* Vacancy of a pool before an instance of its domain claims it: time for the
+ * heartbeats of another claim to arrive. */
+#define CLAIM_AFTER_US 100000U
+/* Vacancy before a pool is adopted from another domain, and before a minority
+ * claims one: the others are likely cut off, not dead. */
+#define ADOPT_AFTER_US 2000000U
+#define MINORITY_AFTER_US 3000000U
+/* Time from the start to the first claim: instances start within 0.3 s of each
+ * other and need a heartbeat to meet. */
+#define SETTLE_US 700000U
+/* A silent peer counts as known for this long. */
+#define KNOWN_US 15000000U
+#define FORGET_US 60000000U
+/* A link over which the peer has heard nothing for this many suspicion times
+ * is opened anew. */
+#define LINK_RESET_EVERY_US 500000U
+#define TOKEN_SHIFT 8U
+
+struct domain {
+	char name[PH_NAME_BYTES];
+	bool owned;
+	uint64_t token;
+	uint64_t top_token;
+	uint64_t vacant_us;
+	/** Given up by a fenced minority: not claimed again as one. */
+	bool yielded;
+};
+
+struct ph_members {
+	const struct ph_mem *mem;
+	struct ph_members_options opt;
+	struct ph_member *first;
+	char contacts[CONTACTS_MAX][PH_ADDR_BYTES];
+	uint64_t contact_sent_us[CONTACTS_MAX];
+	size_t contact_count;
+	struct domain domains[PH_DOMAINS_MAX];
+	size_t domain_count;
+	bool leaving;
+};
+
+struct ph_members *ph_members_new(const struct ph_members_options *options)
+{
+	struct ph_members *ms = options->mem->calloc(1, sizeof(*ms));
+
+	ms->mem = options->mem;
+	ms->opt = *options;
+	return ms;
+}
+
+void ph_members_free(struct ph_members *ms)
+{
+	if (!ms)
+		return;
+	while (ms->first) {
+		struct ph_member *m = ms->first;
+
+		ms->first = m->next;
+		ms->mem->free(m);
+	}
+	ms->mem->free(ms);
+}
+
+const struct ph_member *ph_members_first(const struct ph_members *ms)
+{
+	return ms->first;
+}
+
+const char *ph_members_domain(const struct ph_members *ms, size_t i)
+{
+	return i < ms->domain_count ? ms->domains[i].name : NULL;
+}
+
+void ph_members_contact(struct ph_members *ms, const char *addr)
+{
+	size_t i;
+
+	if (!strcmp(addr, ms->opt.addr))
+		return;
+	for (i = 0; i < ms->contact_count; i++)
+		if (!strcmp(ms->contacts[i], addr))
+			return;
+	if (i == CONTACTS_MAX) {
+		i = 0;
+		memmove(ms->contacts[0], ms->contacts[1],
+			sizeof(ms->contacts) - sizeof(ms->contacts[0]));
+		i = CONTACTS_MAX - 1;
+		ms->contact_count--;
+	}
+	ph_strcopy(ms->contacts[i], PH_ADDR_BYTES, addr);
+	ms->contact_sent_us[i] = 0;
+	ms->contact_count++;
+}
+
+static struct ph_member *find(const struct ph_members *ms, const char *name)
+{
+	struct ph_member *m;
+
+	for (m = ms->first; m; m = m->next)
+		if (!strcmp(m->name, name))
+			return m;
+	return NULL;
+}
+
+static bool live(const struct ph_members *ms, const struct ph_member *m,
+		 uint64_t now_us)
+{
+	return m->heard_us && now_us < m->heard_us + ms->opt.suspect_us;
+}
+
+bool ph_members_live(const struct ph_members *ms, uint64_t now_us,
+		     const char *name)
+{
+	const struct ph_member *m = find(ms, name);
+
+	return !strcmp(name, ms->opt.name) || (m && live(ms, m, now_us));
+}
+
+bool ph_members_minority(const struct ph_members *ms, uint64_t now_us)
+{
+	const struct ph_member *m;
+	size_t known = 1;
+	size_t heard = 1;
+
+	for (m = ms->first; m; m = m->next) {
+		if (m->leaving || now_us > m->heard_us + KNOWN_US)
+			continue;
+		known++;
+		heard += live(ms, m, now_us);
+	}
+	return heard * 2 < known;
+}
+
+const struct ph_member *ph_members_heard(struct ph_members *ms, uint64_t now_us,
+					 const struct ph_poolmsg *hello)
+{
+	struct ph_member *m = find(ms, hello->name);
+
+	if (!strcmp(hello->name, ms->opt.name))
+		return NULL;
+	/* A frame of an earlier life that was under way. */
+	if (m && hello->incarnation < m->incarnation && live(ms, m, now_us))
+		return NULL;
+	if (!m) {
+		m = ms->mem->calloc(1, sizeof(*m));
+		ph_strcopy(m->name, sizeof(m->name), hello->name);
+		m->link_reset_us = now_us;
+		m->next = ms->first;
+		ms->first = m;
+	}
+	if (m->incarnation != hello->incarnation || !live(ms, m, now_us))
+		ph_event(PART,
+			 "event=member_heard member=%s incarnation=%llu "
+			 "silent_us=%llu",
+			 m->name, (unsigned long long)hello->incarnation,
+			 m->heard_us ? (unsigned long long)(now_us -
+							    m->heard_us) :
+				       0);
+	if (m->incarnation && m->incarnation != hello->incarnation && !m->lost)
+		m->restarted = true;
+	m->lost = false;
+	m->incarnation = hello->incarnation;
+	ph_strcopy(m->domain, sizeof(m->domain), hello->domain);
+	ph_strcopy(m->addr, sizeof(m->addr), hello->addr);
+	m->heard_us = now_us;
+	m->leaving = hello->leaving;
+	m->heard_me_ago_us = hello->heard_ago_us;
+	m->config_version = hello->config_version;
+	m->claim_count = hello->claim_count;
+	memcpy(m->claims, hello->claims, sizeof(m->claims));
+	return m;
+}
+
+void ph_members_refused(struct ph_members *ms, uint64_t now_us,
+			const char *addr)
+{
+	struct ph_member *m;
+
+	for (m = ms->first; m; m = m->next)
+		if (!strcmp(m->addr, addr) && live(ms, m, now_us))
+			m->heard_us = now_us > ms->opt.suspect_us ?
+					      now_us - ms->opt.suspect_us :
+					      1;
+}
+
+static struct domain *domain_find(struct ph_members *ms, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < ms->domain_count; i++)
+		if (!strcmp(ms->domains[i].name, name))
+			return &ms->domains[i];
+	return NULL;
+}
+
+void ph_members_set_domains(struct ph_members *ms,
+			    char (*domains)[PH_NAME_BYTES], size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (domain_find(ms, domains[i]) ||
+		    ms->domain_count == PH_DOMAINS_MAX)
+			continue;
+		ph_strcopy(ms->domains[ms->domain_count++].name, PH_NAME_BYTES,
+			   domains[i]);
+	}
+}
+
+/* ## Claims */
+
+static const struct ph_claim *claim_of(const struct ph_member *m,
+				       const char *domain)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->claim_count; i++)
+		if (!strcmp(m->claims[i].domain, domain))
+			return &m->claims[i];
+	return NULL;
+}
+
+/* Best claim of live peers: of the domain's own first, then by token. */
+static const struct ph_member *best_claimant(const struct ph_members *ms,
+					     const char *domain, bool staying,
+					     uint64_t now_us)
+{
+	const struct ph_member *best = NULL;
+	const struct ph_member *m;
+
+	for (m = ms->first; m; m = m->next) {
+		const struct ph_claim *c = claim_of(m, domain);
+		bool native = !strcmp(m->domain, domain);
+		bool best_native;
+
+		if (!c || !live(ms, m, now_us) || (staying && m->leaving))
+			continue;
+		best_native = best && !strcmp(best->domain, domain);
+		if (!best || native > best_native ||
+		    (native == best_native &&
+		     c->token > claim_of(best, domain)->token))
+			best = m;
+	}
+	return best;
+}
+
+bool ph_members_owner(const struct ph_members *ms, uint64_t now_us,
+		      const char *name, struct ph_owner *owner)
+{
+	const struct domain *d =
+		domain_find((struct ph_members *)ms, name);
+	const struct ph_member *m = best_claimant(ms, name, false, now_us);
+	const struct ph_claim *c;
+
+	memset(owner, 0, sizeof(*owner));
+	if (d && d->owned) {
+		ph_strcopy(owner->name, sizeof(owner->name), ms->opt.name);
+		ph_strcopy(owner->addr, sizeof(owner->addr), ms->opt.addr);
+		owner->token = d->token;
+		owner->self = true;
+		owner->heard_us = now_us;
+		return true;
+	}
+	if (!m)
+		return false;
+	c = claim_of(m, name);
+	ph_strcopy(owner->name, sizeof(owner->name), m->name);
+	ph_strcopy(owner->addr, sizeof(owner->addr), m->addr);
+	owner->token = c->token;
+	owner->load = c->load;
+	owner->heard_us = m->heard_us;
+	return true;
+}
+
+/* An instance that has just restarted is the least likely to be stopped next
+ * when all are restarted in turn. */
+static bool outranks(uint64_t incarnation, const char *name, uint64_t than,
+		     const char *than_name)
+{
+	if (incarnation / 1000 != than / 1000)
+		return incarnation > than;
+	return strcmp(name, than_name) > 0;
+}
+
+/* This instance is the one to claim a vacant domain. */
+static bool first_candidate(const struct ph_members *ms, const char *domain,
+			    uint64_t now_us, bool *native)
+{
+	const struct ph_member *m;
+	bool self_native = !strcmp(ms->opt.domain, domain);
+
+	*native = self_native;
+	for (m = ms->first; m; m = m->next) {
+		bool other_native = !strcmp(m->domain, domain);
+
+		if (!live(ms, m, now_us) || m->leaving)
+			continue;
+		if (other_native != self_native) {
+			if (other_native)
+				return false;
+			continue;
+		}
+		if (outranks(m->incarnation, m->name, ms->opt.incarnation,
+			     ms->opt.name))
+			return false;
+	}
+	return true;
+}
+
+static uint64_t new_token(struct domain *d, uint64_t unix_ms)
+{
+	uint64_t token = unix_ms << TOKEN_SHIFT;
+
+	if (token <= d->top_token)
+		token = d->top_token + 1;
+	d->top_token = token;
+	return token;
+}
+
+static void acquire(struct ph_members *ms, struct domain *d, uint64_t unix_ms,
+		    const struct ph_members_sink *sink, void *ctx)
+{
+	(void)ms;
+	d->owned = true;
+	d->vacant_us = 0;
+	d->token = new_token(d, unix_ms);
+	sink->acquire(ctx, d->name, d->token);
+}
+
+static void release(struct domain *d, const struct ph_members_sink *sink,
+		    void *ctx)
+{
+	d->owned = false;
+	d->vacant_us = 0;
+	sink->release(ctx, d->name);
+}
+
+static bool outranked(const struct ph_members *ms, const struct domain *d,
+		      uint64_t now_us)
+{
+	const struct ph_member *m = best_claimant(ms, d->name, true, now_us);
+	bool self_native = !strcmp(ms->opt.domain, d->name);
+	bool other_native;
+
+	if (!m)
+		return false;
+	if (ms->leaving)
+		return true;
+	other_native = !strcmp(m->domain, d->name);
+	if (self_native != other_native)
+		return other_native;
+	return claim_of(m, d->name)->token > d->token;
+}
+
+static uint64_t claim_delay(const struct ph_members *ms, bool native,
+			    uint64_t now_us)
+{
+	if (ph_members_minority(ms, now_us))
+		return MINORITY_AFTER_US;
+	return native ? CLAIM_AFTER_US : ADOPT_AFTER_US;
+}
+
+static void consider(struct ph_members *ms, struct domain *d, uint64_t now_us,
+		     uint64_t unix_ms, const struct ph_members_sink *sink,
+		     void *ctx)
+{
+	const struct ph_member *m = best_claimant(ms, d->name, true, now_us);
+	bool minority = ph_members_minority(ms, now_us);
+	bool native;
+
+	if (!minority)
+		d->yielded = false;
+	if (ms->leaving || now_us < ms->opt.start_us + SETTLE_US ||
+	    !first_candidate(ms, d->name, now_us, &native) ||
+	    (minority && d->yielded) ||
+	    (m && (!native || !strcmp(m->domain, d->name)))) {
+		d->vacant_us = 0;
+		return;
+	}
+	if (!d->vacant_us)
+		d->vacant_us = now_us;
+	if (now_us >= d->vacant_us + claim_delay(ms, native, now_us))
+		acquire(ms, d, unix_ms, sink, ctx);
+}
+
+static void note_tokens(struct ph_members *ms, struct domain *d)
+{
+	const struct ph_member *m;
+
+	for (m = ms->first; m; m = m->next) {
+		const struct ph_claim *c = claim_of(m, d->name);
+
+		if (c && c->token > d->top_token)
+			d->top_token = c->token;
+	}
+}
+
+/* ## Heartbeats */
+
+static bool known_addr(const struct ph_members *ms, const char *addr,
+		       uint64_t now_us)
+{
+	const struct ph_member *m;
+
+	for (m = ms->first; m; m = m->next)
+		if (!strcmp(m->addr, addr) && now_us < m->heard_us + KNOWN_US)
+			return true;
+	return false;
+}
+
+static void greet(struct ph_members *ms, uint64_t now_us,
+		  const struct ph_members_sink *sink, void *ctx)
+{
+	struct ph_member *m;
+	size_t i;
+
+	for (m = ms->first; m; m = m->next) {
+		uint64_t every = live(ms, m, now_us) ? ms->opt.heartbeat_us :
+						       CONTACT_EVERY_US;
+
+		if (now_us > m->heard_us + KNOWN_US ||
+		    now_us < m->sent_us + every)
+			continue;
+		m->sent_us = now_us;
+		sink->greet(ctx, m->addr, m);
+	}
+	for (i = 0; i < ms->contact_count; i++) {
+		if (known_addr(ms, ms->contacts[i], now_us) ||
+		    now_us < ms->contact_sent_us[i] + CONTACT_EVERY_US)
+			continue;
+		ms->contact_sent_us[i] = now_us;
+		sink->greet(ctx, ms->contacts[i], NULL);
+	}
+}
+
+static void watch_links(struct ph_members *ms, uint64_t now_us,
+			const struct ph_members_sink *sink, void *ctx)
+{
+	struct ph_member *m;
+
+	for (m = ms->first; m; m = m->next) {
+		if (m->restarted) {
+			m->restarted = false;
+			sink->lost(ctx, m->name);
+		}
+		if (!m->lost && !live(ms, m, now_us)) {
+			m->lost = true;
+			ph_event(PART,
+				 "event=member_lost member=%s silent_us=%llu",
+				 m->name,
+				 (unsigned long long)(now_us - m->heard_us));
+			sink->lost(ctx, m->name);
+		}
+		if (live(ms, m, now_us) &&
+		    m->heard_me_ago_us > ms->opt.suspect_us &&
+		    now_us > m->link_reset_us + LINK_RESET_EVERY_US) {
+			m->link_reset_us = now_us;
+			sink->reset_link(ctx, m->addr);
+		}
+	}
+}
+
+static void forget(struct ph_members *ms, uint64_t now_us)
+{
+	struct ph_member **at = &ms->first;
+
+	while (*at) {
+		struct ph_member *m = *at;
+
+		if (now_us < m->heard_us + FORGET_US) {
+			at = &m->next;
+			continue;
+		}
+		*at = m->next;
+		ms->mem->free(m);
+	}
+}
+
+void ph_members_greet_soon(struct ph_members *ms)
+{
+	struct ph_member *m;
+
+	for (m = ms->first; m; m = m->next)
+		m->sent_us = 0;
+}
+
+void ph_members_leave(struct ph_members *ms)
+{
+	ms->leaving = true;
+}
+
+void ph_members_paused(struct ph_members *ms, uint64_t now_us,
+		       const struct ph_members_sink *sink, void *ctx)
+{
+	struct ph_member *m;
+	size_t i;
+
+	for (m = ms->first; m; m = m->next)
+		if (m->heard_us && now_us < m->heard_us + KNOWN_US)
+			m->heard_us = now_us > ms->opt.suspect_us ?
+					      now_us - ms->opt.suspect_us :
+					      1;
+	for (i = 0; i < ms->domain_count; i++)
+		if (ms->domains[i].owned)
+			release(&ms->domains[i], sink, ctx);
+	ms->opt.start_us = now_us;
+}
+
+void ph_members_fenced(struct ph_members *ms, uint64_t now_us, uint64_t unix_ms,
+		       const char *domain, const struct ph_members_sink *sink,
+		       void *ctx)
+{
+	struct domain *d = domain_find(ms, domain);
+
+	if (!d || !d->owned)
+		return;
+	ph_event(PART, "event=fenced domain=%s token=%llu minority=%d",
+		 domain, (unsigned long long)d->token,
+		 ph_members_minority(ms, now_us));
+	if (ph_members_minority(ms, now_us)) {
+		d->yielded = true;
+		release(d, sink, ctx);
+		return;
+	}
+	acquire(ms, d, unix_ms, sink, ctx);
+}
+
+void ph_members_tick(struct ph_members *ms, uint64_t now_us, uint64_t unix_ms,
+		     const struct ph_members_sink *sink, void *ctx)
+{
+	size_t i;
+
+	watch_links(ms, now_us, sink, ctx);
+	for (i = 0; i < ms->domain_count; i++) {
+		struct domain *d = &ms->domains[i];
+
+		note_tokens(ms, d);
+		if (d->owned && outranked(ms, d, now_us))
+			release(d, sink, ctx);
+		else if (!d->owned)
+			consider(ms, d, now_us, unix_ms, sink, ctx);
+	}
+	greet(ms, now_us, sink, ctx);
+	forget(ms, now_us);
+}
--- /dev/null
+++ b/src/members.h
@@ -0,0 +1,129 @@
+#ifndef PH_MEMBERS_H
+#define PH_MEMBERS_H
+
+/*
+ * The entry instances that live, by their heartbeats, and which of them owns
+ * which failure domain's pool. An owner keeps its pool until it leaves, dies
+ * or is outranked; a domain without instances is adopted by others.
+ */
+
+#include "poolmsg.h"
+
+#define PH_DOMAINS_MAX 16U
+
+struct ph_members;
+
+struct ph_members_options {
+	const struct ph_mem *mem;
+	const char *name;
+	const char *domain;
+	/** "ip:port" for peers. */
+	const char *addr;
+	/** Start of this process, Unix milliseconds. */
+	uint64_t incarnation;
+	uint64_t heartbeat_us;
+	/** Silence after which a peer counts as dead. */
+	uint64_t suspect_us;
+	uint64_t start_us;
+};
+
+struct ph_member {
+	struct ph_member *next;
+	char name[PH_NAME_BYTES];
+	char domain[PH_NAME_BYTES];
+	char addr[PH_ADDR_BYTES];
+	uint64_t incarnation;
+	uint64_t heard_us;
+	uint64_t sent_us;
+	/** As the peer says, how long ago it last heard this instance. */
+	uint64_t heard_me_ago_us;
+	uint64_t link_reset_us;
+	bool leaving;
+	/** Reported lost already. */
+	bool lost;
+	/** Another life has answered: the one before is to be reported lost. */
+	bool restarted;
+	uint64_t config_version;
+	uint32_t claim_count;
+	struct ph_claim claims[PH_CLAIMS_MAX];
+};
+
+/** The next tick greets everyone: something changed. */
+void ph_members_greet_soon(struct ph_members *members);
+
+/** What a tick decides. */
+struct ph_members_sink {
+	void (*acquire)(void *ctx, const char *domain, uint64_t token);
+	void (*release)(void *ctx, const char *domain);
+	/** A heartbeat is due; member is NULL for a bare contact. */
+	void (*greet)(void *ctx, const char *addr, const struct ph_member *m);
+	/** The link to a peer that doesn't hear this instance. */
+	void (*reset_link)(void *ctx, const char *addr);
+	/** A peer has fallen silent or restarted. */
+	void (*lost)(void *ctx, const char *name);
+};
+
+struct ph_members *ph_members_new(const struct ph_members_options *options);
+void ph_members_free(struct ph_members *members);
+
+/** An address to greet: a seed, or one that the platform knows. */
+void ph_members_contact(struct ph_members *members, const char *addr);
+
+/** Takes note of a heartbeat; returns the sender, NULL if it is stale. */
+const struct ph_member *ph_members_heard(struct ph_members *members,
+					 uint64_t now_us,
+					 const struct ph_poolmsg *hello);
+
+/** Nothing listens at a peer's address: it is dead, not just silent. */
+void ph_members_refused(struct ph_members *members, uint64_t now_us,
+			const char *addr);
+
+/** The failure domains that have executors. */
+void ph_members_set_domains(struct ph_members *members,
+			    char (*domains)[PH_NAME_BYTES], size_t count);
+
+/** No more claims; what is owned is left to others as they claim it. */
+void ph_members_leave(struct ph_members *members);
+
+/** This process stood still: nothing that it owned is its own. */
+void ph_members_paused(struct ph_members *members, uint64_t now_us,
+		       const struct ph_members_sink *sink, void *ctx);
+
+/** An executor refused this instance's token of a domain. */
+void ph_members_fenced(struct ph_members *members, uint64_t now_us,
+		       uint64_t unix_ms, const char *domain,
+		       const struct ph_members_sink *sink, void *ctx);
+
+/** Heartbeats and claims; at least every 50 ms. */
+void ph_members_tick(struct ph_members *members, uint64_t now_us,
+		     uint64_t unix_ms, const struct ph_members_sink *sink,
+		     void *ctx);
+
+/** The owner of a domain's pool as known here. */
+struct ph_owner {
+	char name[PH_NAME_BYTES];
+	char addr[PH_ADDR_BYTES];
+	uint64_t token;
+	bool self;
+	struct ph_pool_load load;
+	/** When load was heard. */
+	uint64_t heard_us;
+};
+
+/** Finds the live owner of a domain; false if there is none. */
+bool ph_members_owner(const struct ph_members *members, uint64_t now_us,
+		      const char *domain, struct ph_owner *owner);
+
+bool ph_members_live(const struct ph_members *members, uint64_t now_us,
+		     const char *name);
+
+/** Domain by index, NULL at the end. */
+const char *ph_members_domain(const struct ph_members *members, size_t i);
+
+/** True if fewer than half of the instances known lately are heard. */
+bool ph_members_minority(const struct ph_members *members, uint64_t now_us);
+
+/** First member of the list, for dumps and messages. */
+const struct ph_member *ph_members_first(const struct ph_members *members);
+
+#endif
--- a/src/msg.c
+++ b/src/msg.c
@@ -458,8 +458,9 @@
 
 /* The unpacker takes memory for as many elements as an array declares, so
  * what is declared is held against the bytes that are there first. */
-static bool plausible(const uint8_t *data, size_t len)
+bool ph_msg_plausible(const char *bytes, size_t len)
 {
+	const uint8_t *data = (const uint8_t *)bytes;
 	size_t pending = 1;
 	size_t at = 0;
 
@@ -499,7 +500,7 @@
 	size_t used = 0;
 	int err = PH_ERR_SYNTAX;
 
-	if (!plausible((const uint8_t *)data, len))
+	if (!ph_msg_plausible(data, len))
 		return PH_ERR_SYNTAX;
 	box = mem->calloc(1, sizeof(*box));
 	box->mem = mem;
--- a/src/msg.h
+++ b/src/msg.h
@@ -124,6 +124,12 @@
 /** Encodes a frame, its length included. */
 void ph_msg_encode(const struct ph_msg *msg, struct ph_buf *out);
 
+/**
+ * Tells whether bytes can be one msgpack object of the kinds in use whose
+ * declared sizes are all there.
+ */
+bool ph_msg_plausible(const char *bytes, size_t len);
+
 /** A decoded message together with the memory that its fields borrow. */
 struct ph_msg_box;
 
--- /dev/null
+++ b/src/node.h
@@ -0,0 +1,109 @@
+#ifndef PH_NODE_H
+#define PH_NODE_H
+
+/*
+ * An entry instance on a platform: its front, its pools and its membership
+ * on one control thread, bound to peers here and to the platform through a
+ * table of calls. Functions without "any thread" are for the control thread.
+ */
+
+#include "directory.h"
+#include "front.h"
+#include "routing.h"
+
+struct ph_node;
+
+/** What the platform's adapter does for the node, on the control thread. */
+struct ph_node_port {
+	void (*look)(void *ctx, const struct ph_look *look);
+	void (*start)(void *ctx, const struct ph_order *order);
+	void (*stop)(void *ctx, const struct ph_order *order);
+	/** Answers the caller's request that token names. */
+	void (*answer)(void *ctx, uint64_t token,
+		       enum ph_front_outcome outcome, uint64_t retry_after_us);
+	/** Every turn of the control thread: reads that are due, hang-ups. */
+	void (*tick)(void *ctx, uint64_t now_us);
+	/** Requests that are not answered yet. */
+	size_t (*open_requests)(void *ctx);
+};
+
+struct ph_node_settings {
+	const char *name;
+	const char *domain;
+	/** IP number and port for peers. */
+	const char *address;
+	uint16_t peer_port;
+	/** "ip:port,..." of instances to ask at the start. */
+	const char *seeds;
+	uint64_t heartbeat_us;
+	uint64_t suspect_us;
+	uint64_t lease_us;
+	/** Time to end in after a request to stop. */
+	uint64_t grace_us;
+	/** Time for the balancer to notice that the instance isn't ready. */
+	uint64_t notice_us;
+};
+
+/** Binds the peers' port; nothing is decided before ph_node_run(). */
+int ph_node_start(const struct ph_mem *mem,
+		  const struct ph_node_settings *settings,
+		  const struct ph_node_port *port, void *port_ctx,
+		  struct ph_node **node);
+
+/** Starts the control thread. */
+void ph_node_run(struct ph_node *node);
+
+/** Requests a graceful stop; any thread. */
+void ph_node_stop(struct ph_node *node);
+/** Requests a dump of the state to the log; any thread. */
+void ph_node_dump(struct ph_node *node);
+/** Waits for the end of a requested stop; the sockets stay open. */
+void ph_node_join(struct ph_node *node);
+void ph_node_free(struct ph_node *node);
+
+/** Runs a function on the control thread; any thread. */
+void ph_node_post(struct ph_node *node, void (*run)(void *arg, uint64_t now_us),
+		  void *arg);
+
+/** Present time of the steady clock; any thread. */
+uint64_t ph_node_now_us(void);
+
+/** Present Unix time; any thread. */
+uint64_t ph_node_unix_ms(void);
+
+/* ## From the adapter */
+
+/** Offers a configuration as read; takes it over. doc is kept for peers. */
+void ph_node_offer_routing(struct ph_node *node, struct ph_routing *routing,
+			   const char *doc, size_t len, uint64_t now_us);
+/** Reads a configuration that came from a peer; set by the adapter. */
+typedef struct ph_routing *ph_node_parse_fn(const struct ph_mem *mem,
+					    const char *doc, size_t len);
+void ph_node_set_parser(struct ph_node *node, ph_node_parse_fn *parse);
+
+void ph_node_executors(struct ph_node *node, uint64_t now_us,
+		       uint64_t asked_us, const struct ph_executor_info *list,
+		       size_t count);
+void ph_node_executors_failed(struct ph_node *node, uint64_t now_us);
+void ph_node_contact(struct ph_node *node, const char *addr);
+
+/** Routes in force, or NULL. */
+const struct ph_routing *ph_node_routing(const struct ph_node *node);
+/** True if the balancer may send new connections. */
+bool ph_node_ready(const struct ph_node *node);
+bool ph_node_stopping(const struct ph_node *node);
+
+void ph_node_submit(struct ph_node *node, uint64_t now_us, uint64_t token,
+		    struct ph_work *work);
+void ph_node_hangup(struct ph_node *node, uint64_t now_us, uint64_t token);
+void ph_node_look_done(struct ph_node *node, uint64_t now_us, uint64_t call_id,
+		       const struct ph_look_reply *reply);
+void ph_node_order_done(struct ph_node *node, uint64_t now_us,
+			uint64_t call_id, bool stop,
+			const struct ph_order_reply *reply);
+
+/** Writes counters and histograms as text for a metrics collector. */
+void ph_node_metrics(struct ph_node *node, uint64_t now_us,
+		     struct ph_buf *out);
+
+#endif
--- /dev/null
+++ b/src/node_impl.h
@@ -0,0 +1,80 @@
+#ifndef PH_NODE_IMPL_H
+#define PH_NODE_IMPL_H
+
+/* Shared by node.c (the control thread) and node_report.c (metrics, dump). */
+
+#include <apr_thread_proc.h>
+
+#include "node.h"
+#include "transport.h"
+
+#define PH_POOL_CALL_SHIFT 48U
+
+struct ph_node_pool {
+	char domain[PH_NAME_BYTES];
+	struct ph_pool *pool;
+};
+
+/** A message from this instance to itself. */
+struct ph_local {
+	struct ph_local *next;
+	struct ph_poolmsg msg;
+};
+
+/** An outcome that the submitting instance has not acknowledged. */
+struct ph_outcome_due {
+	struct ph_outcome_due *next;
+	char front[PH_NAME_BYTES];
+	uint64_t seq;
+	struct ph_result result;
+	uint64_t made_us;
+	uint64_t sent_us;
+};
+
+struct ph_node_counters {
+	uint64_t jobs;
+	uint64_t hangups;
+	/** By enum ph_front_outcome. */
+	uint64_t answers[4];
+};
+
+struct ph_node {
+	const struct ph_mem *mem;
+	struct ph_node_settings set;
+	char addr[PH_ADDR_BYTES];
+	uint64_t incarnation;
+	const struct ph_node_port *port;
+	void *port_ctx;
+	apr_pool_t *apr;
+	apr_thread_t *thread;
+	struct ph_mailbox *box;
+	struct ph_transport *transport;
+	struct ph_buf frame;
+
+	/* Control thread only. */
+	struct ph_members *members;
+	struct ph_front *front;
+	struct ph_directory *directory;
+	struct ph_node_pool pools[PH_DOMAINS_MAX];
+	size_t pool_count;
+	struct ph_poolmsg hello;
+	struct ph_local *local_head;
+	struct ph_local *local_tail;
+	struct ph_outcome_due *outcomes;
+	struct ph_routing *routing;
+	ph_node_parse_fn *parse;
+	char *doc;
+	size_t doc_len;
+	uint64_t config_asked_us;
+	bool greet_all;
+	bool stopping;
+	uint64_t stop_us;
+	uint64_t ticked_us;
+	uint64_t worked_us;
+	uint64_t suspended_us;
+	struct ph_node_counters counters;
+};
+
+extern const struct ph_members_sink ph_node_members_sink;
+
+#endif
--- /dev/null
+++ b/src/node_report.c
@@ -0,0 +1,107 @@
+#include <string.h>
+
+#include "log.h"
+#include "node_impl.h"
+
+#define PART "node"
+
+static void counter(struct ph_buf *out, const char *name, uint64_t value)
+{
+	ph_buf_printf(out, "# TYPE %s counter\n%s %llu\n", name, name,
+		      (unsigned long long)value);
+}
+
+static void pool_metrics(struct ph_node_pool *p, uint64_t now_us,
+			 struct ph_buf *out)
+{
+	const struct ph_pool_counters *c = ph_pool_counters(p->pool);
+	struct ph_pool_load load;
+	const struct {
+		const char *name;
+		uint64_t value;
+	} rows[] = {
+		{ "starts_total", c->starts },
+		{ "no_room_total", c->no_room },
+		{ "failed_runs_total", c->failed_runs },
+		{ "lapsed_runs_total", c->lapsed_runs },
+		{ "moved_runs_total", c->moved_runs },
+		{ "strays_stopped_total", c->strays_stopped },
+		{ "adopted_runs_total", c->adopted },
+		{ "looks_total", c->looks },
+	};
+	size_t i;
+
+	ph_pool_load(p->pool, now_us, &load);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		ph_buf_printf(out, "peridothall_pool_%s{domain=\"%s\"} %llu\n",
+			      rows[i].name, p->domain,
+			      (unsigned long long)rows[i].value);
+	ph_buf_printf(out,
+		      "peridothall_pool_owned{domain=\"%s\"} %d\n"
+		      "peridothall_pool_executors{domain=\"%s\"} %u\n"
+		      "peridothall_pool_usable{domain=\"%s\"} %u\n"
+		      "peridothall_pool_free_millicores{domain=\"%s\"} %u\n"
+		      "peridothall_pool_batches{domain=\"%s\"} %u\n",
+		      p->domain, ph_pool_owned(p->pool), p->domain,
+		      load.executors, p->domain, load.usable, p->domain,
+		      load.free_milli, p->domain, load.batches);
+}
+
+void ph_node_metrics(struct ph_node *n, uint64_t now_us, struct ph_buf *out)
+{
+	static const char *const outcomes[] = { "completed", "failed",
+						"not_run", "unknown" };
+	size_t i;
+
+	counter(out, "peridothall_jobs_total", n->counters.jobs);
+	counter(out, "peridothall_hangups_total", n->counters.hangups);
+	counter(out, "peridothall_log_lines_dropped_total", ph_log_dropped());
+	for (i = 0; i < 4; i++)
+		ph_buf_printf(out,
+			      "peridothall_answers_total{outcome=\"%s\"} "
+			      "%llu\n",
+			      outcomes[i],
+			      (unsigned long long)n->counters.answers[i]);
+	ph_buf_printf(out,
+		      "peridothall_ready %d\n"
+		      "peridothall_config_version %llu\n"
+		      "peridothall_jobs_under_way %zu\n",
+		      ph_node_ready(n),
+		      n->routing ? (unsigned long long)n->routing->version : 0,
+		      ph_front_count(n->front));
+	for (i = 0; i < n->pool_count; i++)
+		pool_metrics(&n->pools[i], now_us, out);
+}
+
+static void dump(void *arg, uint64_t now_us)
+{
+	struct ph_node *n = arg;
+	const struct ph_member *m;
+	size_t i;
+
+	ph_event(PART, "event=dump jobs=%zu ready=%d config=%llu minority=%d",
+		 ph_front_count(n->front), ph_node_ready(n),
+		 n->routing ? (unsigned long long)n->routing->version : 0,
+		 ph_members_minority(n->members, now_us));
+	for (m = ph_members_first(n->members); m; m = m->next)
+		ph_event(PART, "event=dump_member member=%s silent_us=%llu "
+			       "leaving=%d claims=%u",
+			 m->name, (unsigned long long)(now_us - m->heard_us),
+			 m->leaving, m->claim_count);
+	for (i = 0; i < n->pool_count; i++) {
+		struct ph_pool_load load;
+
+		ph_pool_load(n->pools[i].pool, now_us, &load);
+		ph_event(PART,
+			 "event=dump_pool domain=%s owned=%d executors=%u "
+			 "usable=%u free_milli=%u batches=%u",
+			 n->pools[i].domain, ph_pool_owned(n->pools[i].pool),
+			 load.executors, load.usable, load.free_milli,
+			 load.batches);
+	}
+}
+
+void ph_node_dump(struct ph_node *n)
+{
+	ph_node_post(n, dump, n);
+}
--- /dev/null
+++ b/src/pool.c
@@ -0,0 +1,491 @@
+#include <string.h>
+
+#include "log.h"
+#include "pool_impl.h"
+
+#define PART "pool"
+/* Shortest and longest time that a refused caller is sent away for. */
+#define RETRY_MIN_US 1000000U
+#define RETRY_MAX_US 8000000U
+#define US_PER_S 1000000U
+
+struct ph_pool *ph_pool_new(const struct ph_pool_options *options)
+{
+	struct ph_pool *pool = options->mem->calloc(1, sizeof(*pool));
+
+	pool->opt = *options;
+	pool->mem = options->mem;
+	pool->last_call = options->first_call;
+	return pool;
+}
+
+static void batch_free(struct ph_pool *pool, struct ph_batch *b)
+{
+	ph_work_free(pool->mem, b->work);
+	pool->mem->free(b->tasks);
+	pool->mem->free(b);
+}
+
+void ph_pool_free(struct ph_pool *pool)
+{
+	if (!pool)
+		return;
+	while (pool->executors) {
+		struct ph_executor *x = pool->executors;
+
+		pool->executors = x->next;
+		ph_executor_free(pool, x);
+	}
+	while (pool->batches) {
+		struct ph_batch *b = pool->batches;
+
+		pool->batches = b->next;
+		batch_free(pool, b);
+	}
+	while (pool->calls) {
+		struct ph_call *c = pool->calls;
+
+		pool->calls = c->next;
+		pool->mem->free(c);
+	}
+	pool->mem->free(pool);
+}
+
+bool ph_pool_owned(const struct ph_pool *pool)
+{
+	return pool->owned;
+}
+
+uint64_t ph_pool_token(const struct ph_pool *pool)
+{
+	return pool->token;
+}
+
+bool ph_pool_fenced(const struct ph_pool *pool)
+{
+	return pool->fenced;
+}
+
+const struct ph_pool_counters *ph_pool_counters(const struct ph_pool *pool)
+{
+	return &pool->counters;
+}
+
+/* ## Batches */
+
+static void batch_tell(struct ph_pool *pool, struct ph_batch *b,
+		       enum ph_verdict verdict, uint64_t retry_after_us,
+		       const char *reason, uint64_t now_us)
+{
+	struct ph_result result = { .verdict = verdict,
+				    .retry_after_us = retry_after_us,
+				    .reason = reason };
+	uint32_t i;
+
+	for (i = 0; i < b->work->count; i++)
+		if (b->tasks[i].state == PH_TASK_DONE)
+			ph_bit_set(result.done, i);
+	ph_event(PART,
+		 "event=batch_end job=%s verdict=%s reason=\"%s\" tasks=%u "
+		 "left=%u held_us=%llu aim_us=%llu estimate_us=%llu",
+		 b->work->job, ph_verdict_name(verdict), reason,
+		 b->work->count, b->left,
+		 (unsigned long long)(now_us - b->taken_us),
+		 (unsigned long long)b->work->aim_us,
+		 (unsigned long long)b->work->estimate_us);
+	pool->opt.sink->result(pool->opt.ctx, b->front, b->seq, &result);
+}
+
+static void batch_remove(struct ph_pool *pool, struct ph_batch *batch)
+{
+	struct ph_batch **at = &pool->batches;
+
+	while (*at != batch)
+		at = &(*at)->next;
+	*at = batch->next;
+	batch_free(pool, batch);
+	pool->dirty = true;
+}
+
+/* Ends a batch: what still runs of it is stopped and no longer its own. */
+static void batch_end(struct ph_pool *pool, struct ph_batch *b, uint64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->work->count; i++)
+		if (b->tasks[i].state == PH_TASK_PLACED)
+			ph_run_abandon(pool, b->tasks[i].run, now_us);
+	batch_remove(pool, b);
+}
+
+void ph_batch_task_back(struct ph_pool *pool, struct ph_batch *b,
+			uint32_t index)
+{
+	b->tasks[index].state = PH_TASK_WAITING;
+	b->tasks[index].run = NULL;
+	b->waiting++;
+	pool->dirty = true;
+}
+
+void ph_batch_task_done(struct ph_pool *pool, struct ph_batch *b,
+			uint32_t index, uint64_t now_us)
+{
+	if (b->tasks[index].state == PH_TASK_WAITING)
+		b->waiting--;
+	b->tasks[index].state = PH_TASK_DONE;
+	b->tasks[index].run = NULL;
+	pool->dirty = true;
+	if (--b->left)
+		return;
+	batch_tell(pool, b, PH_VERDICT_DONE, 0, "", now_us);
+	batch_remove(pool, b);
+}
+
+void ph_batch_task_failed(struct ph_pool *pool, struct ph_batch *b,
+			  uint32_t index, uint64_t now_us)
+{
+	ph_batch_task_back(pool, b, index);
+	if (++b->tasks[index].failures < b->work->max_attempts)
+		return;
+	batch_tell(pool, b, PH_VERDICT_FAILED, 0, "attempts used up", now_us);
+	batch_end(pool, b, now_us);
+}
+
+static struct ph_batch *batch_find(struct ph_pool *pool, const char *front,
+				   uint64_t seq)
+{
+	struct ph_batch *b;
+
+	for (b = pool->batches; b; b = b->next)
+		if (b->seq == seq && !strcmp(b->front, front))
+			return b;
+	return NULL;
+}
+
+/* ## Resumed batches */
+
+static void adopt_run(struct ph_pool *pool, struct ph_batch *b,
+		      struct ph_executor *x, struct ph_run *run)
+{
+	struct ph_task *task = &b->tasks[run->index];
+
+	ph_capacity_sub(&x->used, &run->need);
+	run->need = b->work->need;
+	ph_capacity_add(&x->used, &run->need);
+	run->batch = b;
+	run->state = PH_RUN_RUNNING;
+	task->run = run;
+	task->state = PH_TASK_PLACED;
+	if (task->next_run <= run->run)
+		task->next_run = run->run + 1;
+	b->waiting--;
+	b->started = true;
+	pool->counters.adopted++;
+}
+
+/* Claims what an earlier owner has started of a batch. */
+static void adopt(struct ph_pool *pool, struct ph_batch *b, uint64_t now_us)
+{
+	const char *job = b->work->job;
+	struct ph_executor *x;
+	struct ph_run *run;
+	uint32_t i;
+
+	for (x = pool->executors; x; x = x->next)
+		for (run = x->runs; run; run = run->next)
+			if (run->state == PH_RUN_STRAY &&
+			    run->index < b->work->count &&
+			    b->tasks[run->index].state == PH_TASK_WAITING &&
+			    !strcmp(run->job, job))
+				adopt_run(pool, b, x, run);
+	for (i = 0; i < PH_STRAY_ENDS; i++) {
+		struct ph_stray_end *s = &pool->strays[i];
+
+		if (s->index >= b->work->count || strcmp(s->job, job) != 0 ||
+		    b->tasks[s->index].state != PH_TASK_WAITING)
+			continue;
+		b->started = true;
+		s->job[0] = '\0';
+		if (b->left == 1) {
+			ph_batch_task_done(pool, b, s->index, now_us);
+			return;
+		}
+		ph_batch_task_done(pool, b, s->index, now_us);
+	}
+}
+
+static void adopt_all(struct ph_pool *pool, uint64_t now_us)
+{
+	struct ph_batch *b = pool->batches;
+
+	while (b) {
+		struct ph_batch *next = b->next;
+
+		if (b->work->resumed && b->waiting)
+			adopt(pool, b, now_us);
+		b = next;
+	}
+}
+
+/* ## Admission */
+
+static uint64_t backlog(const struct ph_pool *pool)
+{
+	const struct ph_batch *b;
+	uint64_t sum = 0;
+
+	for (b = pool->batches; b; b = b->next)
+		sum += (uint64_t)b->waiting * b->work->need.cpu_milli *
+		       b->work->estimate_us;
+	return sum;
+}
+
+static uint64_t clamp_retry(uint64_t us)
+{
+	if (us < RETRY_MIN_US)
+		return RETRY_MIN_US;
+	return us > RETRY_MAX_US ? RETRY_MAX_US : us;
+}
+
+/* When work that is refused now will likely find room. */
+static uint64_t retry_after(const struct ph_pool *pool, uint64_t now_us)
+{
+	struct ph_pool_load load;
+
+	ph_pool_load(pool, now_us, &load);
+	if (!load.capacity_milli)
+		return clamp_retry(US_PER_S);
+	return clamp_retry(load.backlog_milli_us / load.capacity_milli);
+}
+
+/* Refuses or gives up what nobody would be there to hear of. */
+static bool too_late(const struct ph_batch *b, uint64_t now_us)
+{
+	uint64_t end = b->arrived_us + b->work->give_up_us;
+
+	if (b->started)
+		return now_us >= end;
+	return now_us + b->work->estimate_us >= end;
+}
+
+static void give_up(struct ph_pool *pool, struct ph_batch *b, uint64_t now_us)
+{
+	if (b->started)
+		batch_tell(pool, b, PH_VERDICT_BROKEN, 0,
+			   "caller's deadline passed", now_us);
+	else
+		batch_tell(pool, b, PH_VERDICT_NOT_RUN,
+			   retry_after(pool, now_us),
+			   "no room before the caller's deadline", now_us);
+	batch_end(pool, b, now_us);
+}
+
+static struct ph_batch *batch_new(struct ph_pool *pool, uint64_t now_us,
+				  const char *front, uint64_t seq,
+				  struct ph_work *work)
+{
+	struct ph_batch *b = pool->mem->calloc(1, sizeof(*b));
+	uint32_t i;
+
+	ph_strcopy(b->front, sizeof(b->front), front);
+	b->seq = seq;
+	b->work = work;
+	b->taken_us = now_us;
+	b->arrived_us = now_us > work->age_us ? now_us - work->age_us : 0;
+	b->started = work->resumed;
+	b->tasks = pool->mem->calloc(work->count, sizeof(*b->tasks));
+	b->left = work->count;
+	b->waiting = work->count;
+	for (i = 0; i < work->count; i++) {
+		b->tasks[i].next_run = work->first_run;
+		if (!ph_bit_get(work->done, i))
+			continue;
+		b->tasks[i].state = PH_TASK_DONE;
+		b->left--;
+		b->waiting--;
+	}
+	return b;
+}
+
+void ph_pool_submit(struct ph_pool *pool, uint64_t now_us, const char *front,
+		    uint64_t seq, struct ph_work *work)
+{
+	struct ph_batch *b;
+
+	if (batch_find(pool, front, seq)) {
+		ph_work_free(pool->mem, work);
+		return;
+	}
+	b = batch_new(pool, now_us, front, seq, work);
+	b->next = pool->batches;
+	pool->batches = b;
+	if (!b->left) {
+		batch_tell(pool, b, PH_VERDICT_DONE, 0, "", now_us);
+		batch_remove(pool, b);
+		return;
+	}
+	if (!pool->owned) {
+		batch_tell(pool, b, PH_VERDICT_MOVED, 0, "not the owner",
+			   now_us);
+		batch_remove(pool, b);
+		return;
+	}
+	if (work->resumed)
+		adopt_all(pool, now_us);
+	ph_pool_tick(pool, now_us);
+}
+
+void ph_pool_cancel(struct ph_pool *pool, uint64_t now_us, const char *front,
+		    uint64_t seq)
+{
+	struct ph_batch *b = batch_find(pool, front, seq);
+
+	if (!b)
+		return;
+	ph_event(PART, "event=batch_cancelled job=%s left=%u", b->work->job,
+		 b->left);
+	batch_end(pool, b, now_us);
+	ph_pool_tick(pool, now_us);
+}
+
+void ph_pool_front_lost(struct ph_pool *pool, uint64_t now_us,
+			const char *front)
+{
+	struct ph_batch *b = pool->batches;
+
+	while (b) {
+		struct ph_batch *next = b->next;
+
+		if (!strcmp(b->front, front)) {
+			batch_tell(pool, b,
+				   b->started ? PH_VERDICT_BROKEN :
+						PH_VERDICT_NOT_RUN,
+				   retry_after(pool, now_us),
+				   "its instance is silent", now_us);
+			batch_end(pool, b, now_us);
+		}
+		b = next;
+	}
+}
+
+/* ## Ownership */
+
+void ph_pool_acquire(struct ph_pool *pool, uint64_t now_us, uint64_t token)
+{
+	struct ph_executor *x;
+
+	ph_event(PART, "event=pool_acquired domain=%s token=%llu again=%d",
+		 pool->opt.domain, (unsigned long long)token, pool->owned);
+	pool->token = token;
+	pool->fenced = false;
+	pool->dirty = true;
+	if (pool->owned)
+		return;
+	pool->owned = true;
+	pool->acquired_us = now_us;
+	for (x = pool->executors; x; x = x->next) {
+		x->known = false;
+		x->look_again_us = now_us;
+		x->clean_us = now_us + pool->opt.lease_us +
+			      pool->opt.lease_us / 10;
+	}
+}
+
+void ph_pool_release(struct ph_pool *pool, uint64_t now_us)
+{
+	struct ph_executor *x;
+
+	if (!pool->owned)
+		return;
+	ph_event(PART, "event=pool_released domain=%s token=%llu",
+		 pool->opt.domain, (unsigned long long)pool->token);
+	pool->owned = false;
+	while (pool->batches) {
+		struct ph_batch *b = pool->batches;
+
+		batch_tell(pool, b, PH_VERDICT_MOVED, 0, "another owner",
+			   now_us);
+		batch_remove(pool, b);
+	}
+	for (x = pool->executors; x; x = x->next) {
+		while (x->runs)
+			ph_run_drop(pool, x, x->runs);
+		x->known = false;
+		x->look_call = 0;
+		x->look_failures = 0;
+		x->clock_ms = 0;
+		x->lease_ms = 0;
+	}
+}
+
+static struct ph_executor *executor_add(struct ph_pool *pool, uint64_t now_us,
+					const struct ph_executor_info *info)
+{
+	struct ph_executor *x = pool->mem->calloc(1, sizeof(*x));
+
+	x->info = *info;
+	x->look_again_us = now_us;
+	x->clean_us = now_us + pool->opt.lease_us + pool->opt.lease_us / 10;
+	x->pace_percent = 100;
+	x->next = pool->executors;
+	pool->executors = x;
+	return x;
+}
+
+void ph_pool_update(struct ph_pool *pool, uint64_t now_us,
+		    const struct ph_executor_info *list, size_t count)
+{
+	struct ph_executor *x;
+	size_t i;
+
+	for (x = pool->executors; x; x = x->next)
+		x->listed = false;
+	for (i = 0; i < count; i++) {
+		x = ph_executor_find(pool, list[i].id);
+		if (!x)
+			x = executor_add(pool, now_us, &list[i]);
+		x->info = list[i];
+		x->listed = true;
+	}
+	pool->dirty = true;
+}
+
+void ph_pool_tick(struct ph_pool *pool, uint64_t now_us)
+{
+	struct ph_batch *b = pool->batches;
+
+	if (!pool->owned)
+		return;
+	ph_lease_tick(pool, now_us);
+	while (b) {
+		struct ph_batch *next = b->next;
+
+		if (too_late(b, now_us))
+			give_up(pool, b, now_us);
+		b = next;
+	}
+	ph_pool_place(pool, now_us);
+}
+
+void ph_pool_load(const struct ph_pool *pool, uint64_t now_us,
+		  struct ph_pool_load *load)
+{
+	const struct ph_executor *x;
+	const struct ph_batch *b;
+
+	memset(load, 0, sizeof(*load));
+	for (x = pool->executors; x; x = x->next) {
+		uint32_t total = x->info.capacity.cpu_milli;
+
+		load->executors += x->listed;
+		if (!ph_executor_usable(pool, x, now_us))
+			continue;
+		load->usable++;
+		load->capacity_milli += total;
+		if (total > x->used.cpu_milli)
+			load->free_milli += total - x->used.cpu_milli;
+	}
+	load->backlog_milli_us = backlog(pool);
+	for (b = pool->batches; b; b = b->next)
+		load->batches++;
+}
--- /dev/null
+++ b/src/pool_impl.h
@@ -0,0 +1,184 @@
+#ifndef PH_POOL_IMPL_H
+#define PH_POOL_IMPL_H
+
+/* Shared by the parts of the pool: pool.c (batches), pool_lease.c (leases,
+ * looks and orders), pool_place.c (where and in which order tasks start). */
+
+#include "pool.h"
+
+#define PH_US_PER_MS 1000U
+
+enum ph_task_state {
+	PH_TASK_WAITING,
+	/** Ordered or running; its run tells where. */
+	PH_TASK_PLACED,
+	PH_TASK_DONE,
+};
+
+struct ph_run;
+
+struct ph_task {
+	enum ph_task_state state;
+	uint32_t failures;
+	struct ph_run *run;
+	/** Number of its next run. */
+	uint64_t next_run;
+};
+
+struct ph_batch {
+	struct ph_batch *next;
+	char front[PH_NAME_BYTES];
+	uint64_t seq;
+	struct ph_work *work;
+	/** When the caller's request arrived, on this clock. */
+	uint64_t arrived_us;
+	uint64_t taken_us;
+	/** Something of it was started, here or by an earlier owner. */
+	bool started;
+	/** Ended or cancelled: kept until its runs have ended. */
+	bool over;
+	/** Looked at in the present round of placement. */
+	bool passed;
+	uint32_t waiting;
+	uint32_t left;
+	struct ph_task *tasks;
+};
+
+enum ph_run_state {
+	/** Ordered; no answer yet. */
+	PH_RUN_ORDERED,
+	PH_RUN_RUNNING,
+	/** To be stopped; holds its room until its end is seen. */
+	PH_RUN_STOPPING,
+	/** Found at a take-over; may be claimed by a resumed batch. */
+	PH_RUN_STRAY,
+};
+
+/** A run that occupies, or may occupy, an executor. */
+struct ph_run {
+	struct ph_run *next;
+	char job[PH_JOB_BYTES];
+	uint32_t index;
+	uint64_t run;
+	struct ph_capacity need;
+	enum ph_run_state state;
+	/** NULL once nobody waits for it. */
+	struct ph_batch *batch;
+	uint64_t ordered_us;
+	/** An order was answered then; 0: not yet. */
+	uint64_t acked_us;
+	uint64_t stop_sent_us;
+	bool stop_pending;
+	/** Progress when it last changed. */
+	uint32_t percent;
+	uint64_t percent_us;
+};
+
+struct ph_executor {
+	struct ph_executor *next;
+	struct ph_executor_info info;
+	bool listed;
+	struct ph_capacity used;
+	struct ph_run *runs;
+	uint64_t born_ms;
+	/** A look of this ownership has been answered. */
+	bool known;
+	/** When everything of before this ownership has lapsed. */
+	uint64_t clean_us;
+	uint64_t ends_seen;
+	/** The executor's clock at a time of ours; 0: unknown. */
+	uint64_t clock_ms;
+	uint64_t clock_us;
+	/** Latest lease end ever sent, on the executor's clock. */
+	uint64_t lease_ms;
+	uint64_t look_call;
+	uint64_t look_sent_us;
+	uint64_t look_ok_us;
+	uint64_t look_again_us;
+	uint32_t look_failures;
+	/** Failures in a row, and the time before which it gets no work. */
+	uint32_t failures;
+	uint64_t avoid_us;
+	/** Run time against the declared one, in percent; smoothed. */
+	uint32_t pace_percent;
+};
+
+/** An order under way. */
+struct ph_call {
+	struct ph_call *next;
+	uint64_t id;
+	bool stop;
+	char executor[PH_NAME_BYTES];
+	char job[PH_JOB_BYTES];
+	uint32_t index;
+	uint64_t run;
+	uint64_t sent_us;
+};
+
+/** An end that came before the resumed batch that it belongs to. */
+struct ph_stray_end {
+	char job[PH_JOB_BYTES];
+	uint32_t index;
+	uint64_t seen_us;
+};
+
+#define PH_STRAY_ENDS 512U
+
+struct ph_pool {
+	struct ph_pool_options opt;
+	const struct ph_mem *mem;
+	bool owned;
+	bool fenced;
+	uint64_t token;
+	uint64_t acquired_us;
+	uint64_t last_call;
+	struct ph_executor *executors;
+	struct ph_batch *batches;
+	struct ph_call *calls;
+	struct ph_stray_end strays[PH_STRAY_ENDS];
+	uint32_t stray_next;
+	struct ph_pool_counters counters;
+	/** Something changed: starts are to be looked at again. */
+	bool dirty;
+};
+
+/* ## pool.c */
+
+/** A task's run is over without success; it waits again. */
+void ph_batch_task_back(struct ph_pool *pool, struct ph_batch *batch,
+			uint32_t index);
+void ph_batch_task_done(struct ph_pool *pool, struct ph_batch *batch,
+			uint32_t index, uint64_t now_us);
+void ph_batch_task_failed(struct ph_pool *pool, struct ph_batch *batch,
+			  uint32_t index, uint64_t now_us);
+
+/* ## pool_lease.c */
+
+struct ph_executor *ph_executor_find(struct ph_pool *pool, const char *id);
+void ph_executor_free(struct ph_pool *pool, struct ph_executor *executor);
+/** Drops a run and its room; tells the batch nothing. */
+void ph_run_drop(struct ph_pool *pool, struct ph_executor *executor,
+		 struct ph_run *run);
+/** Orders a task's next run on an executor. */
+void ph_run_start(struct ph_pool *pool, struct ph_executor *executor,
+		  struct ph_batch *batch, uint32_t index, uint64_t now_us);
+/** Stops a run; nobody waits for its end any more. */
+void ph_run_abandon(struct ph_pool *pool, struct ph_run *run, uint64_t now_us);
+/** Looks, lapses and stops that are due. */
+void ph_lease_tick(struct ph_pool *pool, uint64_t now_us);
+/** A call to the executor failed or worked. */
+void ph_executor_failed(struct ph_executor *executor, uint64_t now_us);
+void ph_executor_worked(struct ph_executor *executor);
+
+/* ## pool_place.c */
+
+/** Starts what fits, in the policy's order. */
+void ph_pool_place(struct ph_pool *pool, uint64_t now_us);
+bool ph_executor_usable(const struct ph_pool *pool,
+			const struct ph_executor *executor, uint64_t now_us);
+/** Expected run time of a batch's task. */
+uint64_t ph_batch_estimate(const struct ph_batch *batch);
+/** Latest start of a task that still meets the batch's aim. */
+uint64_t ph_batch_latest_start(const struct ph_batch *batch);
+
+#endif
--- /dev/null
+++ b/src/pool_place.c
@@ -0,0 +1,187 @@
+#include <string.h>
+
+#include "pool_impl.h"
+
+/* Response time that is lost outside the pool: the way from and to the
+ * caller and the processing on it. */
+#define AIM_MARGIN_US 12000U
+/* Aims within which a late answer is still worth something to the caller. */
+#define LATE_AIMS 3U
+/* An executor whose looks fail longer than this gets no new work; a look
+ * takes at most a quarter of the lease. */
+#define SILENT_DIVISOR 2U
+#define PERCENT 100U
+#define PACE_MIN_PERCENT 30U
+
+uint64_t ph_batch_estimate(const struct ph_batch *batch)
+{
+	return batch->work->estimate_us;
+}
+
+uint64_t ph_batch_latest_start(const struct ph_batch *batch)
+{
+	uint64_t aim = batch->arrived_us + batch->work->aim_us;
+	uint64_t need = ph_batch_estimate(batch) + AIM_MARGIN_US;
+
+	return aim > need ? aim - need : 0;
+}
+
+/* ## Order of starts */
+
+/* 0: can meet its aim; 1: late but worth something; 2: neither. */
+static int lateness(const struct ph_batch *b, uint64_t now_us)
+{
+	uint64_t late = b->arrived_us + LATE_AIMS * b->work->aim_us;
+
+	if (now_us <= ph_batch_latest_start(b))
+		return 0;
+	return now_us + ph_batch_estimate(b) <= late ? 1 : 2;
+}
+
+static bool slack_before(const struct ph_batch *a, const struct ph_batch *b,
+			 uint64_t now_us)
+{
+	int late_a = lateness(a, now_us);
+	int late_b = lateness(b, now_us);
+
+	if (late_a != late_b)
+		return late_a < late_b;
+	if (!late_a)
+		return ph_batch_latest_start(a) < ph_batch_latest_start(b);
+	if (a->work->priority != b->work->priority)
+		return a->work->priority < b->work->priority;
+	return a->arrived_us < b->arrived_us;
+}
+
+const struct ph_order_policy ph_order_slack = { "slack", slack_before };
+
+static bool fifo_before(const struct ph_batch *a, const struct ph_batch *b,
+			uint64_t now_us)
+{
+	(void)now_us;
+	return a->taken_us < b->taken_us;
+}
+
+const struct ph_order_policy ph_order_fifo = { "fifo", fifo_before };
+
+/* ## Placement */
+
+bool ph_executor_usable(const struct ph_pool *pool, const struct ph_executor *x,
+			uint64_t now_us)
+{
+	return x->listed && x->known && !x->info.draining &&
+	       now_us >= x->avoid_us && !x->look_failures &&
+	       now_us < x->look_ok_us + pool->opt.lease_us / SILENT_DIVISOR;
+}
+
+static bool label_ok(const struct ph_executor *x, const char *label)
+{
+	const char *at = label[0] ? strstr(x->info.labels, label) : NULL;
+	size_t len = strlen(label);
+
+	if (!len)
+		return true;
+	for (; at; at = strstr(at + 1, label))
+		if (at > x->info.labels && at[-1] == ' ' && at[len] == ' ')
+			return true;
+	return false;
+}
+
+/* Smaller is better: sound ones first, then the tightest fit, then speed. */
+static uint64_t rank(const struct ph_executor *x,
+		     const struct ph_capacity *need)
+{
+	uint64_t left = x->info.capacity.cpu_milli - x->used.cpu_milli -
+			need->cpu_milli;
+	uint64_t pace = x->pace_percent < PACE_MIN_PERCENT ? PACE_MIN_PERCENT :
+							     x->pace_percent;
+
+	return ((uint64_t)x->failures << 48) + left * pace / PERCENT;
+}
+
+static struct ph_executor *pick(struct ph_pool *pool,
+				const struct ph_batch *batch, uint64_t now_us)
+{
+	const struct ph_work *w = batch->work;
+	struct ph_executor *best = NULL;
+	struct ph_executor *x;
+
+	for (x = pool->executors; x; x = x->next) {
+		if (strcmp(x->info.service, w->service) != 0 ||
+		    !ph_executor_usable(pool, x, now_us) ||
+		    !ph_capacity_fits(&x->info.capacity, &x->used, &w->need) ||
+		    !label_ok(x, w->label))
+			continue;
+		/* One that has failed proves itself with a single run. */
+		if (x->failures && x->runs)
+			continue;
+		if (!best || rank(x, &w->need) < rank(best, &w->need))
+			best = x;
+	}
+	return best;
+}
+
+/* Runs of an earlier owner are all known, or have surely lapsed. */
+static bool pool_clean(const struct ph_pool *pool, uint64_t now_us)
+{
+	const struct ph_executor *x;
+
+	for (x = pool->executors; x; x = x->next)
+		if (!x->known && now_us < x->clean_us)
+			return false;
+	return true;
+}
+
+static bool may_start(const struct ph_pool *pool, const struct ph_batch *b,
+		      uint64_t now_us)
+{
+	if (b->over || !b->waiting)
+		return false;
+	return !b->work->resumed || pool_clean(pool, now_us);
+}
+
+/* Starts the waiting tasks of a batch that find room. */
+static void place_batch(struct ph_pool *pool, struct ph_batch *b,
+			uint64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->work->count && b->waiting; i++) {
+		struct ph_executor *x;
+
+		if (b->tasks[i].state != PH_TASK_WAITING)
+			continue;
+		x = pick(pool, b, now_us);
+		if (!x)
+			return;
+		ph_run_start(pool, x, b, i, now_us);
+	}
+}
+
+static struct ph_batch *next_batch(struct ph_pool *pool, uint64_t now_us)
+{
+	const struct ph_order_policy *policy = pool->opt.policy;
+	struct ph_batch *best = NULL;
+	struct ph_batch *b;
+
+	for (b = pool->batches; b; b = b->next) {
+		if (b->passed || !may_start(pool, b, now_us))
+			continue;
+		if (!best || policy->before(b, best, now_us))
+			best = b;
+	}
+	return best;
+}
+
+void ph_pool_place(struct ph_pool *pool, uint64_t now_us)
+{
+	struct ph_batch *b;
+
+	for (b = pool->batches; b; b = b->next)
+		b->passed = false;
+	while ((b = next_batch(pool, now_us))) {
+		b->passed = true;
+		place_batch(pool, b, now_us);
+	}
+	pool->dirty = false;
+}
--- /dev/null
+++ b/src/poolmsg.c
@@ -0,0 +1,362 @@
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <msgpack.h>
+
+#include "msg.h"
+#include "poolmsg.h"
+
+#define HEAD_FIELDS 6U
+#define CLAIM_FIELDS 8U
+#define WORK_FIELDS 17U
+#define RESULT_FIELDS 4U
+
+/* ## Encoding */
+
+static int buf_write(void *data, const char *bytes, size_t len)
+{
+	ph_buf_put(data, bytes, len);
+	return 0;
+}
+
+static void put_bytes(msgpack_packer *pk, const void *data, size_t len)
+{
+	msgpack_pack_bin(pk, len);
+	msgpack_pack_bin_body(pk, data, len);
+}
+
+static void put_str(msgpack_packer *pk, const char *text)
+{
+	put_bytes(pk, text, strlen(text));
+}
+
+static void put_claim(msgpack_packer *pk, const struct ph_claim *c)
+{
+	put_str(pk, c->domain);
+	msgpack_pack_uint64(pk, c->token);
+	msgpack_pack_uint32(pk, c->load.executors);
+	msgpack_pack_uint32(pk, c->load.usable);
+	msgpack_pack_uint32(pk, c->load.capacity_milli);
+	msgpack_pack_uint32(pk, c->load.free_milli);
+	msgpack_pack_uint64(pk, c->load.backlog_milli_us);
+	msgpack_pack_uint32(pk, c->load.batches);
+}
+
+static void put_hello(msgpack_packer *pk, const struct ph_poolmsg *m)
+{
+	uint32_t i;
+
+	msgpack_pack_uint32(pk, m->leaving);
+	msgpack_pack_uint64(pk, m->config_version);
+	msgpack_pack_uint64(pk, m->heard_ago_us);
+	msgpack_pack_uint32(pk, m->claim_count);
+	for (i = 0; i < m->claim_count; i++)
+		put_claim(pk, &m->claims[i]);
+}
+
+static void put_work(msgpack_packer *pk, const struct ph_work *w)
+{
+	put_str(pk, w->job);
+	put_str(pk, w->service);
+	put_str(pk, w->label);
+	put_bytes(pk, w->spec, w->spec_len);
+	msgpack_pack_uint32(pk, w->count);
+	msgpack_pack_uint32(pk, w->need.cpu_milli);
+	msgpack_pack_uint32(pk, w->need.mem_mb);
+	msgpack_pack_uint32(pk, w->need.gpu);
+	msgpack_pack_uint64(pk, w->estimate_us);
+	msgpack_pack_uint64(pk, w->age_us);
+	msgpack_pack_uint64(pk, w->aim_us);
+	msgpack_pack_uint64(pk, w->give_up_us);
+	msgpack_pack_uint32(pk, w->priority);
+	msgpack_pack_uint32(pk, w->max_attempts);
+	msgpack_pack_uint64(pk, w->first_run);
+	msgpack_pack_uint32(pk, w->resumed);
+	put_bytes(pk, w->done, sizeof(w->done));
+}
+
+static void put_result(msgpack_packer *pk, const struct ph_result *r)
+{
+	msgpack_pack_uint32(pk, (uint32_t)r->verdict);
+	msgpack_pack_uint64(pk, r->retry_after_us);
+	put_str(pk, r->reason ? r->reason : "");
+	put_bytes(pk, r->done, sizeof(r->done));
+}
+
+static size_t body_fields(const struct ph_poolmsg *m)
+{
+	switch (m->type) {
+	case PH_POOLMSG_HELLO:
+		return 4 + m->claim_count * CLAIM_FIELDS;
+	case PH_POOLMSG_SUBMIT:
+		return 2 + WORK_FIELDS;
+	case PH_POOLMSG_RESULT:
+		return 1 + RESULT_FIELDS;
+	case PH_POOLMSG_CONFIG:
+		return 1;
+	case PH_POOLMSG_CONFIG_WANTED:
+		return 0;
+	default:
+		return 1;
+	}
+}
+
+static void put_body(msgpack_packer *pk, const struct ph_poolmsg *m)
+{
+	switch (m->type) {
+	case PH_POOLMSG_HELLO:
+		put_hello(pk, m);
+		break;
+	case PH_POOLMSG_SUBMIT:
+		msgpack_pack_uint64(pk, m->seq);
+		put_str(pk, m->pool);
+		put_work(pk, m->work);
+		break;
+	case PH_POOLMSG_RESULT:
+		msgpack_pack_uint64(pk, m->seq);
+		put_result(pk, &m->result);
+		break;
+	case PH_POOLMSG_CONFIG:
+		put_bytes(pk, m->doc, m->doc_len);
+		break;
+	case PH_POOLMSG_CONFIG_WANTED:
+		break;
+	default:
+		msgpack_pack_uint64(pk, m->seq);
+		break;
+	}
+}
+
+void ph_poolmsg_encode(const struct ph_poolmsg *m, struct ph_buf *out)
+{
+	size_t start = out->len;
+	uint32_t len = 0;
+	msgpack_packer pk;
+
+	ph_buf_put(out, &len, sizeof(len));
+	msgpack_packer_init(&pk, out, buf_write);
+	msgpack_pack_array(&pk, HEAD_FIELDS + body_fields(m));
+	msgpack_pack_uint32(&pk, PH_POOLMSG_PROTOCOL);
+	msgpack_pack_uint32(&pk, (uint32_t)m->type);
+	put_str(&pk, m->name);
+	put_str(&pk, m->domain);
+	put_str(&pk, m->addr);
+	msgpack_pack_uint64(&pk, m->incarnation);
+	put_body(&pk, m);
+	len = htonl((uint32_t)(out->len - start - PH_MSG_FRAME_BYTES));
+	memcpy(out->data + start, &len, sizeof(len));
+}
+
+/* ## Decoding */
+
+/* Walks the fields of an array; the first fault sticks. */
+struct reader {
+	const msgpack_object *at;
+	size_t left;
+	bool bad;
+};
+
+static uint64_t get_number(struct reader *r, uint64_t max)
+{
+	uint64_t n;
+
+	if (r->bad || !r->left || r->at->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+		r->bad = true;
+		return 0;
+	}
+	n = r->at->via.u64;
+	r->bad = n > max;
+	r->at++;
+	r->left--;
+	return r->bad ? 0 : n;
+}
+
+static uint32_t get_u32(struct reader *r)
+{
+	return (uint32_t)get_number(r, UINT32_MAX);
+}
+
+static uint64_t get_u64(struct reader *r)
+{
+	return get_number(r, UINT64_MAX);
+}
+
+static const char *get_bytes(struct reader *r, size_t *len)
+{
+	const char *data;
+
+	*len = 0;
+	if (r->bad || !r->left || r->at->type != MSGPACK_OBJECT_BIN) {
+		r->bad = true;
+		return "";
+	}
+	data = r->at->via.bin.ptr;
+	*len = r->at->via.bin.size;
+	r->at++;
+	r->left--;
+	return data;
+}
+
+static void get_str(struct reader *r, char *out, size_t size)
+{
+	size_t len;
+	const char *data = get_bytes(r, &len);
+
+	if (len >= size || memchr(data, '\0', len)) {
+		r->bad = true;
+		len = 0;
+	}
+	memcpy(out, data, len);
+	out[len] = '\0';
+}
+
+static void get_bits(struct reader *r, uint8_t *bits, size_t size)
+{
+	size_t len;
+	const char *data = get_bytes(r, &len);
+
+	if (len != size)
+		r->bad = true;
+	else
+		memcpy(bits, data, size);
+}
+
+static void get_claim(struct reader *r, struct ph_claim *c)
+{
+	get_str(r, c->domain, sizeof(c->domain));
+	c->token = get_u64(r);
+	c->load.executors = get_u32(r);
+	c->load.usable = get_u32(r);
+	c->load.capacity_milli = get_u32(r);
+	c->load.free_milli = get_u32(r);
+	c->load.backlog_milli_us = get_u64(r);
+	c->load.batches = get_u32(r);
+}
+
+static void get_hello(struct reader *r, struct ph_poolmsg *m)
+{
+	uint32_t i;
+
+	m->leaving = get_u32(r) != 0;
+	m->config_version = get_u64(r);
+	m->heard_ago_us = get_u64(r);
+	m->claim_count = (uint32_t)get_number(r, PH_CLAIMS_MAX);
+	for (i = 0; i < m->claim_count; i++)
+		get_claim(r, &m->claims[i]);
+}
+
+static void get_work(const struct ph_mem *mem, struct reader *r,
+		     struct ph_work *w)
+{
+	const char *spec;
+
+	get_str(r, w->job, sizeof(w->job));
+	get_str(r, w->service, sizeof(w->service));
+	get_str(r, w->label, sizeof(w->label));
+	spec = get_bytes(r, &w->spec_len);
+	w->spec = ph_memdup(mem, spec, w->spec_len);
+	w->count = (uint32_t)get_number(r, PH_MAX_TASKS);
+	w->need.cpu_milli = get_u32(r);
+	w->need.mem_mb = get_u32(r);
+	w->need.gpu = get_u32(r);
+	w->estimate_us = get_u64(r);
+	w->age_us = get_u64(r);
+	w->aim_us = get_u64(r);
+	w->give_up_us = get_u64(r);
+	w->priority = get_u32(r);
+	w->max_attempts = get_u32(r);
+	w->first_run = get_u64(r);
+	w->resumed = get_u32(r) != 0;
+	get_bits(r, w->done, sizeof(w->done));
+	if (!w->count)
+		r->bad = true;
+}
+
+static void get_result(struct reader *r, struct ph_poolmsg *m)
+{
+	m->result.verdict =
+		(enum ph_verdict)get_number(r, PH_VERDICT_MOVED);
+	m->result.retry_after_us = get_u64(r);
+	get_str(r, m->reason_text, sizeof(m->reason_text));
+	m->result.reason = m->reason_text;
+	get_bits(r, m->result.done, sizeof(m->result.done));
+}
+
+static void get_body(const struct ph_mem *mem, struct reader *r,
+		     struct ph_poolmsg *m)
+{
+	const char *doc;
+
+	switch (m->type) {
+	case PH_POOLMSG_HELLO:
+		get_hello(r, m);
+		break;
+	case PH_POOLMSG_SUBMIT:
+		m->seq = get_u64(r);
+		get_str(r, m->pool, sizeof(m->pool));
+		m->work = mem->calloc(1, sizeof(*m->work));
+		get_work(mem, r, m->work);
+		break;
+	case PH_POOLMSG_RESULT:
+		m->seq = get_u64(r);
+		get_result(r, m);
+		break;
+	case PH_POOLMSG_CONFIG:
+		doc = get_bytes(r, &m->doc_len);
+		m->doc = ph_memdup(mem, doc, m->doc_len);
+		break;
+	case PH_POOLMSG_CONFIG_WANTED:
+		break;
+	default:
+		m->seq = get_u64(r);
+		break;
+	}
+}
+
+static int read_message(const struct ph_mem *mem, const msgpack_object *root,
+			struct ph_poolmsg *m)
+{
+	struct reader r = { 0 };
+
+	if (root->type != MSGPACK_OBJECT_ARRAY)
+		return PH_ERR_SYNTAX;
+	r.at = root->via.array.ptr;
+	r.left = root->via.array.size;
+	if (get_u32(&r) != PH_POOLMSG_PROTOCOL)
+		return PH_ERR_VERSION;
+	m->type = (enum ph_poolmsg_type)get_number(&r, PH_POOLMSG_TYPES - 1);
+	get_str(&r, m->name, sizeof(m->name));
+	get_str(&r, m->domain, sizeof(m->domain));
+	get_str(&r, m->addr, sizeof(m->addr));
+	m->incarnation = get_u64(&r);
+	if (!r.bad && m->type)
+		get_body(mem, &r, m);
+	return r.bad || !m->type ? PH_ERR_SYNTAX : 0;
+}
+
+int ph_poolmsg_decode(const struct ph_mem *mem, const char *data, size_t len,
+		      struct ph_poolmsg *m)
+{
+	msgpack_unpacked unpacked;
+	int err = PH_ERR_SYNTAX;
+
+	memset(m, 0, sizeof(*m));
+	if (!ph_msg_plausible(data, len))
+		return PH_ERR_SYNTAX;
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, data, len, NULL) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		err = read_message(mem, &unpacked.data, m);
+	msgpack_unpacked_destroy(&unpacked);
+	if (err)
+		ph_poolmsg_clear(mem, m);
+	return err;
+}
+
+void ph_poolmsg_clear(const struct ph_mem *mem, struct ph_poolmsg *m)
+{
+	ph_work_free(mem, m->work);
+	mem->free(m->doc);
+	m->work = NULL;
+	m->doc = NULL;
+}
--- a/src/transport.c
+++ b/src/transport.c
@@ -267,7 +267,10 @@
 	while (f) {
 		struct frame *next = f->next;
 
-		send_frame(tp, f);
+		if (f->len)
+			send_frame(tp, f);
+		else
+			link_failed(tp, link_get(tp, f->addr), 0);
 		tp->mem->free(f);
 		f = next;
 	}
@@ -314,7 +317,6 @@
 			 size_t from)
 {
 	size_t left = in->in.len - from;
-	struct ph_msg_box *box;
 	uint32_t len;
 	int err;
 
@@ -328,11 +330,10 @@
 	}
 	if (left < PH_MSG_FRAME_BYTES + len)
 		return 0;
-	err = ph_msg_decode(tp->mem, in->in.data + from + PH_MSG_FRAME_BYTES,
-			    len, &box);
+	err = tp->opt.events->frame(
+		tp->opt.ctx, in->in.data + from + PH_MSG_FRAME_BYTES, len);
 	if (err)
 		goto bad;
-	tp->opt.events->message(tp->opt.ctx, box);
 	return PH_MSG_FRAME_BYTES + len;
 bad:
 	ph_log(PART, "Bad message (%s), closing the connection.",
@@ -500,6 +501,12 @@
 	apr_pollset_wakeup(tp->pollset);
 }
 
+/* An empty frame stands for the reset, in order with those before it. */
+void ph_transport_reset(struct ph_transport *tp, const char *addr)
+{
+	ph_transport_send(tp, addr, "", 0);
+}
+
 void ph_transport_counters(const struct ph_transport *tp,
 			   struct ph_transport_counters *counters)
 {
--- a/src/transport.h
+++ b/src/transport.h
@@ -11,8 +11,8 @@
 
 /** Events, called on the transport's thread. */
 struct ph_peer_events {
-	/** A message arrived; the receiver frees the box. */
-	void (*message)(void *ctx, struct ph_msg_box *box);
+	/** A frame arrived, without its length; an error closes its link. */
+	int (*frame)(void *ctx, const char *data, size_t len);
 	/** Nothing listens at "ip:port". */
 	void (*refused)(void *ctx, const char *addr);
 	/** A connection that was in use has broken. */
@@ -38,6 +38,9 @@
 void ph_transport_send(struct ph_transport *transport, const char *addr,
 		       const char *frame, size_t len);
 
+/** Closes the link to "ip:port"; the next frame opens a new one. */
+void ph_transport_reset(struct ph_transport *transport, const char *addr);
+
 struct ph_transport_counters {
 	uint64_t bytes_sent;
 	uint64_t bytes_received;
--- /dev/null
+++ b/src/work.c
@@ -0,0 +1,50 @@
+#include "work.h"
+
+bool ph_capacity_fits(const struct ph_capacity *total,
+		      const struct ph_capacity *used,
+		      const struct ph_capacity *need)
+{
+	return used->cpu_milli + need->cpu_milli <= total->cpu_milli &&
+	       used->mem_mb + need->mem_mb <= total->mem_mb &&
+	       used->gpu + need->gpu <= total->gpu;
+}
+
+void ph_capacity_add(struct ph_capacity *to, const struct ph_capacity *what)
+{
+	to->cpu_milli += what->cpu_milli;
+	to->mem_mb += what->mem_mb;
+	to->gpu += what->gpu;
+}
+
+void ph_capacity_sub(struct ph_capacity *from, const struct ph_capacity *what)
+{
+	from->cpu_milli -= what->cpu_milli;
+	from->mem_mb -= what->mem_mb;
+	from->gpu -= what->gpu;
+}
+
+struct ph_work *ph_work_copy(const struct ph_mem *mem,
+			     const struct ph_work *work)
+{
+	struct ph_work *copy = mem->calloc(1, sizeof(*copy));
+
+	*copy = *work;
+	copy->spec = ph_memdup(mem, work->spec, work->spec_len);
+	return copy;
+}
+
+void ph_work_free(const struct ph_mem *mem, struct ph_work *work)
+{
+	if (!work)
+		return;
+	mem->free(work->spec);
+	mem->free(work);
+}
+
+const char *ph_verdict_name(enum ph_verdict verdict)
+{
+	static const char *const names[] = { "done", "failed", "not-run",
+					     "broken", "moved" };
+
+	return names[verdict];
+}
