An adopter that is fenced makes way at once

Cause: after a zone cut an adopter of another domain raised its token against the domain's own owner as long as it had not heard it.

--- a/src/members.c
+++ b/src/members.c
@@ -534,6 +534,11 @@
 			 ph_members_minority(ms, now_us));
 		d->fenced_us = now_us;
 	}
+	/* The domain's own instances are back: an adopter makes way. */
+	if (strcmp(ms->opt.domain, domain) != 0) {
+		release(d, sink, ctx);
+		return;
+	}
 	/* A minority that was cut off until now hears the others first. */
 	if (ph_members_minority(ms, now_us) &&
 	    now_us < d->fenced_us + FENCED_WAIT_US)
