A fenced owner looks at its executors again before it starts anything

Cause: an owner that raised its token after a fence went on with what it had known of its executors before; the adopter's runs were missing (TWICE at a heal). Ruled out: the order of release and acquisition.

--- a/src/pool.c
+++ b/src/pool.c
@@ -379,12 +379,11 @@
 	pool->token = token;
 	pool->fenced = false;
 	pool->dirty = true;
-	if (pool->owned)
-		return;
 	pool->owned = true;
-	pool->acquired_us = now_us;
+	/* Also an owner that was fenced looks again: another one was at work. */
 	for (x = pool->executors; x; x = x->next) {
 		x->known = false;
+		x->look_call = 0;
 		x->look_again_us = now_us;
 	}
 }
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -128,7 +128,6 @@
 	bool owned;
 	bool fenced;
 	uint64_t token;
-	uint64_t acquired_us;
 	uint64_t last_call;
 	struct ph_executor *executors;
 	struct ph_batch *batches;
