--- a/src/pool.c
+++ b/src/pool.c
@@ -8,6 +8,9 @@
 #define RETRY_MIN_US 1000000U
 #define RETRY_MAX_US 8000000U
 #define US_PER_S 1000000U
+/* An unlisted executor is kept this long: two of the longest leases, and the
+ * time between two reads of the list. */
+#define UNLISTED_US 3000000U
 
 struct ph_pool *ph_pool_new(const struct ph_pool_options *options)
 {
@@ -428,6 +431,24 @@
 	return x;
 }
 
+/* An executor that is no longer listed may still run what another owner has
+ * started there: it is looked at for as long as a lease can last. */
+static void drop_unlisted(struct ph_pool *pool, uint64_t now_us)
+{
+	struct ph_executor **at = &pool->executors;
+
+	while (*at) {
+		struct ph_executor *x = *at;
+
+		if (x->listed || x->runs || now_us < x->listed_us + UNLISTED_US) {
+			at = &x->next;
+			continue;
+		}
+		*at = x->next;
+		ph_executor_free(pool, x);
+	}
+}
+
 void ph_pool_update(struct ph_pool *pool, uint64_t now_us,
 		    const struct ph_executor_info *list, size_t count)
 {
@@ -442,7 +463,9 @@
 			x = executor_add(pool, now_us, &list[i]);
 		x->info = list[i];
 		x->listed = true;
+		x->listed_us = now_us;
 	}
+	drop_unlisted(pool, now_us);
 	pool->dirty = true;
 }
 
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -592,20 +592,12 @@
 
 void ph_lease_tick(struct ph_pool *pool, uint64_t now_us)
 {
-	struct ph_executor **at = &pool->executors;
-
-	while (*at) {
-		struct ph_executor *x = *at;
+	struct ph_executor *x;
 
+	for (x = pool->executors; x; x = x->next) {
 		lapse_runs(pool, x, now_us);
-		if (!x->listed && !x->runs && !x->look_call) {
-			*at = x->next;
-			ph_executor_free(pool, x);
-			continue;
-		}
 		if (!x->look_call && now_us >= x->look_again_us)
 			look_send(pool, x, now_us);
 		runs_tick(pool, x, now_us);
-		at = &x->next;
 	}
 }
