Moved batches say where their tasks run; a refused token starts nothing

Cause: an owner that did not know an executor (its entry had lapsed in a cut) started again what the owner before had running there; and an owner went on starting while its token was refused. Ruled out: late looks, the order of release.

--- a/src/front.c
+++ b/src/front.c
@@ -312,6 +312,18 @@
 		j->accepted = true;
 }
 
+/* What is known of where the job's tasks run; nothing without a result. */
+static void set_where(struct job *j, const struct ph_result *result)
+{
+	uint32_t i;
+
+	for (i = 0; i < j->work->count; i++)
+		j->work->where[i] = result && i < result->count ?
+					    result->where[i] :
+					    PH_WHERE_UNKNOWN;
+	j->work->resumed = true;
+}
+
 static void moved(struct job *j, const struct ph_result *result,
 		  uint64_t now_us)
 {
@@ -319,7 +331,7 @@
 
 	for (i = 0; i < sizeof(result->done); i++)
 		j->work->done[i] |= result->done[i];
-	j->work->resumed = true;
+	set_where(j, result);
 	j->homeless = true;
 	j->orphaned_us = now_us;
 }
@@ -378,8 +390,9 @@
 	    (o.token != j->owner.token || !j->homeless)) {
 		ph_event(PART, "event=job_resumed job=%s pool=%s from=%s to=%s",
 			 j->work->job, j->domain, j->owner.name, o.name);
+		if (!j->homeless)
+			set_where(j, NULL);
 		j->owner = o;
-		j->work->resumed = true;
 		first_send(f, j, now_us);
 		return;
 	}
--- a/src/node.c
+++ b/src/node.c
@@ -606,6 +606,8 @@
 	}
 	if (!p) {
 		memcpy(moved.done, work->done, sizeof(moved.done));
+		memcpy(moved.where, work->where, sizeof(moved.where));
+		moved.count = work->count;
 		ph_work_free(n->mem, work);
 		sink_result(n, msg->name, msg->seq, &moved);
 		return;
--- a/src/pool.c
+++ b/src/pool.c
@@ -76,6 +76,23 @@
 
 /* ## Batches */
 
+/* Where a task may be running; with no better word that of before. */
+static uint32_t task_where(struct ph_pool *pool, const struct ph_batch *b,
+			   uint32_t index)
+{
+	const struct ph_executor *x;
+	const struct ph_run *r;
+
+	if (b->tasks[index].state != PH_TASK_PLACED)
+		return b->work->resumed ? b->work->where[index] :
+					  PH_WHERE_NOWHERE;
+	for (x = pool->executors; x; x = x->next)
+		for (r = x->runs; r; r = r->next)
+			if (r == b->tasks[index].run)
+				return ph_where(x->info.id);
+	return PH_WHERE_UNKNOWN;
+}
+
 static void batch_tell(struct ph_pool *pool, struct ph_batch *b,
 		       enum ph_verdict verdict, uint64_t retry_after_us,
 		       const char *reason, uint64_t now_us)
@@ -88,6 +105,8 @@
 	for (i = 0; i < b->work->count; i++)
 		if (b->tasks[i].state == PH_TASK_DONE)
 			ph_bit_set(result.done, i);
+	for (i = 0; verdict == PH_VERDICT_MOVED && i < b->work->count; i++)
+		result.where[result.count++] = task_where(pool, b, i);
 	ph_event(PART,
 		 "event=batch_end job=%s verdict=%s reason=\"%s\" tasks=%u "
 		 "left=%u held_us=%llu aim_us=%llu estimate_us=%llu",
@@ -182,6 +201,7 @@
 	if (task->next_run <= run->run)
 		task->next_run = run->run + 1;
 	b->waiting--;
+	b->work->where[run->index] = PH_WHERE_NOWHERE;
 	b->started = true;
 	pool->counters.adopted++;
 }
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -35,8 +35,6 @@
 	uint64_t taken_us;
 	/** Something of it was started, here or by an earlier owner. */
 	bool started;
-	/** Ended or cancelled: kept until its runs have ended. */
-	bool over;
 	/** Looked at in the present round of placement. */
 	bool passed;
 	uint32_t waiting;
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -205,6 +205,7 @@
 	task->run = run;
 	task->state = PH_TASK_PLACED;
 	batch->waiting--;
+	batch->work->where[index] = PH_WHERE_NOWHERE;
 	batch->started = true;
 	pool->counters.starts++;
 	order_fill(pool, x, run, &order);
--- a/src/pool_place.c
+++ b/src/pool_place.c
@@ -124,30 +124,46 @@
 	return best;
 }
 
-/* Runs that an earlier owner left of a batch are all known, or have surely
- * lapsed. An owner that is cut off renews until it is fenced by another
- * executor or gives the batch up, about when the batch comes here. */
-static bool pool_clean(const struct ph_pool *pool, const struct ph_batch *b,
-		       uint64_t now_us)
-{
-	uint64_t lapsed_us = b->taken_us + GIVE_UP_US + pool->opt.lease_us +
-			     pool->opt.lease_us / 10;
+/* When everything that an earlier owner left of a batch has surely lapsed. An
+ * owner that is cut off renews until it is fenced by another executor or gives
+ * the batch up, about when the batch comes here. */
+static uint64_t lapsed_us(const struct ph_pool *pool, const struct ph_batch *b)
+{
+	return b->taken_us + GIVE_UP_US + pool->opt.lease_us +
+	       pool->opt.lease_us / 10;
+}
+
+static bool all_known(const struct ph_pool *pool)
+{
 	const struct ph_executor *x;
 
-	if (now_us >= lapsed_us)
-		return true;
 	for (x = pool->executors; x; x = x->next)
 		if (!x->known)
 			return false;
 	return true;
 }
 
-static bool may_start(const struct ph_pool *pool, const struct ph_batch *b,
-		      uint64_t now_us)
+static bool where_known(const struct ph_pool *pool, uint32_t where)
 {
-	if (b->over || !b->waiting)
-		return false;
-	return !b->work->resumed || pool_clean(pool, b, now_us);
+	const struct ph_executor *x;
+
+	for (x = pool->executors; x; x = x->next)
+		if (x->known && ph_where(x->info.id) == where)
+			return true;
+	return false;
+}
+
+/* A resumed task starts again only if its run would have been seen here. */
+static bool surely_gone(const struct ph_pool *pool, const struct ph_batch *b,
+			uint32_t index, uint64_t now_us)
+{
+	uint32_t where = b->work->where[index];
+
+	if (!b->work->resumed || where == PH_WHERE_NOWHERE ||
+	    now_us >= lapsed_us(pool, b))
+		return true;
+	return where == PH_WHERE_UNKNOWN ? all_known(pool) :
+					   where_known(pool, where);
 }
 
 /* A run of the task that is left from an earlier submission. */
@@ -174,6 +190,7 @@
 		struct ph_executor *x;
 
 		if (b->tasks[i].state != PH_TASK_WAITING ||
+		    !surely_gone(pool, b, i, now_us) ||
 		    still_running(pool, b->work->job, i))
 			continue;
 		x = pick(pool, b, now_us);
@@ -190,7 +207,7 @@
 	struct ph_batch *b;
 
 	for (b = pool->batches; b; b = b->next) {
-		if (b->passed || !may_start(pool, b, now_us))
+		if (b->passed || !b->waiting)
 			continue;
 		if (!best || policy->before(b, best, now_us))
 			best = b;
@@ -202,6 +219,9 @@
 {
 	struct ph_batch *b;
 
+	/* A token that was refused somewhere may be another owner's by now. */
+	if (pool->fenced)
+		return;
 	for (b = pool->batches; b; b = b->next)
 		b->passed = false;
 	while ((b = next_batch(pool, now_us))) {
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -8,8 +8,8 @@
 
 #define HEAD_FIELDS 6U
 #define CLAIM_FIELDS 8U
-#define WORK_FIELDS 17U
-#define RESULT_FIELDS 4U
+#define WORK_FIELDS 18U
+#define RESULT_FIELDS 5U
 
 /* ## Encoding */
 
@@ -30,6 +30,12 @@
 	put_bytes(pk, text, strlen(text));
 }
 
+/* Both ends of a deployment have the same byte order. */
+static void put_where(msgpack_packer *pk, const uint32_t *where, uint32_t count)
+{
+	put_bytes(pk, where, count * sizeof(*where));
+}
+
 static void put_claim(msgpack_packer *pk, const struct ph_claim *c)
 {
 	put_str(pk, c->domain);
@@ -73,6 +79,7 @@
 	msgpack_pack_uint64(pk, w->first_run);
 	msgpack_pack_uint32(pk, w->resumed);
 	put_bytes(pk, w->done, sizeof(w->done));
+	put_where(pk, w->where, w->resumed ? w->count : 0);
 }
 
 static void put_result(msgpack_packer *pk, const struct ph_result *r)
@@ -81,6 +88,7 @@
 	msgpack_pack_uint64(pk, r->retry_after_us);
 	put_str(pk, r->reason ? r->reason : "");
 	put_bytes(pk, r->done, sizeof(r->done));
+	put_where(pk, r->where, r->count);
 }
 
 static size_t body_fields(const struct ph_poolmsg *m)
@@ -221,6 +229,19 @@
 		memcpy(bits, data, size);
 }
 
+static uint32_t get_where(struct reader *r, uint32_t *where)
+{
+	size_t len;
+	const char *data = get_bytes(r, &len);
+
+	if (len > PH_MAX_TASKS * sizeof(*where) || len % sizeof(*where)) {
+		r->bad = true;
+		return 0;
+	}
+	memcpy(where, data, len);
+	return (uint32_t)(len / sizeof(*where));
+}
+
 static void get_claim(struct reader *r, struct ph_claim *c)
 {
 	get_str(r, c->domain, sizeof(c->domain));
@@ -268,7 +289,7 @@
 	w->first_run = get_u64(r);
 	w->resumed = get_u32(r) != 0;
 	get_bits(r, w->done, sizeof(w->done));
-	if (!w->count)
+	if (get_where(r, w->where) != (w->resumed ? w->count : 0) || !w->count)
 		r->bad = true;
 }
 
@@ -280,6 +301,7 @@
 	get_str(r, m->reason_text, sizeof(m->reason_text));
 	m->result.reason = m->reason_text;
 	get_bits(r, m->result.done, sizeof(m->result.done));
+	m->result.count = get_where(r, m->result.where);
 }
 
 static void get_body(const struct ph_mem *mem, struct reader *r,
--- a/src/work.c
+++ b/src/work.c
@@ -1,5 +1,13 @@
+#include "ident.h"
 #include "work.h"
 
+uint32_t ph_where(const char *executor)
+{
+	uint32_t hash = (uint32_t)ph_hash_str(executor);
+
+	return hash == PH_WHERE_NOWHERE || hash == PH_WHERE_UNKNOWN ? 1 : hash;
+}
+
 bool ph_capacity_fits(const struct ph_capacity *total,
 		      const struct ph_capacity *used,
 		      const struct ph_capacity *need)
--- a/src/work.h
+++ b/src/work.h
@@ -30,6 +30,13 @@
 void ph_capacity_add(struct ph_capacity *to, const struct ph_capacity *what);
 void ph_capacity_sub(struct ph_capacity *from, const struct ph_capacity *what);
 
+/** Where an earlier owner of the pool has left a task. */
+#define PH_WHERE_NOWHERE 0U
+#define PH_WHERE_UNKNOWN UINT32_MAX
+
+/** Short form of an executor's id; neither of the two above. */
+uint32_t ph_where(const char *executor);
+
 /** A job's tasks for one pool. */
 struct ph_work {
 	char job[PH_JOB_BYTES];
@@ -58,6 +65,8 @@
 	bool resumed;
 	/** Tasks that have ended well, a bit each. */
 	uint8_t done[(PH_MAX_TASKS + 7) / 8];
+	/** If resumed: where each task may be running. */
+	uint32_t where[PH_MAX_TASKS];
 };
 
 struct ph_work *ph_work_copy(const struct ph_mem *mem,
@@ -97,6 +106,9 @@
 	/** Phrase for the log. */
 	const char *reason;
 	uint8_t done[(PH_MAX_TASKS + 7) / 8];
+	/** With PH_VERDICT_MOVED: where each of count tasks may run. */
+	uint32_t count;
+	uint32_t where[PH_MAX_TASKS];
 };
 
 /** One executor as the platform lists it. */
