Split large domains into shards, owned where the processors are

Ruled out: heartbeats alone. Change: a domain's executors are split over shards by rendezvous; an instance with more processor for each pool it owns claims the next one, and offers one when another would be much better off; peers without work for each other greet five times less often.

--- a/src/directory.c
+++ b/src/directory.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "directory.h"
@@ -54,15 +55,23 @@
 		d->first_failed_us = now_us;
 }
 
+static int compare(const void *a, const void *b)
+{
+	const struct ph_executor_info *x = a;
+	const struct ph_executor_info *y = b;
+
+	return strcmp(x->id, y->id);
+}
+
+/* Finds an entry in a list that is sorted by id. */
 static const struct ph_executor_info *
 find(const struct ph_executor_info *list, size_t count, const char *id)
 {
-	size_t i;
+	struct ph_executor_info key;
 
-	for (i = 0; i < count; i++)
-		if (!strcmp(list[i].id, id))
-			return &list[i];
-	return NULL;
+	ph_strcopy(key.id, sizeof(key.id), id);
+	return count ? bsearch(&key, list, count, sizeof(*list), compare) :
+		       NULL;
 }
 
 static void log_changes(const struct ph_directory *d,
@@ -104,12 +113,14 @@
 	if (!count)
 		return;
 	keep = now_us < d->keep_until_us;
-	log_changes(d, list, count, keep);
 	fresh = d->mem->calloc(count + d->count, sizeof(*fresh));
 	memcpy(fresh, list, count * sizeof(*fresh));
+	qsort(fresh, count, sizeof(*fresh), compare);
+	log_changes(d, fresh, count, keep);
 	for (i = 0; keep && i < d->count; i++)
-		if (!find(list, count, d->list[i].id))
+		if (!find(fresh, count, d->list[i].id))
 			fresh[n++] = d->list[i];
+	qsort(fresh, n, sizeof(*fresh), compare);
 	d->mem->free(d->list);
 	d->list = fresh;
 	d->count = n;
--- a/src/front.c
+++ b/src/front.c
@@ -2,6 +2,7 @@
 
 #include "front.h"
 #include "log.h"
+#include "shard.h"
 
 #define PART "front"
 /* A batch that was not accepted is sent again: two round trips to another
@@ -48,7 +49,7 @@
 		uint64_t heard_us;
 		uint64_t sent_milli_us;
 		uint64_t sent_milli;
-	} sent[PH_DOMAINS_MAX];
+	} sent[PH_POOLS_MAX];
 };
 
 struct ph_front *ph_front_new(const struct ph_front_options *options)
@@ -181,7 +182,7 @@
 		if (!o.self)
 			add_sent(f, i, domain, &o);
 		wait = f->opt.policy->wait_us(
-			&o.load, !strcmp(domain, f->opt.domain), j->work);
+			&o.load, ph_shard_in(domain, f->opt.domain), j->work);
 		if (wait >= best_wait)
 			continue;
 		best_wait = wait;
--- a/src/members.c
+++ b/src/members.c
@@ -3,9 +3,14 @@
 #include "ident.h"
 #include "log.h"
 #include "members.h"
+#include "shard.h"
 
 #define PART "members"
-#define CONTACTS_MAX 64U
+#define CONTACTS_MAX 512U
+/* Peers that have no work for each other greet this much less often. */
+#define FAR_FACTOR 5U
+/* Twice the number of missed heartbeats that make a peer suspect. */
+#define SUSPECT_BEATS_X2 7U
 /* Contacts that have not answered are greeted at this interval. */
 #define CONTACT_EVERY_US 300000U
 /* Vacancy of a pool before an instance of its domain claims it: time for the
@@ -26,6 +31,17 @@
 #define LINK_RESET_EVERY_US 500000U
 /* Time for the heartbeats of a link that was cut to arrive again. */
 #define FENCED_WAIT_US 300000U
+/* Claims of one instance follow each other at this distance, so that the
+ * others hear of one before the next is weighed. */
+#define CLAIM_GAP_US 60000U
+/* Pools are offered to an instance with more processor to spare, one at a
+ * time; an offer that nobody takes ends. */
+#define OFFER_EVERY_US 1500000U
+#define OFFER_FOR_US 700000U
+/* A move has to leave the taker this much better off, in percent. */
+#define OFFER_GAIN_PERCENT 75U
+#define PERCENT 100U
+#define MS_PER_S 1000U
 #define TOKEN_SHIFT 8U
 
 struct domain {
@@ -38,6 +54,8 @@
 	uint64_t fenced_us;
 	/** Given up by a fenced minority: not claimed again as one. */
 	bool yielded;
+	/** Offered to others until then. */
+	uint64_t offered_until_us;
 };
 
 struct ph_members {
@@ -47,9 +65,11 @@
 	char contacts[CONTACTS_MAX][PH_ADDR_BYTES];
 	uint64_t contact_sent_us[CONTACTS_MAX];
 	size_t contact_count;
-	struct domain domains[PH_DOMAINS_MAX];
+	struct domain domains[PH_POOLS_MAX];
 	size_t domain_count;
 	bool leaving;
+	uint64_t claimed_us;
+	uint64_t offered_us;
 };
 
 struct ph_members *ph_members_new(const struct ph_members_options *options)
@@ -118,7 +138,11 @@
 static bool live(const struct ph_members *ms, const struct ph_member *m,
 		 uint64_t now_us)
 {
-	return m->heard_us && now_us < m->heard_us + ms->opt.suspect_us;
+	uint64_t patience_us = SUSPECT_BEATS_X2 * m->interval_us / 2;
+
+	if (patience_us < ms->opt.suspect_us)
+		patience_us = ms->opt.suspect_us;
+	return m->heard_us && now_us < m->heard_us + patience_us;
 }
 
 bool ph_members_live(const struct ph_members *ms, uint64_t now_us,
@@ -178,6 +202,8 @@
 	m->heard_us = now_us;
 	m->leaving = hello->leaving;
 	m->heard_me_ago_us = hello->heard_ago_us;
+	m->interval_us = hello->interval_us;
+	m->cpu_milli = hello->cpu_milli ? hello->cpu_milli : 1;
 	m->config_version = hello->config_version;
 	m->claim_count = hello->claim_count;
 	memcpy(m->claims, hello->claims, sizeof(m->claims));
@@ -213,7 +239,7 @@
 
 	for (i = 0; i < count; i++) {
 		if (domain_find(ms, domains[i]) ||
-		    ms->domain_count == PH_DOMAINS_MAX)
+		    ms->domain_count == PH_POOLS_MAX)
 			continue;
 		ph_strcopy(ms->domains[ms->domain_count++].name, PH_NAME_BYTES,
 			   domains[i]);
@@ -243,12 +269,13 @@
 
 	for (m = ms->first; m; m = m->next) {
 		const struct ph_claim *c = claim_of(m, domain);
-		bool native = !strcmp(m->domain, domain);
+		bool native = ph_shard_in(domain, m->domain);
 		bool best_native;
 
-		if (!c || !live(ms, m, now_us) || (staying && m->leaving))
+		if (!c || !live(ms, m, now_us) ||
+		    (staying && (m->leaving || c->offered)))
 			continue;
-		best_native = best && !strcmp(best->domain, domain);
+		best_native = best && ph_shard_in(domain, best->domain);
 		if (!best || native > best_native ||
 		    (native == best_native &&
 		     c->token > claim_of(best, domain)->token))
@@ -285,26 +312,66 @@
 	return true;
 }
 
-/* An instance that has just restarted is the least likely to be stopped next
- * when all are restarted in turn. */
-static bool outranks(uint64_t incarnation, const char *name, uint64_t than,
-		     const char *than_name)
+struct rank {
+	uint32_t owned;
+	uint32_t cpu_milli;
+	uint64_t incarnation;
+	const char *name;
+};
+
+static uint32_t count_owned(const struct ph_members *ms)
 {
-	if (incarnation / 1000 != than / 1000)
-		return incarnation > than;
-	return strcmp(name, than_name) > 0;
+	uint32_t n = 0;
+	size_t i;
+
+	for (i = 0; i < ms->domain_count; i++)
+		n += ms->domains[i].owned;
+	return n;
+}
+
+static struct rank rank_self(const struct ph_members *ms)
+{
+	struct rank r = { count_owned(ms), ms->opt.cpu_milli,
+			  ms->opt.incarnation, ms->opt.name };
+
+	return r;
+}
+
+static struct rank rank_of(const struct ph_member *m)
+{
+	struct rank r = { m->claim_count, m->cpu_milli, m->incarnation,
+			  m->name };
+
+	return r;
+}
+
+/* True if a is to own one more pool rather than b: the one with more processor
+ * for each of its pools, then the one that has just restarted, for it is the
+ * least likely to be stopped next when all are restarted in turn. */
+static bool outranks(const struct rank *a, const struct rank *b)
+{
+	uint64_t load_a = (uint64_t)(a->owned + 1) * b->cpu_milli;
+	uint64_t load_b = (uint64_t)(b->owned + 1) * a->cpu_milli;
+
+	if (load_a != load_b)
+		return load_a < load_b;
+	if (a->incarnation / MS_PER_S != b->incarnation / MS_PER_S)
+		return a->incarnation > b->incarnation;
+	return strcmp(a->name, b->name) > 0;
 }
 
 /* This instance is the one to claim a vacant domain. */
 static bool first_candidate(const struct ph_members *ms, const char *domain,
 			    uint64_t now_us, bool *native)
 {
+	struct rank self = rank_self(ms);
 	const struct ph_member *m;
-	bool self_native = !strcmp(ms->opt.domain, domain);
+	bool self_native = ph_shard_in(domain, ms->opt.domain);
 
 	*native = self_native;
 	for (m = ms->first; m; m = m->next) {
-		bool other_native = !strcmp(m->domain, domain);
+		bool other_native = ph_shard_in(domain, m->domain);
+		struct rank other;
 
 		if (!live(ms, m, now_us) || m->leaving)
 			continue;
@@ -313,8 +380,8 @@
 				return false;
 			continue;
 		}
-		if (outranks(m->incarnation, m->name, ms->opt.incarnation,
-			     ms->opt.name))
+		other = rank_of(m);
+		if (outranks(&other, &self))
 			return false;
 	}
 	return true;
@@ -330,10 +397,10 @@
 	return token;
 }
 
-static void acquire(struct ph_members *ms, struct domain *d, uint64_t unix_ms,
+static void acquire(struct domain *d, uint64_t unix_ms,
 		    const struct ph_members_sink *sink, void *ctx)
 {
-	(void)ms;
+	d->offered_until_us = 0;
 	d->owned = true;
 	d->vacant_us = 0;
 	d->fenced_us = 0;
@@ -353,14 +420,14 @@
 		      uint64_t now_us)
 {
 	const struct ph_member *m = best_claimant(ms, d->name, true, now_us);
-	bool self_native = !strcmp(ms->opt.domain, d->name);
+	bool self_native = ph_shard_in(d->name, ms->opt.domain);
 	bool other_native;
 
 	if (!m)
 		return false;
 	if (ms->leaving)
 		return true;
-	other_native = !strcmp(m->domain, d->name);
+	other_native = ph_shard_in(d->name, m->domain);
 	if (self_native != other_native)
 		return other_native;
 	return claim_of(m, d->name)->token > d->token;
@@ -387,14 +454,66 @@
 	if (ms->leaving || now_us < ms->opt.start_us + SETTLE_US ||
 	    !first_candidate(ms, d->name, now_us, &native) ||
 	    (minority && d->yielded) ||
-	    (m && (!native || !strcmp(m->domain, d->name)))) {
+	    (m && (!native || ph_shard_in(d->name, m->domain)))) {
 		d->vacant_us = 0;
 		return;
 	}
 	if (!d->vacant_us)
 		d->vacant_us = now_us;
-	if (now_us >= d->vacant_us + claim_delay(ms, native, now_us))
-		acquire(ms, d, unix_ms, sink, ctx);
+	if (now_us < d->vacant_us + claim_delay(ms, native, now_us) ||
+	    now_us < ms->claimed_us + CLAIM_GAP_US)
+		return;
+	ms->claimed_us = now_us;
+	acquire(d, unix_ms, sink, ctx);
+}
+
+/* True if another instance of the domain would carry one more pool with ease
+ * while this one carries many for its processor. */
+static bool better_off_elsewhere(const struct ph_members *ms, uint64_t now_us)
+{
+	uint64_t owned = count_owned(ms);
+	const struct ph_member *m;
+
+	for (m = ms->first; m; m = m->next) {
+		uint64_t after = (uint64_t)(m->claim_count + 1) *
+				 ms->opt.cpu_milli * PERCENT;
+
+		if (strcmp(m->domain, ms->opt.domain) != 0 || m->leaving ||
+		    !live(ms, m, now_us))
+			continue;
+		if (after < owned * m->cpu_milli * OFFER_GAIN_PERCENT)
+			return true;
+	}
+	return false;
+}
+
+static void offer(struct ph_members *ms, uint64_t now_us)
+{
+	size_t i;
+
+	if (ms->leaving || now_us < ms->offered_us + OFFER_EVERY_US ||
+	    now_us < ms->claimed_us + OFFER_EVERY_US ||
+	    !better_off_elsewhere(ms, now_us))
+		return;
+	for (i = 0; i < ms->domain_count; i++) {
+		struct domain *d = &ms->domains[i];
+
+		if (!d->owned || !ph_shard_in(d->name, ms->opt.domain))
+			continue;
+		ms->offered_us = now_us;
+		d->offered_until_us = now_us + OFFER_FOR_US;
+		ph_event(PART, "event=pool_offered pool=%s owned=%u", d->name,
+			 count_owned(ms));
+		return;
+	}
+}
+
+bool ph_members_offers(const struct ph_members *ms, uint64_t now_us,
+		       const char *pool)
+{
+	const struct domain *d = domain_find((struct ph_members *)ms, pool);
+
+	return d && now_us < d->offered_until_us;
 }
 
 static void note_tokens(struct ph_members *ms, struct domain *d)
@@ -422,6 +541,15 @@
 	return false;
 }
 
+uint64_t ph_members_interval_us(const struct ph_members *ms,
+				const struct ph_member *m)
+{
+	bool near = !strcmp(m->domain, ms->opt.domain) || m->claim_count ||
+		    count_owned(ms);
+
+	return near ? ms->opt.heartbeat_us : FAR_FACTOR * ms->opt.heartbeat_us;
+}
+
 static void greet(struct ph_members *ms, uint64_t now_us,
 		  const struct ph_members_sink *sink, void *ctx)
 {
@@ -429,8 +557,9 @@
 	size_t i;
 
 	for (m = ms->first; m; m = m->next) {
-		uint64_t every = live(ms, m, now_us) ? ms->opt.heartbeat_us :
-						       CONTACT_EVERY_US;
+		uint64_t every = live(ms, m, now_us) ?
+					 ph_members_interval_us(ms, m) :
+					 CONTACT_EVERY_US;
 
 		if (now_us > m->heard_us + KNOWN_US ||
 		    now_us < m->sent_us + every)
@@ -466,7 +595,9 @@
 			sink->lost(ctx, m->name);
 		}
 		if (live(ms, m, now_us) &&
-		    m->heard_me_ago_us > ms->opt.suspect_us &&
+		    m->heard_me_ago_us >
+			    FAR_FACTOR * ms->opt.heartbeat_us +
+				    ms->opt.suspect_us &&
 		    now_us > m->link_reset_us + LINK_RESET_EVERY_US) {
 			m->link_reset_us = now_us;
 			sink->reset_link(ctx, m->addr);
@@ -535,7 +666,7 @@
 		d->fenced_us = now_us;
 	}
 	/* The domain's own instances are back: an adopter makes way. */
-	if (strcmp(ms->opt.domain, domain) != 0) {
+	if (!ph_shard_in(domain, ms->opt.domain)) {
 		release(d, sink, ctx);
 		return;
 	}
@@ -552,7 +683,7 @@
 	if (outranked(ms, d, now_us))
 		release(d, sink, ctx);
 	else
-		acquire(ms, d, unix_ms, sink, ctx);
+		acquire(d, unix_ms, sink, ctx);
 }
 
 void ph_members_tick(struct ph_members *ms, uint64_t now_us, uint64_t unix_ms,
@@ -570,6 +701,7 @@
 		else if (!d->owned)
 			consider(ms, d, now_us, unix_ms, sink, ctx);
 	}
+	offer(ms, now_us);
 	greet(ms, now_us, sink, ctx);
 	forget(ms, now_us);
 }
--- a/src/members.h
+++ b/src/members.h
@@ -9,7 +9,7 @@
 
 #include "poolmsg.h"
 
-#define PH_DOMAINS_MAX 16U
+#define PH_POOLS_MAX 64U
 
 struct ph_members;
 
@@ -25,6 +25,8 @@
 	/** Silence after which a peer counts as dead. */
 	uint64_t suspect_us;
 	uint64_t start_us;
+	/** Share of a core that this instance may use, in thousandths. */
+	uint32_t cpu_milli;
 };
 
 struct ph_member {
@@ -38,6 +40,9 @@
 	/** As the peer says, how long ago it last heard this instance. */
 	uint64_t heard_me_ago_us;
 	uint64_t link_reset_us;
+	/** Distance of its heartbeats to this instance, as it says. */
+	uint64_t interval_us;
+	uint32_t cpu_milli;
 	bool leaving;
 	/** Reported lost already. */
 	bool lost;
@@ -51,6 +56,14 @@
 /** The next tick greets everyone: something changed. */
 void ph_members_greet_soon(struct ph_members *members);
 
+/** Distance of the heartbeats to a peer. */
+uint64_t ph_members_interval_us(const struct ph_members *members,
+				const struct ph_member *member);
+
+/** True while an owned pool is offered to others. */
+bool ph_members_offers(const struct ph_members *members, uint64_t now_us,
+		       const char *pool);
+
 /** What a tick decides. */
 struct ph_members_sink {
 	void (*acquire)(void *ctx, const char *domain, uint64_t token);
--- a/src/node.c
+++ b/src/node.c
@@ -8,6 +8,7 @@
 #include "log.h"
 #include "mailbox.h"
 #include "node_impl.h"
+#include "shard.h"
 
 #define PART "node"
 #define US_PER_S 1000000U
@@ -343,32 +344,85 @@
 	ph_pool_tick(pool, now_us);
 }
 
+static struct ph_node_domain *domain_get(struct ph_node *n, const char *name)
+{
+	struct ph_node_domain *d;
+	size_t i;
+
+	for (i = 0; i < n->domain_count; i++)
+		if (!strcmp(n->domains[i].name, name))
+			return &n->domains[i];
+	if (n->domain_count == PH_NODE_DOMAINS_MAX)
+		return NULL;
+	d = &n->domains[n->domain_count++];
+	ph_strcopy(d->name, sizeof(d->name), name);
+	return d;
+}
+
+/* Sees to it that a domain's pools exist. */
+static void grow_shards(struct ph_node *n, struct ph_node_domain *d,
+			uint32_t shards)
+{
+	char name[PH_NAME_BYTES];
+
+	while (d->shards < shards && n->pool_count < PH_POOLS_MAX) {
+		ph_shard_name(d->name, d->shards++, name);
+		pool_add(n, name);
+		ph_members_set_domains(
+			n->members, &n->pools[n->pool_count - 1].domain, 1);
+	}
+}
+
+static void count_domains(struct ph_node *n, const struct ph_executor_info *all,
+			  size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < n->domain_count; i++)
+		n->domains[i].executors = 0;
+	for (i = 0; i < count; i++) {
+		struct ph_node_domain *d = domain_get(n, all[i].domain);
+
+		if (d)
+			d->executors++;
+	}
+	for (i = 0; i < n->domain_count; i++)
+		grow_shards(n, &n->domains[i],
+			    ph_shard_count(n->domains[i].shards,
+					   n->domains[i].executors));
+}
+
+/* Splits the executors over the pools. */
 static void share_executors(struct ph_node *n, uint64_t now_us)
 {
 	struct ph_executor_info *part;
 	const struct ph_executor_info *all;
+	uint32_t *shard;
 	size_t count;
 	size_t i;
 	size_t k;
 
 	all = ph_directory_list(n->directory, &count);
-	for (i = 0; i < count; i++)
-		if (!pool_find(n, all[i].domain) &&
-		    n->pool_count < PH_DOMAINS_MAX) {
-			pool_add(n, all[i].domain);
-			ph_members_set_domains(
-				n->members,
-				&n->pools[n->pool_count - 1].domain, 1);
-		}
+	count_domains(n, all, count);
 	part = n->mem->calloc(count, sizeof(*part));
+	shard = n->mem->calloc(count, sizeof(*shard));
+	for (i = 0; i < count; i++) {
+		struct ph_node_domain *d = domain_get(n, all[i].domain);
+
+		shard[i] = d ? ph_shard_of(all[i].id, d->shards) : 0;
+	}
 	for (k = 0; k < n->pool_count; k++) {
+		const char *pool = n->pools[k].domain;
+		uint32_t number = ph_shard_number(pool);
 		size_t m = 0;
 
 		for (i = 0; i < count; i++)
-			if (!strcmp(all[i].domain, n->pools[k].domain))
+			if (shard[i] == number &&
+			    ph_shard_in(pool, all[i].domain))
 				part[m++] = all[i];
 		ph_pool_update(n->pools[k].pool, now_us, part, m);
 	}
+	n->mem->free(shard);
 	n->mem->free(part);
 }
 
@@ -411,6 +465,13 @@
 	n->greet_all = true;
 }
 
+static uint32_t own_shards(struct ph_node *n)
+{
+	struct ph_node_domain *d = domain_get(n, n->set.domain);
+
+	return d ? d->shards : 0;
+}
+
 static void sink_greet(void *ctx, const char *addr, const struct ph_member *m)
 {
 	struct ph_node *n = ctx;
@@ -422,15 +483,22 @@
 	msg->type = PH_POOLMSG_HELLO;
 	msg->leaving = n->stopping;
 	msg->config_version = n->routing ? n->routing->version : 0;
+	msg->interval_us = m ? ph_members_interval_us(n->members, m) :
+			       n->set.heartbeat_us;
+	msg->cpu_milli = n->set.cpu_milli;
+	msg->shards = own_shards(n);
 	msg->heard_ago_us = m && m->heard_us ? now_us - m->heard_us :
 					       UINT64_MAX;
 	for (i = 0; i < n->pool_count; i++) {
 		struct ph_claim *c = &msg->claims[msg->claim_count];
 
-		if (!ph_pool_owned(n->pools[i].pool))
+		if (msg->claim_count == PH_CLAIMS_MAX ||
+		    !ph_pool_owned(n->pools[i].pool))
 			continue;
 		ph_strcopy(c->domain, sizeof(c->domain), n->pools[i].domain);
 		c->token = ph_pool_token(n->pools[i].pool);
+		c->offered = ph_members_offers(n->members, now_us,
+					       n->pools[i].domain);
 		ph_pool_load(n->pools[i].pool, now_us, &c->load);
 		msg->claim_count++;
 	}
@@ -615,6 +683,15 @@
 	ph_pool_submit(p->pool, now_us, msg->name, msg->seq, work);
 }
 
+/* A peer of a domain knows best how its domain is split. */
+static void learn_shards(struct ph_node *n, const struct ph_poolmsg *hello)
+{
+	struct ph_node_domain *d = domain_get(n, hello->domain);
+
+	if (d && hello->shards > d->shards)
+		grow_shards(n, d, hello->shards);
+}
+
 static void handle_message(struct ph_node *n, struct ph_poolmsg *msg,
 			   uint64_t now_us)
 {
@@ -624,6 +701,7 @@
 	switch (msg->type) {
 	case PH_POOLMSG_HELLO:
 		ph_members_heard(n->members, now_us, msg);
+		learn_shards(n, msg);
 		ask_config(n, msg, now_us);
 		break;
 	case PH_POOLMSG_SUBMIT:
@@ -847,6 +925,7 @@
 		.heartbeat_us = n->set.heartbeat_us,
 		.suspect_us = n->set.suspect_us,
 		.start_us = ph_node_now_us(),
+		.cpu_milli = n->set.cpu_milli,
 	};
 	struct ph_front_options front = {
 		.mem = n->mem,
--- a/src/node.h
+++ b/src/node.h
@@ -35,6 +35,8 @@
 	uint16_t peer_port;
 	/** "ip:port,..." of instances to ask at the start. */
 	const char *seeds;
+	/** Share of a core that this instance may use, in thousandths. */
+	uint32_t cpu_milli;
 	uint64_t heartbeat_us;
 	uint64_t suspect_us;
 	uint64_t lease_us;
--- a/src/pool.c
+++ b/src/pool.c
@@ -8,6 +8,8 @@
 #define RETRY_MIN_US 1000000U
 #define RETRY_MAX_US 8000000U
 #define US_PER_S 1000000U
+/* Starts that only time allows are looked for this often. */
+#define PLACE_EVERY_US 10000U
 /* An unlisted executor is kept this long: two of the longest leases, and the
  * time between two reads of the list. */
 #define UNLISTED_US 3000000U
@@ -342,6 +344,7 @@
 	b = batch_new(pool, now_us, front, seq, work);
 	b->next = pool->batches;
 	pool->batches = b;
+	pool->dirty = true;
 	if (!b->left) {
 		batch_tell(pool, b, PH_VERDICT_DONE, 0, "", now_us);
 		batch_remove(pool, b);
@@ -503,7 +506,8 @@
 			give_up(pool, b, now_us);
 		b = next;
 	}
-	ph_pool_place(pool, now_us);
+	if (pool->dirty || now_us >= pool->placed_us + PLACE_EVERY_US)
+		ph_pool_place(pool, now_us);
 }
 
 void ph_pool_load(const struct ph_pool *pool, uint64_t now_us,
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -137,6 +137,7 @@
 	struct ph_pool_counters counters;
 	/** Something changed: starts are to be looked at again. */
 	bool dirty;
+	uint64_t placed_us;
 };
 
 /* ## pool.c */
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -242,6 +242,13 @@
 				run_stop(pool, x, r, now_us);
 }
 
+/* An executor that is no longer this pool's may have a new owner by right. */
+static void fenced_by(struct ph_pool *pool, const struct ph_executor *x)
+{
+	if (x->listed)
+		pool->fenced = true;
+}
+
 static void start_refused(struct ph_pool *pool, struct ph_executor *x,
 			  struct ph_run *run, enum ph_order_status status,
 			  uint64_t now_us)
@@ -256,7 +263,7 @@
 			run->batch->tasks[run->index].next_run += OLD_RUN_STEP;
 		break;
 	case PH_ORDER_FENCED:
-		pool->fenced = true;
+		fenced_by(pool, x);
 		break;
 	case PH_ORDER_OTHER_LIFE:
 		x->look_again_us = now_us;
@@ -332,7 +339,7 @@
 		run->acked_us = now_us;
 		x->look_again_us = now_us;
 	} else if (reply->status == PH_ORDER_FENCED) {
-		pool->fenced = true;
+		fenced_by(pool, x);
 	}
 }
 
@@ -365,7 +372,7 @@
 			   << (x->look_failures < 3 ? x->look_failures : 3);
 
 	if (reply->status == PH_ORDER_FENCED)
-		pool->fenced = true;
+		fenced_by(pool, x);
 	if (!x->look_failures)
 		ph_event(PART, "event=executor_unreachable executor=%s status=%d",
 			 x->info.id, (int)reply->status);
--- a/src/pool_place.c
+++ b/src/pool_place.c
@@ -229,4 +229,5 @@
 		place_batch(pool, b, now_us);
 	}
 	pool->dirty = false;
+	pool->placed_us = now_us;
 }
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -7,7 +7,7 @@
 #include "poolmsg.h"
 
 #define HEAD_FIELDS 6U
-#define CLAIM_FIELDS 8U
+#define CLAIM_FIELDS 9U
 #define WORK_FIELDS 18U
 #define RESULT_FIELDS 5U
 
@@ -40,6 +40,7 @@
 {
 	put_str(pk, c->domain);
 	msgpack_pack_uint64(pk, c->token);
+	msgpack_pack_uint32(pk, c->offered);
 	msgpack_pack_uint32(pk, c->load.executors);
 	msgpack_pack_uint32(pk, c->load.usable);
 	msgpack_pack_uint32(pk, c->load.capacity_milli);
@@ -55,6 +56,9 @@
 	msgpack_pack_uint32(pk, m->leaving);
 	msgpack_pack_uint64(pk, m->config_version);
 	msgpack_pack_uint64(pk, m->heard_ago_us);
+	msgpack_pack_uint64(pk, m->interval_us);
+	msgpack_pack_uint32(pk, m->cpu_milli);
+	msgpack_pack_uint32(pk, m->shards);
 	msgpack_pack_uint32(pk, m->claim_count);
 	for (i = 0; i < m->claim_count; i++)
 		put_claim(pk, &m->claims[i]);
@@ -95,7 +99,7 @@
 {
 	switch (m->type) {
 	case PH_POOLMSG_HELLO:
-		return 4 + m->claim_count * CLAIM_FIELDS;
+		return 7 + m->claim_count * CLAIM_FIELDS;
 	case PH_POOLMSG_SUBMIT:
 		return 2 + WORK_FIELDS;
 	case PH_POOLMSG_RESULT:
@@ -246,6 +250,7 @@
 {
 	get_str(r, c->domain, sizeof(c->domain));
 	c->token = get_u64(r);
+	c->offered = get_u32(r) != 0;
 	c->load.executors = get_u32(r);
 	c->load.usable = get_u32(r);
 	c->load.capacity_milli = get_u32(r);
@@ -261,6 +266,9 @@
 	m->leaving = get_u32(r) != 0;
 	m->config_version = get_u64(r);
 	m->heard_ago_us = get_u64(r);
+	m->interval_us = get_u64(r);
+	m->cpu_milli = get_u32(r);
+	m->shards = get_u32(r);
 	m->claim_count = (uint32_t)get_number(r, PH_CLAIMS_MAX);
 	for (i = 0; i < m->claim_count; i++)
 		get_claim(r, &m->claims[i]);
--- a/src/poolmsg.h
+++ b/src/poolmsg.h
@@ -33,6 +33,8 @@
 struct ph_claim {
 	char domain[PH_NAME_BYTES];
 	uint64_t token;
+	/** Kept only until another instance claims it. */
+	bool offered;
 	struct ph_pool_load load;
 };
 
@@ -48,6 +50,11 @@
 	uint64_t config_version;
 	/** Time since the sender last heard the receiver; UINT64_MAX: never. */
 	uint64_t heard_ago_us;
+	/** Time to the sender's next heartbeat. */
+	uint64_t interval_us;
+	uint32_t cpu_milli;
+	/** Shards that the sender's domain is split into, as it knows. */
+	uint32_t shards;
 	uint32_t claim_count;
 	struct ph_claim claims[PH_CLAIMS_MAX];
 	/** Handle of a batch at the instance that submitted it. */
--- /dev/null
+++ b/src/shard.c
@@ -0,0 +1,62 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ident.h"
+#include "shard.h"
+
+/* Executors of a shard: their starts and looks fit into a tenth of a core,
+ * and a job of the widest kind finds room in one of them. */
+#define SHARD_EXECUTORS 32U
+#define SHARD_EXECUTORS_MAX 48U
+
+uint32_t ph_shard_count(uint32_t before, uint32_t executors)
+{
+	uint32_t wanted = (executors + SHARD_EXECUTORS - 1) / SHARD_EXECUTORS;
+
+	if (!before)
+		before = 1;
+	return executors > before * SHARD_EXECUTORS_MAX ? wanted : before;
+}
+
+uint32_t ph_shard_of(const char *executor, uint32_t shards)
+{
+	uint64_t key = ph_hash_str(executor);
+	uint64_t best_weight = 0;
+	uint32_t best = 0;
+	uint32_t k;
+
+	for (k = 0; k < shards; k++) {
+		uint64_t weight = ph_rendezvous(key, ph_hash(&k, sizeof(k)));
+
+		if (weight <= best_weight)
+			continue;
+		best_weight = weight;
+		best = k;
+	}
+	return best;
+}
+
+void ph_shard_name(const char *domain, uint32_t shard, char name[PH_NAME_BYTES])
+{
+	if (shard)
+		snprintf(name, PH_NAME_BYTES, "%.24s#%u", domain, shard % 1000);
+	else
+		snprintf(name, PH_NAME_BYTES, "%s", domain);
+}
+
+bool ph_shard_in(const char *pool, const char *domain)
+{
+	size_t len = strcspn(pool, "#");
+
+	if (pool[len] && len == 24)
+		return !strncmp(pool, domain, len);
+	return strlen(domain) == len && !strncmp(pool, domain, len);
+}
+
+uint32_t ph_shard_number(const char *pool)
+{
+	const char *hash = strchr(pool, '#');
+
+	return hash ? (uint32_t)strtoul(hash + 1, NULL, 10) : 0;
+}
