--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -33,9 +33,13 @@
 	for (;;) {
 		if (sigwait(signals, &sig))
 			continue;
-		if (sig != SIGUSR1)
+		if (sig == SIGUSR1)
+			ph_entry_dump(entry);
+		else if (sig == SIGHUP)
+			/* Flags and environment are fixed for a process. */
+			ph_log("main", "Reload requested, nothing to read.");
+		else
 			break;
-		ph_entry_dump(entry);
 	}
 	ph_entry_stop(entry);
 	ph_entry_join(entry);
@@ -46,6 +50,7 @@
 	sigemptyset(signals);
 	sigaddset(signals, SIGTERM);
 	sigaddset(signals, SIGINT);
+	sigaddset(signals, SIGHUP);
 	sigaddset(signals, SIGUSR1);
 	pthread_sigmask(SIG_BLOCK, signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
--- a/src/node.c
+++ b/src/node.c
@@ -966,8 +966,11 @@
 	n->port = port;
 	n->port_ctx = port_ctx;
 	n->incarnation = ph_node_unix_ms();
-	snprintf(n->addr, sizeof(n->addr), "%s:%u", settings->address,
-		 settings->peer_port);
+	if (settings->advertise && settings->advertise[0])
+		ph_strcopy(n->addr, sizeof(n->addr), settings->advertise);
+	else
+		snprintf(n->addr, sizeof(n->addr), "%s:%u", settings->address,
+			 settings->peer_port);
 	apr_pool_create(&n->apr, NULL);
 	n->box = ph_mailbox_new(mem);
 	ph_buf_init(&n->frame, mem);
--- a/src/node.h
+++ b/src/node.h
@@ -33,6 +33,8 @@
 	/** IP number and port for peers. */
 	const char *address;
 	uint16_t peer_port;
+	/** "ip:port" that peers dial; empty means address and peer_port. */
+	const char *advertise;
 	/** "ip:port,..." of instances to ask at the start. */
 	const char *seeds;
 	/** Share of a core that this instance may use, in thousandths. */
--- a/test/scenario.c
+++ b/test/scenario.c
@@ -27,8 +27,8 @@
 
 #include "client.h"
 
-#define MAX_PROCESSES 64
-#define MAX_LINKS 64
+#define MAX_PROCESSES 256
+#define MAX_LINKS 256
 #define MAX_CUTS 256
 #define MAX_FLOWS 1024
 #define NAME_BYTES 64
@@ -329,7 +329,7 @@
 	return 0;
 }
 
-/* signal(name, "KILL" | "STOP" | "CONT" | "TERM") */
+/* signal(name, "KILL" | "STOP" | "CONT" | "HUP" | "TERM") */
 static int verb_signal(lua_State *lua)
 {
 	struct process *p = find(lua, 1);
@@ -342,6 +342,8 @@
 		sig = SIGSTOP;
 	else if (!strcmp(name, "CONT"))
 		sig = SIGCONT;
+	else if (!strcmp(name, "HUP"))
+		sig = SIGHUP;
 	if (!p->ended)
 		kill(p->pid, sig);
 	return 0;
--- /dev/null
+++ b/test/scenarios/reload.lua
@@ -0,0 +1,10 @@
+-- SIGHUP is a request to reload, never the end of a process.
+start_cluster(1)
+for n in pairs(entries) do
+	signal(entries[n].name, "HUP")
+end
+sleep(500)
+replay("load", { jobs = 20, tasks = 4, every_ms = 30, via = { 1, 2 } })
+local r = report("load")
+expect_sound(r)
+expect(r.complete == 20, "every job completes after the reload")
--- /dev/null
+++ b/test/soak/soak.lua
@@ -0,0 +1,135 @@
+-- A randomized soak: processes are killed, stopped, paused and restarted, links
+-- between them and to the store are cut, the store fails, executors misbehave.
+-- SEED picks the faults, SECS how long they go on. The promises are checked.
+dofile("test/scenarios/lib_dispatch.lua")
+
+local seed = tonumber(os.getenv("SEED") or "1")
+local secs = tonumber(os.getenv("SECS") or "20")
+math.randomseed(seed)
+
+local function pick()
+	return math.random(1, 4)
+end
+
+-- Faults that are under way, each with the time and the way of its end.
+local pending = {}
+
+local function later(ms, undo)
+	pending[#pending + 1] = { at = now() + ms, undo = undo }
+end
+
+local function settle(all)
+	for i = #pending, 1, -1 do
+		if all or now() >= pending[i].at then
+			local p = table.remove(pending, i)
+			p.undo()
+		end
+	end
+end
+
+local function others_up(n)
+	local count = 0
+	for m, d in pairs(dispatchers) do
+		if m ~= n and d.up and not d.paused then
+			count = count + 1
+		end
+	end
+	return count
+end
+
+local faults = {
+	function(n)
+		if not dispatchers[n].up or dispatchers[n].paused then return end
+		print("  kill " .. n)
+		stop_dispatcher(n, "KILL")
+		later(math.random(200, 2500), function() start_dispatcher(n) end)
+	end,
+	function(n)
+		if not dispatchers[n].up or dispatchers[n].paused then return end
+		print("  stop " .. n)
+		signal(dispatchers[n].name, "TERM")
+		dispatchers[n].paused = true
+		later(math.random(4000, 6500), function()
+			stop_dispatcher(n, "TERM")
+			dispatchers[n].paused = nil
+			start_dispatcher(n)
+		end)
+	end,
+	function(n)
+		if not dispatchers[n].up or dispatchers[n].paused then return end
+		print("  freeze " .. n)
+		signal(dispatchers[n].name, "STOP")
+		dispatchers[n].paused = true
+		later(math.random(100, 3000), function()
+			signal(dispatchers[n].name, "CONT")
+			dispatchers[n].paused = nil
+		end)
+	end,
+	function(n)
+		local m = pick()
+		if m == n then return end
+		print("  cut " .. n .. " to " .. m)
+		cut("127.0.0." .. n, dispatchers[m].name)
+		if math.random() < 0.6 then
+			cut("127.0.0." .. m, dispatchers[n].name)
+		end
+		later(math.random(200, 3000), heal)
+	end,
+	function(n)
+		print("  cut " .. n .. " from the store")
+		cut("127.0.0." .. n, "store")
+		later(math.random(500, 3000), heal)
+	end,
+	function()
+		print("  store down")
+		fleet_mode('{"store_down":true}')
+		later(math.random(500, 4000), function() fleet_mode('{"store_down":false}') end)
+	end,
+	function()
+		local x = math.random(0, COUNT - 1)
+		local how = ({ "late", "fails", "draining" })[math.random(1, 3)]
+		print("  executor " .. x .. " " .. how)
+		fleet_mode(string.format('{"executor":%d,"%s":true}', x, how))
+		later(math.random(500, 4000), function()
+			fleet_mode(string.format('{"executor":%d,"%s":false}', x, how))
+		end)
+	end,
+	function()
+		local x = math.random(0, COUNT - 1)
+		print("  executor " .. x .. " reborn")
+		fleet_mode(string.format('{"executor":%d,"reborn":true}', x))
+	end,
+	function(n)
+		print("  reload " .. n .. ", new configuration")
+		if dispatchers[n].up then
+			signal(dispatchers[n].name, "HUP")
+		end
+		fleet_mode('{"config":true}')
+	end,
+}
+
+print("seed " .. seed)
+start_dispatch(2, 2)
+local until_ms = now() + secs * 1000
+while now() < until_ms do
+	local n = pick()
+	if others_up(n) > 0 then
+		faults[math.random(1, #faults)](n)
+	end
+	local wait_ms = now() + math.random(50, 1200)
+	while now() < wait_ms do
+		settle(false)
+		sleep(50)
+	end
+end
+settle(true)
+heal()
+for n in pairs(dispatchers) do
+	await_ready(n, 15000)
+end
+local before = fleet_report()
+sleep(4000)
+local after = fleet_report()
+expect(after.done - before.done > 0.25 * (after.jobs - before.jobs),
+	"it serves again after the faults")
+check_promises(0.3)
