--- a/fuzz/replay.c
+++ b/fuzz/replay.c
@@ -20,12 +20,9 @@
 };
 
 static const struct target targets[] = {
-	{ "msg", fuzz_msg },
-	{ "spec", fuzz_spec },
-	{ "config", fuzz_config },
-	{ "roster", fuzz_roster },
-	{ "poolmsg", fuzz_poolmsg },
-	{ "wire", fuzz_wire },
+	{ "msg", fuzz_msg },	     { "spec", fuzz_spec },
+	{ "config", fuzz_config },   { "roster", fuzz_roster },
+	{ "poolmsg", fuzz_poolmsg }, { "wire", fuzz_wire },
 };
 
 static int replay(const char *base, const struct target *target)
