--- a/test/standin_fleet.c
+++ b/test/standin_fleet.c
@@ -815,6 +815,8 @@
 
 	if (status >= 0)
 		return status;
+	/* The process is killed at the end of a scenario. */
+	setvbuf(stdout, NULL, _IOLBF, 0);
 	apr_initialize();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	f.mem = ph_mem_default();
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -7,6 +7,8 @@
 LAST=$2
 SECS=$3
 JOBS=${4:-1}
+# First slot of ports, apart from those of another soak on the machine.
+SLOT0=${SLOT0:-10}
 LOGS=$BUILD/soak-logs
 mkdir -p "$LOGS"
 
@@ -15,7 +17,7 @@
 	folder=$LOGS/seed-$seed
 	rm -rf "$folder"
 	mkdir -p "$folder"
-	if SEED=$seed SECS=$SECS SLOT=$((10 + seed % JOBS)) "$BUILD/scenario" \
+	if SEED=$seed SECS=$SECS SLOT=$((SLOT0 + seed % JOBS)) "$BUILD/scenario" \
 		"$BUILD" "$folder" test/soak/soak.lua >"$folder/out" 2>&1; then
 		tail -n 1 "$folder/out" | sed "s/^/seed $seed /"
 		rm -rf "$folder"
