An owner's next life is another owner

Cause: a batch sent to an owner that was killed and came back within the time of a resend was taken by its next life as new, though the life before could have started it (tasks twice, untrue refusals); one that had been accepted was waited for in vain. Ruled out for it: links held up by a cut. Change: batches name the owner's life; the front follows to the next one as resumed with nothing known; a job given up is cancelled at its silent owner.

--- a/src/front.c
+++ b/src/front.c
@@ -204,6 +204,7 @@
 	struct ph_poolmsg m = { .type = PH_POOLMSG_SUBMIT, .seq = j->seq };
 
 	ph_strcopy(m.pool, sizeof(m.pool), j->domain);
+	m.owner_incarnation = j->owner.incarnation;
 	j->work->age_us = now_us - j->arrived_us;
 	m.work = j->work;
 	j->sent_us = now_us;
@@ -397,8 +398,7 @@
 	struct ph_owner o;
 
 	if (ph_members_owner(f->opt.members, now_us, j->domain, &o) &&
-	    (strcmp(o.name, j->owner.name) != 0 || j->homeless) &&
-	    (o.token != j->owner.token || !j->homeless)) {
+	    (o.token != j->owner.token || strcmp(o.name, j->owner.name) != 0)) {
 		ph_event(PART, "event=job_resumed job=%s pool=%s from=%s to=%s",
 			 j->work->job, j->domain, j->owner.name, o.name);
 		if (!j->homeless)
@@ -407,15 +407,18 @@
 		first_send(f, j, now_us);
 		return;
 	}
-	if (now_us > j->orphaned_us + SUCCESSOR_US)
-		answer(f, j, PH_FRONT_UNKNOWN, 0, "the pool's owner is lost",
-		       now_us);
+	if (now_us <= j->orphaned_us + SUCCESSOR_US)
+		return;
+	/* The way to a silent owner may be open in one direction. */
+	if (!j->homeless)
+		send_seq(f, &j->owner, PH_POOLMSG_CANCEL, j->seq);
+	answer(f, j, PH_FRONT_UNKNOWN, 0, "the pool's owner is lost", now_us);
 }
 
 static void job_tick(struct ph_front *f, struct job *j, uint64_t now_us)
 {
 	bool lost = j->homeless ||
-		    !ph_members_live(f->opt.members, now_us, j->owner.name);
+		    !ph_members_owner_lives(f->opt.members, now_us, &j->owner);
 
 	if (j->unplaced) {
 		dispatch(f, j, now_us);
--- a/src/members.c
+++ b/src/members.c
@@ -153,12 +153,14 @@
 	return m->heard_us && now_us < m->heard_us + patience_us(ms, m);
 }
 
-bool ph_members_live(const struct ph_members *ms, uint64_t now_us,
-		     const char *name)
+bool ph_members_owner_lives(const struct ph_members *ms, uint64_t now_us,
+			    const struct ph_owner *owner)
 {
-	const struct ph_member *m = find(ms, name);
+	const struct ph_member *m = find(ms, owner->name);
 
-	return !strcmp(name, ms->opt.name) || (m && live(ms, m, now_us));
+	if (!strcmp(owner->name, ms->opt.name))
+		return true;
+	return m && m->incarnation == owner->incarnation && live(ms, m, now_us);
 }
 
 bool ph_members_minority(const struct ph_members *ms, uint64_t now_us)
@@ -319,6 +321,7 @@
 		ph_strcopy(owner->name, sizeof(owner->name), ms->opt.name);
 		ph_strcopy(owner->addr, sizeof(owner->addr), ms->opt.addr);
 		owner->token = d->token;
+		owner->incarnation = ms->opt.incarnation;
 		owner->self = true;
 		owner->heard_us = now_us;
 		return true;
@@ -329,6 +332,7 @@
 	ph_strcopy(owner->name, sizeof(owner->name), m->name);
 	ph_strcopy(owner->addr, sizeof(owner->addr), m->addr);
 	owner->token = c->token;
+	owner->incarnation = m->incarnation;
 	owner->load = c->load;
 	owner->heard_us = m->heard_us;
 	return true;
--- a/src/members.h
+++ b/src/members.h
@@ -121,6 +121,8 @@
 	char name[PH_NAME_BYTES];
 	char addr[PH_ADDR_BYTES];
 	uint64_t token;
+	/** Life of the owner. */
+	uint64_t incarnation;
 	bool self;
 	struct ph_pool_load load;
 	/** When load was heard. */
@@ -131,8 +133,9 @@
 bool ph_members_owner(const struct ph_members *members, uint64_t now_us,
 		      const char *domain, struct ph_owner *owner);
 
-bool ph_members_live(const struct ph_members *members, uint64_t now_us,
-		     const char *name);
+/** True while the same life of an owner is heard. */
+bool ph_members_owner_lives(const struct ph_members *members, uint64_t now_us,
+			    const struct ph_owner *owner);
 
 /** Domain by index, NULL at the end. */
 const char *ph_members_domain(const struct ph_members *members, size_t i);
--- a/src/node_peer.c
+++ b/src/node_peer.c
@@ -189,6 +189,14 @@
 
 /* ## Incoming */
 
+static void mark_unknown(struct ph_work *work)
+{
+	uint32_t i;
+
+	for (i = 0; i < work->count; i++)
+		work->where[i] = PH_WHERE_UNKNOWN;
+}
+
 static void handle_submit(struct ph_node *n, struct ph_poolmsg *msg,
 			  uint64_t now_us)
 {
@@ -206,6 +214,12 @@
 		ph_work_free(n->mem, work);
 		return;
 	}
+	/* An earlier life may have started what it did not acknowledge. */
+	if (msg->owner_incarnation != n->incarnation) {
+		moved.reason = "meant for an earlier life";
+		p = NULL;
+		mark_unknown(work);
+	}
 	if (!p) {
 		memcpy(moved.done, work->done, sizeof(moved.done));
 		memcpy(moved.where, work->where, sizeof(moved.where));
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -101,7 +101,7 @@
 	case PH_POOLMSG_HELLO:
 		return 7 + m->claim_count * CLAIM_FIELDS;
 	case PH_POOLMSG_SUBMIT:
-		return 2 + WORK_FIELDS;
+		return 3 + WORK_FIELDS;
 	case PH_POOLMSG_RESULT:
 		return 1 + RESULT_FIELDS;
 	case PH_POOLMSG_CONFIG:
@@ -122,6 +122,7 @@
 	case PH_POOLMSG_SUBMIT:
 		msgpack_pack_uint64(pk, m->seq);
 		put_str(pk, m->pool);
+		msgpack_pack_uint64(pk, m->owner_incarnation);
 		put_work(pk, m->work);
 		break;
 	case PH_POOLMSG_RESULT:
@@ -324,6 +325,7 @@
 	case PH_POOLMSG_SUBMIT:
 		m->seq = get_u64(r);
 		get_str(r, m->pool, sizeof(m->pool));
+		m->owner_incarnation = get_u64(r);
 		m->work = mem->calloc(1, sizeof(*m->work));
 		get_work(mem, r, m->work);
 		break;
--- a/src/poolmsg.h
+++ b/src/poolmsg.h
@@ -59,8 +59,10 @@
 	struct ph_claim claims[PH_CLAIMS_MAX];
 	/** Handle of a batch at the instance that submitted it. */
 	uint64_t seq;
-	/** SUBMIT: failure domain of the pool; owned by the message. */
+	/** SUBMIT: the pool, and the life of the owner that it is meant for. */
 	char pool[PH_NAME_BYTES];
+	uint64_t owner_incarnation;
+	/** SUBMIT: owned by the message when decoded. */
 	struct ph_work *work;
 	/* RESULT; its reason is borrowed from reason_text when decoded. */
 	struct ph_result result;
--- a/test/test_front.cc
+++ b/test/test_front.cc
@@ -98,7 +98,8 @@
 	}
 
 	void hear(const char *name, const char *domain, uint64_t token,
-		  uint32_t free_milli, uint64_t backlog = 0)
+		  uint32_t free_milli, uint64_t backlog = 0,
+		  uint64_t incarnation = 1)
 	{
 		ph_poolmsg m = {};
 
@@ -106,7 +107,7 @@
 		snprintf(m.name, sizeof(m.name), "%s", name);
 		snprintf(m.domain, sizeof(m.domain), "%s", domain);
 		snprintf(m.addr, sizeof(m.addr), "%s", name);
-		m.incarnation = 1;
+		m.incarnation = incarnation;
 		m.claim_count = token ? 1 : 0;
 		snprintf(m.claims[0].domain, sizeof(m.claims[0].domain), "%s",
 			 domain);
@@ -306,6 +307,31 @@
 	}
 }
 
+/* An owner that was killed and is back at once knows nothing of the batch, and
+ * the life before may have started it. */
+TEST(Front, AnOwnersNextLifeIsAnotherOwner)
+{
+	for (bool accepted : { true, false }) {
+		SCOPED_TRACE(accepted);
+		Fixture f;
+
+		f.hear("n2", "north", 5, 64000);
+		f.submit(1);
+		if (accepted)
+			ph_front_accepted(f.front, f.sent.back().seq);
+		f.now_us += 50 * kMs;
+		f.hear("n2", "north", 0, 0, 0, 2);
+		f.pass(100 * kMs);
+		EXPECT_EQ(f.sent.size(), 1U);
+		f.hear("n2", "north", 6, 64000, 0, 2);
+		f.pass(20 * kMs);
+		ASSERT_EQ(f.sent.size(), 2U);
+		EXPECT_TRUE(f.sent[1].resumed);
+		EXPECT_EQ(f.sent[1].where0, PH_WHERE_UNKNOWN);
+		EXPECT_NE(f.sent[1].seq, f.sent[0].seq);
+	}
+}
+
 TEST(Front, AJobWithoutANextOwnerIsUnknownNotNotRun)
 {
 	Fixture f;
