--- a/src/httpc.c
+++ b/src/httpc.c
@@ -188,8 +188,8 @@
 
 static int error_of(const struct transfer *t, CURLcode code)
 {
-	/* libcurl tries a broken kept connection's request on a new one; what it
-	 * says of that one says nothing of the first. */
+	/* libcurl tries a broken kept connection's request on a new one; what
+	 * it says of that one says nothing of the first. */
 	if (code != CURLE_OK && t->body_sent)
 		return PH_ERR_IO;
 	switch (code) {
