Refuse batches that were long on their way, repeat cancellations

Cause: a batch that a cut holds up in its link is delivered at the heal. Its instance has given it up by then and its caller may come again elsewhere, so the task can run twice. Likewise a cancellation was sent once: a link reset at that moment left a batch at work for nobody.

Heartbeats now carry the sender's steady clock, batches the time of their first sending on the owner's clock; the owner refuses what is older than 350 ms, which is below the 400 ms after which a front gives up. Cancellations are repeated until acknowledged and are remembered, so that one that overtakes its batch counts too.

Each has a test that fails without it (Pool.ABatchThatWasLongOnItsWayIsNotStarted, Pool.ACancelledBatchThatComesLaterIsNotStarted and three of Front).

--- a/src/front.c
+++ b/src/front.c
@@ -19,6 +19,9 @@
 /* How long a job waits for the first owner of a pool after the start. */
 #define FIRST_OWNER_US 600000U
 #define TRIES_MAX 4U
+/* A cancellation is repeated for as long as a caller surely stays away: then
+ * the job may come again, and must not meet its own earlier run. */
+#define CANCEL_KEEP_US 1300000U
 
 struct job {
 	struct job *next;
@@ -42,11 +45,21 @@
 	uint64_t retry_after_us;
 };
 
+/** A cancellation that its owner has not acknowledged. */
+struct cancel {
+	struct cancel *next;
+	struct ph_owner owner;
+	uint64_t seq;
+	uint64_t made_us;
+	uint64_t sent_us;
+};
+
 struct ph_front {
 	const struct ph_mem *mem;
 	struct ph_front_options opt;
 	uint64_t last_seq;
 	struct job *jobs;
+	struct cancel *cancels;
 	/** Core time sent to a domain since its last heartbeat. */
 	struct {
 		char domain[PH_NAME_BYTES];
@@ -83,6 +96,12 @@
 		return;
 	while (f->jobs)
 		job_free(f, f->jobs);
+	while (f->cancels) {
+		struct cancel *c = f->cancels;
+
+		f->cancels = c->next;
+		f->mem->free(c);
+	}
 	f->mem->free(f);
 }
 
@@ -211,12 +230,57 @@
 	f->opt.sink->send(f->opt.ctx, &j->owner, &m);
 }
 
-static void send_seq(struct ph_front *f, const struct ph_owner *owner,
-		     enum ph_poolmsg_type type, uint64_t seq)
+static void cancel_send(struct ph_front *f, struct cancel *c, uint64_t now_us)
+{
+	struct ph_poolmsg m = { .type = PH_POOLMSG_CANCEL, .seq = c->seq };
+
+	c->sent_us = now_us;
+	f->opt.sink->send(f->opt.ctx, &c->owner, &m);
+}
+
+/* Has a job's batch stopped at its owner. */
+static void cancel(struct ph_front *f, const struct job *j, uint64_t now_us)
+{
+	struct cancel *c = f->mem->calloc(1, sizeof(*c));
+
+	c->owner = j->owner;
+	c->seq = j->seq;
+	c->made_us = now_us;
+	c->next = f->cancels;
+	f->cancels = c;
+	cancel_send(f, c, now_us);
+}
+
+static void cancels_tick(struct ph_front *f, uint64_t now_us)
+{
+	struct cancel **at = &f->cancels;
+
+	while (*at) {
+		struct cancel *c = *at;
+
+		if (now_us > c->made_us + CANCEL_KEEP_US) {
+			*at = c->next;
+			f->mem->free(c);
+			continue;
+		}
+		if (now_us > c->sent_us + RESEND_US)
+			cancel_send(f, c, now_us);
+		at = &c->next;
+	}
+}
+
+void ph_front_cancelled(struct ph_front *f, uint64_t seq)
 {
-	struct ph_poolmsg m = { .type = type, .seq = seq };
+	struct cancel **at = &f->cancels;
+	struct cancel *c;
 
-	f->opt.sink->send(f->opt.ctx, owner, &m);
+	while (*at && (*at)->seq != seq)
+		at = &(*at)->next;
+	c = *at;
+	if (!c)
+		return;
+	*at = c->next;
+	f->mem->free(c);
 }
 
 static void first_send(struct ph_front *f, struct job *j, uint64_t now_us)
@@ -226,6 +290,10 @@
 	j->orphaned_us = 0;
 	j->homeless = false;
 	j->first_sent_us = now_us;
+	j->work->sent_us =
+		j->owner.clock_us
+			? j->owner.clock_us + (now_us - j->owner.heard_us)
+			: 0;
 	send_work(f, j, now_us);
 }
 
@@ -312,7 +380,7 @@
 		 j->work->job, j->domain,
 		 (unsigned long long)(now_us - j->arrived_us));
 	if (!j->homeless && !j->unplaced)
-		send_seq(f, &j->owner, PH_POOLMSG_CANCEL, j->seq);
+		cancel(f, j, now_us);
 	job_free(f, j);
 }
 
@@ -384,7 +452,7 @@
 		struct job *j = f->jobs;
 
 		if (!j->homeless && !j->unplaced)
-			send_seq(f, &j->owner, PH_POOLMSG_CANCEL, j->seq);
+			cancel(f, j, now_us);
 		answer(f, j, PH_FRONT_UNKNOWN, 0, "this instance stood still",
 		       now_us);
 	}
@@ -411,7 +479,7 @@
 		return;
 	/* The way to a silent owner may be open in one direction. */
 	if (!j->homeless)
-		send_seq(f, &j->owner, PH_POOLMSG_CANCEL, j->seq);
+		cancel(f, j, now_us);
 	answer(f, j, PH_FRONT_UNKNOWN, 0, "the pool's owner is lost", now_us);
 }
 
@@ -434,7 +502,7 @@
 	if (j->accepted || now_us < j->sent_us + RESEND_US)
 		return;
 	if (now_us > j->first_sent_us + ACCEPT_MAX_US) {
-		send_seq(f, &j->owner, PH_POOLMSG_CANCEL, j->seq);
+		cancel(f, j, now_us);
 		answer(f, j, PH_FRONT_UNKNOWN, 0, "the owner doesn't answer",
 		       now_us);
 		return;
@@ -452,4 +520,5 @@
 		job_tick(f, j, now_us);
 		j = next;
 	}
+	cancels_tick(f, now_us);
 }
--- a/src/front.h
+++ b/src/front.h
@@ -70,6 +70,8 @@
 void ph_front_hangup(struct ph_front *front, uint64_t now_us, uint64_t token);
 
 void ph_front_accepted(struct ph_front *front, uint64_t seq);
+/** An owner has dropped a batch that was cancelled. */
+void ph_front_cancelled(struct ph_front *front, uint64_t seq);
 void ph_front_result(struct ph_front *front, uint64_t now_us, const char *from,
 		     uint64_t seq, const struct ph_result *result);
 
--- a/src/members.c
+++ b/src/members.c
@@ -217,6 +217,7 @@
 	m->leaving = hello->leaving;
 	m->heard_me_ago_us = hello->heard_ago_us;
 	m->interval_us = hello->interval_us;
+	m->clock_us = hello->clock_us;
 	m->cpu_milli = hello->cpu_milli ? hello->cpu_milli : 1;
 	m->config_version = hello->config_version;
 	m->claim_count = hello->claim_count;
@@ -324,6 +325,7 @@
 		owner->incarnation = ms->opt.incarnation;
 		owner->self = true;
 		owner->heard_us = now_us;
+		owner->clock_us = now_us;
 		return true;
 	}
 	if (!m)
@@ -335,6 +337,7 @@
 	owner->incarnation = m->incarnation;
 	owner->load = c->load;
 	owner->heard_us = m->heard_us;
+	owner->clock_us = m->clock_us;
 	return true;
 }
 
--- a/src/members.h
+++ b/src/members.h
@@ -44,6 +44,8 @@
 	bool relink;
 	/** Distance of its heartbeats to this instance, as it says. */
 	uint64_t interval_us;
+	/** Its steady clock when it was heard. */
+	uint64_t clock_us;
 	uint32_t cpu_milli;
 	bool leaving;
 	/** Nothing listened at its address since it was heard last. */
@@ -125,8 +127,9 @@
 	uint64_t incarnation;
 	bool self;
 	struct ph_pool_load load;
-	/** When load was heard. */
+	/** When load was heard, and the owner's clock as it said then. */
 	uint64_t heard_us;
+	uint64_t clock_us;
 };
 
 /** Finds the live owner of a domain; false if there is none. */
--- a/src/node_peer.c
+++ b/src/node_peer.c
@@ -270,6 +270,11 @@
 		for (i = 0; i < n->pool_count; i++)
 			ph_pool_cancel(n->pools[i].pool, now_us, msg->name,
 				       msg->seq);
+		reply.type = PH_POOLMSG_CANCEL_ACK;
+		ph_node_send(n, msg->addr, &reply);
+		break;
+	case PH_POOLMSG_CANCEL_ACK:
+		ph_front_cancelled(n->front, msg->seq);
 		break;
 	case PH_POOLMSG_CONFIG_WANTED:
 		if (!n->doc)
--- a/src/node_pools.c
+++ b/src/node_pools.c
@@ -248,6 +248,7 @@
 	msg->config_version = n->routing ? n->routing->version : 0;
 	msg->interval_us =
 		m ? ph_members_interval_us(n->members, m) : n->set.heartbeat_us;
+	msg->clock_us = now_us;
 	msg->cpu_milli = n->set.cpu_milli;
 	msg->shards = own_shards(n);
 	msg->heard_ago_us =
--- a/src/pool.c
+++ b/src/pool.c
@@ -16,6 +16,9 @@
 /* An unlisted executor is kept this long: two of the longest leases, and the
  * time between two reads of the list. */
 #define UNLISTED_US 3000000U
+/* Longest way of a batch: below the time after which its front gives it up and
+ * its caller may come again elsewhere. */
+#define WAY_MAX_US 350000U
 
 struct ph_pool *ph_pool_new(const struct ph_pool_options *options)
 {
@@ -337,12 +340,40 @@
 	return b;
 }
 
+static void remember_cancelled(struct ph_pool *pool, const char *front,
+			       uint64_t seq)
+{
+	struct ph_cancelled *c =
+		&pool->cancelled[pool->cancelled_next++ % PH_CANCELLED];
+
+	ph_strcopy(c->front, sizeof(c->front), front);
+	c->seq = seq;
+}
+
+static bool was_cancelled(const struct ph_pool *pool, const char *front,
+			  uint64_t seq)
+{
+	uint32_t i;
+
+	for (i = 0; i < PH_CANCELLED; i++)
+		if (pool->cancelled[i].seq == seq &&
+		    !strcmp(pool->cancelled[i].front, front))
+			return true;
+	return false;
+}
+
+/* Its front has given it up by now, or is about to. */
+static bool long_on_its_way(const struct ph_work *work, uint64_t now_us)
+{
+	return work->sent_us && now_us > work->sent_us + WAY_MAX_US;
+}
+
 void ph_pool_submit(struct ph_pool *pool, uint64_t now_us, const char *front,
 		    uint64_t seq, struct ph_work *work)
 {
 	struct ph_batch *b;
 
-	if (batch_find(pool, front, seq)) {
+	if (batch_find(pool, front, seq) || was_cancelled(pool, front, seq)) {
 		ph_work_free(pool->mem, work);
 		return;
 	}
@@ -361,6 +392,14 @@
 		batch_remove(pool, b);
 		return;
 	}
+	if (long_on_its_way(work, now_us)) {
+		batch_tell(
+			pool, b,
+			work->resumed ? PH_VERDICT_BROKEN : PH_VERDICT_NOT_RUN,
+			retry_after(pool, now_us), "long on its way", now_us);
+		batch_remove(pool, b);
+		return;
+	}
 	if (work->resumed)
 		ph_pool_adopt(pool, now_us);
 	ph_pool_tick(pool, now_us);
@@ -371,6 +410,8 @@
 {
 	struct ph_batch *b = batch_find(pool, front, seq);
 
+	if (pool->owned && !was_cancelled(pool, front, seq))
+		remember_cancelled(pool, front, seq);
 	if (!b)
 		return;
 	ph_event(PART, "event=batch_cancelled job=%s left=%u", b->work->job,
--- a/src/pool.h
+++ b/src/pool.h
@@ -67,7 +67,10 @@
 void ph_pool_update(struct ph_pool *pool, uint64_t now_us,
 		    const struct ph_executor_info *list, size_t count);
 
-/** Takes a batch over; (front, seq) names it, a repeated one is ignored. */
+/**
+ * Takes a batch over; (front, seq) names it, a repeated or cancelled one is
+ * ignored. One that was long on its way is refused: its front has given it up.
+ */
 void ph_pool_submit(struct ph_pool *pool, uint64_t now_us, const char *front,
 		    uint64_t seq, struct ph_work *work);
 
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -124,6 +124,15 @@
 
 #define PH_STRAY_ENDS 512U
 
+/** A batch that was cancelled, and may come after its cancellation. */
+struct ph_cancelled {
+	char front[PH_NAME_BYTES];
+	uint64_t seq;
+};
+
+/* Cancellations kept: those of a second under load. */
+#define PH_CANCELLED 64U
+
 struct ph_pool {
 	struct ph_pool_options opt;
 	const struct ph_mem *mem;
@@ -136,6 +145,8 @@
 	struct ph_order_call *calls;
 	struct ph_stray_end strays[PH_STRAY_ENDS];
 	uint32_t stray_next;
+	struct ph_cancelled cancelled[PH_CANCELLED];
+	uint32_t cancelled_next;
 	struct ph_pool_counters counters;
 	/** Something changed: starts are to be looked at again. */
 	bool dirty;
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -7,8 +7,9 @@
 #include "poolmsg.h"
 
 #define HEAD_FIELDS 6U
+#define HELLO_FIELDS 8U
 #define CLAIM_FIELDS 9U
-#define WORK_FIELDS 18U
+#define WORK_FIELDS 19U
 #define RESULT_FIELDS 5U
 
 /* ## Encoding */
@@ -57,6 +58,7 @@
 	msgpack_pack_uint64(pk, m->config_version);
 	msgpack_pack_uint64(pk, m->heard_ago_us);
 	msgpack_pack_uint64(pk, m->interval_us);
+	msgpack_pack_uint64(pk, m->clock_us);
 	msgpack_pack_uint32(pk, m->cpu_milli);
 	msgpack_pack_uint32(pk, m->shards);
 	msgpack_pack_uint32(pk, m->claim_count);
@@ -80,6 +82,7 @@
 	msgpack_pack_uint64(pk, w->give_up_us);
 	msgpack_pack_uint32(pk, w->priority);
 	msgpack_pack_uint32(pk, w->max_attempts);
+	msgpack_pack_uint64(pk, w->sent_us);
 	msgpack_pack_uint64(pk, w->first_run);
 	msgpack_pack_uint32(pk, w->resumed);
 	put_bytes(pk, w->done, sizeof(w->done));
@@ -99,7 +102,7 @@
 {
 	switch (m->type) {
 	case PH_POOLMSG_HELLO:
-		return 7 + m->claim_count * CLAIM_FIELDS;
+		return HELLO_FIELDS + m->claim_count * CLAIM_FIELDS;
 	case PH_POOLMSG_SUBMIT:
 		return 3 + WORK_FIELDS;
 	case PH_POOLMSG_RESULT:
@@ -269,6 +272,7 @@
 	m->config_version = get_u64(r);
 	m->heard_ago_us = get_u64(r);
 	m->interval_us = get_u64(r);
+	m->clock_us = get_u64(r);
 	m->cpu_milli = get_u32(r);
 	m->shards = get_u32(r);
 	m->claim_count = (uint32_t)get_number(r, PH_CLAIMS_MAX);
@@ -296,6 +300,7 @@
 	w->give_up_us = get_u64(r);
 	w->priority = get_u32(r);
 	w->max_attempts = get_u32(r);
+	w->sent_us = get_u64(r);
 	w->first_run = get_u64(r);
 	w->resumed = get_u32(r) != 0;
 	get_bits(r, w->done, sizeof(w->done));
--- a/src/poolmsg.h
+++ b/src/poolmsg.h
@@ -9,7 +9,7 @@
 
 #include "pool.h"
 
-#define PH_POOLMSG_PROTOCOL 2U
+#define PH_POOLMSG_PROTOCOL 3U
 #define PH_CLAIMS_MAX 32U
 
 enum ph_poolmsg_type {
@@ -21,8 +21,9 @@
 	/** Outcome of a batch; repeated until acknowledged. */
 	PH_POOLMSG_RESULT,
 	PH_POOLMSG_RESULT_ACK,
-	/** The caller of a batch has gone. */
+	/** The caller of a batch has gone; repeated until acknowledged. */
 	PH_POOLMSG_CANCEL,
+	PH_POOLMSG_CANCEL_ACK,
 	/** Asks for the configuration, and carries it. */
 	PH_POOLMSG_CONFIG_WANTED,
 	PH_POOLMSG_CONFIG,
@@ -52,6 +53,8 @@
 	uint64_t heard_ago_us;
 	/** Time to the sender's next heartbeat. */
 	uint64_t interval_us;
+	/** The sender's steady clock. */
+	uint64_t clock_us;
 	uint32_t cpu_milli;
 	/** Shards that the sender's domain is split into, as it knows. */
 	uint32_t shards;
--- a/src/work.h
+++ b/src/work.h
@@ -59,6 +59,9 @@
 	/** 0 goes first. */
 	uint32_t priority;
 	uint32_t max_attempts;
+	/** When it was first sent, on the receiving owner's clock; 0: unknown.
+	 */
+	uint64_t sent_us;
 	/** Number of a task's first run, above those of earlier submissions. */
 	uint64_t first_run;
 	/** Runs of the job may exist in this pool from an earlier owner. */
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -414,7 +414,7 @@
 
 uint64_t World::submit(Owner *owner, const std::string &job, uint32_t count,
 		       uint64_t duration, uint64_t estimate, uint64_t aim,
-		       uint64_t give_up)
+		       uint64_t give_up, uint64_t sent_us)
 {
 	ph_work *w = static_cast<ph_work *>(
 		ph_mem_default()->calloc(1, sizeof(ph_work)));
@@ -430,6 +430,7 @@
 	w->aim_us = aim;
 	w->give_up_us = give_up;
 	w->max_attempts = 3;
+	w->sent_us = sent_us;
 	w->first_run = 100;
 	duration_us[job] = duration;
 	cpu_of[job] = w->need.cpu_milli;
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -96,7 +96,7 @@
 	/** A batch of equal tasks; returns its handle. */
 	uint64_t submit(Owner *owner, const std::string &job, uint32_t count,
 			uint64_t duration, uint64_t estimate, uint64_t aim,
-			uint64_t give_up);
+			uint64_t give_up, uint64_t sent_us = 0);
 	/** Submits a moved batch to another owner. */
 	void follow(Owner *from, Owner *to, uint64_t seq);
 	bool ended(const Owner *owner, uint64_t seq, ph_verdict verdict) const;
--- a/test/test_front.cc
+++ b/test/test_front.cc
@@ -13,6 +13,8 @@
 {
 
 constexpr uint64_t kMs = 1000;
+/* How far the steady clocks of peers are ahead of the front's. */
+constexpr uint64_t kClockAheadUs = 5000000;
 
 struct Sent {
 	std::string to;
@@ -21,6 +23,7 @@
 	std::string pool;
 	bool resumed;
 	uint32_t where0;
+	uint64_t sent_us;
 };
 
 struct Answer {
@@ -81,7 +84,8 @@
 
 		f->sent.push_back({ owner->name, msg->type, msg->seq, msg->pool,
 				    msg->work && msg->work->resumed,
-				    msg->work ? msg->work->where[0] : 0 });
+				    msg->work ? msg->work->where[0] : 0,
+				    msg->work ? msg->work->sent_us : 0 });
 	}
 
 	static void on_own_load(void *, const char *, ph_pool_load *load)
@@ -108,6 +112,7 @@
 		snprintf(m.domain, sizeof(m.domain), "%s", domain);
 		snprintf(m.addr, sizeof(m.addr), "%s", name);
 		m.incarnation = incarnation;
+		m.clock_us = now_us + kClockAheadUs;
 		m.claim_count = token ? 1 : 0;
 		snprintf(m.claims[0].domain, sizeof(m.claims[0].domain), "%s",
 			 domain);
@@ -373,4 +378,58 @@
 	EXPECT_TRUE(f.answers.empty());
 }
 
+/* A link that is reset loses what was under way on it. */
+TEST(Front, ACancellationIsRepeatedUntilItIsAcknowledged)
+{
+	Fixture f;
+	uint64_t seq;
+	size_t before;
+
+	f.hear("n2", "north", 5, 64000);
+	f.submit(4);
+	ph_front_hangup(f.front, f.now_us, 4);
+	seq = f.sent.back().seq;
+	before = f.sent.size();
+	f.pass(200 * kMs);
+	ASSERT_GT(f.sent.size(), before);
+	EXPECT_EQ(f.sent.back().type, PH_POOLMSG_CANCEL);
+	EXPECT_EQ(f.sent.back().seq, seq);
+	ph_front_cancelled(f.front, seq);
+	before = f.sent.size();
+	f.pass(400 * kMs);
+	EXPECT_EQ(f.sent.size(), before);
+}
+
+TEST(Front, ACancellationThatNobodyAcknowledgesEnds)
+{
+	Fixture f;
+	size_t before;
+
+	f.hear("n2", "north", 5, 64000);
+	f.submit(4);
+	ph_front_hangup(f.front, f.now_us, 4);
+	f.pass(2000 * kMs);
+	before = f.sent.size();
+	f.pass(1000 * kMs);
+	EXPECT_EQ(f.sent.size(), before);
+}
+
+/* The owner can tell how long a batch was on its way: also a repeated one
+ * counts from the first, after which its front gives it up. */
+TEST(Front, ABatchCarriesItsFirstSendingOnTheOwnersClock)
+{
+	Fixture f;
+	uint64_t first_us;
+
+	f.hear("n2", "north", 5, 64000);
+	f.now_us += 40 * kMs;
+	first_us = f.now_us;
+	f.submit(1);
+	EXPECT_EQ(f.sent.back().sent_us, first_us + kClockAheadUs);
+	f.pass(200 * kMs);
+	f.hear("n2", "north", 5, 64000);
+	ASSERT_GE(f.sent.size(), 2U);
+	EXPECT_EQ(f.sent.back().sent_us, first_us + kClockAheadUs);
+}
+
 } // namespace
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -97,6 +97,56 @@
 	}
 }
 
+struct WayCase {
+	const char *what;
+	uint64_t way_us;
+	bool known;
+	ph_verdict verdict;
+	int starts;
+};
+
+/* A batch that a cut has held up: its front has given it up, and its caller
+ * may come again at another instance. */
+TEST(Pool, ABatchThatWasLongOnItsWayIsNotStarted)
+{
+	const WayCase cases[] = {
+		{ "a short way", 5 * kMs, true, PH_VERDICT_DONE, 4 },
+		{ "a busy receiver", 200 * kMs, true, PH_VERDICT_DONE, 4 },
+		{ "held up by a cut", 2000 * kMs, true, PH_VERDICT_NOT_RUN, 0 },
+		{ "of unknown age", 0, false, PH_VERDICT_DONE, 4 },
+	};
+
+	for (const WayCase &c : cases) {
+		SCOPED_TRACE(c.what);
+		World w(4, 16000);
+
+		w.now_us += 10000 * kMs;
+		Owner *o = calm_owner(&w);
+		uint64_t seq =
+			w.submit(o, "a", 4, 60 * kMs, 60 * kMs, kAim, kGiveUp,
+				 c.known ? w.now_us - c.way_us : 0);
+
+		w.run_until(w.now_us + 300 * kMs);
+		EXPECT_TRUE(w.ended(o, seq, c.verdict));
+		EXPECT_EQ(w.starts, c.starts);
+	}
+}
+
+/* A batch and its cancellation may overtake each other on two links. */
+TEST(Pool, ACancelledBatchThatComesLaterIsNotStarted)
+{
+	World w(4, 16000);
+	Owner *o = calm_owner(&w);
+
+	ph_pool_cancel(o->pool, w.now_us, "front", 1);
+	ASSERT_EQ(w.submit(o, "a", 4, 60 * kMs, 60 * kMs, kAim, kGiveUp), 1U);
+	w.run_until(w.now_us + 300 * kMs);
+	EXPECT_EQ(w.starts, 0);
+	w.submit(o, "b", 4, 60 * kMs, 60 * kMs, kAim, kGiveUp);
+	w.run_until(w.now_us + 300 * kMs);
+	EXPECT_EQ(w.starts, 4);
+}
+
 TEST(Pool, StartsNothingOnAnExecutorThatLeaves)
 {
 	World w(1, 16000);
