--- a/src/front.c
+++ b/src/front.c
@@ -323,6 +323,11 @@
 	uint32_t i;
 
 	j->unplaced = false;
+	if (j->tries && ph_work_useless(j->work, now_us - j->arrived_us)) {
+		answer(f, j, PH_FRONT_NOT_RUN, j->retry_after_us,
+		       "too late for another pool", now_us);
+		return;
+	}
 	if (j->tries >= TRIES_MAX || !choose(f, j, now_us, &domain)) {
 		if (!j->tries && now_us < f->opt.settled_us &&
 		    now_us < j->arrived_us + FIRST_OWNER_US) {
--- a/src/pool.c
+++ b/src/pool.c
@@ -288,8 +288,8 @@
 	return clamp_retry(load.backlog_milli_us / load.capacity_milli);
 }
 
-/* What nobody would be there to hear of; and what has found no room for so
- * long that its caller had better come back or go elsewhere. */
+/* What nobody would be there to hear of, or have use for; and what has found
+ * no room for so long that its caller had better come back or go elsewhere. */
 static bool too_late(const struct ph_batch *b, uint64_t now_us)
 {
 	uint64_t end = b->arrived_us + b->work->give_up_us;
@@ -297,6 +297,7 @@
 	if (b->started)
 		return now_us >= end;
 	return now_us + b->work->estimate_us >= end ||
+	       ph_work_useless(b->work, now_us - b->arrived_us) ||
 	       now_us >=
 		       b->arrived_us + b->work->give_up_us * HOLD_PERCENT / 100;
 }
@@ -308,8 +309,8 @@
 			   "caller's deadline passed", now_us);
 	else
 		batch_tell(pool, b, PH_VERDICT_NOT_RUN,
-			   retry_after(pool, now_us),
-			   "no room before the caller's deadline", now_us);
+			   retry_after(pool, now_us), "no room in time",
+			   now_us);
 	batch_end(pool, b, now_us);
 }
 
--- a/src/pool.h
+++ b/src/pool.h
@@ -35,6 +35,8 @@
 extern const struct ph_order_policy ph_order_slack;
 /** The baseline: by arrival. */
 extern const struct ph_order_policy ph_order_fifo;
+/** All of them, NULL at the end. */
+extern const struct ph_order_policy *const ph_order_policies[];
 
 struct ph_pool_options {
 	const struct ph_mem *mem;
--- a/src/pool_place.c
+++ b/src/pool_place.c
@@ -5,8 +5,6 @@
 /* Response time that is lost outside the pool: the way from and to the
  * caller and the processing on it. */
 #define AIM_MARGIN_US 12000U
-/* Aims within which a late answer is still worth something to the caller. */
-#define LATE_AIMS 3U
 /* An executor whose looks fail longer than this gets no new work; a look
  * takes at most a quarter of the lease. */
 #define SILENT_DIVISOR 2U
@@ -43,13 +41,12 @@
 
 static enum lateness lateness(const struct ph_batch *b, uint64_t now_us)
 {
-	uint64_t late = b->arrived_us + LATE_AIMS * b->work->aim_us;
-
 	if (b->started)
 		return BEGUN;
 	if (now_us <= ph_batch_latest_start(b))
 		return IN_TIME;
-	return now_us + ph_batch_estimate(b) <= late ? LATE : TOO_LATE;
+	return ph_work_useless(b->work, now_us - b->arrived_us) ? TOO_LATE
+								: LATE;
 }
 
 static bool slack_before(const struct ph_batch *a, const struct ph_batch *b,
@@ -78,6 +75,12 @@
 
 const struct ph_order_policy ph_order_fifo = { "fifo", fifo_before };
 
+const struct ph_order_policy *const ph_order_policies[] = {
+	&ph_order_slack,
+	&ph_order_fifo,
+	NULL,
+};
+
 /* ## Placement */
 
 bool ph_executor_usable(const struct ph_pool *pool, const struct ph_executor *x,
--- a/src/work.c
+++ b/src/work.c
@@ -41,6 +41,12 @@
 	return copy;
 }
 
+bool ph_work_useless(const struct ph_work *work, uint64_t waited_us)
+{
+	return work->aim_us &&
+	       waited_us + work->estimate_us > PH_LATE_AIMS * work->aim_us;
+}
+
 void ph_work_free(const struct ph_mem *mem, struct ph_work *work)
 {
 	if (!work)
--- a/src/work.h
+++ b/src/work.h
@@ -72,6 +72,13 @@
 	uint32_t where[PH_MAX_TASKS];
 };
 
+/** Aims after which an answer is of no use to its caller; the platform's. */
+#define PH_LATE_AIMS 3U
+
+/** True if a job that starts after waiting so long ends too late to be of
+ * use; never without an aim. */
+bool ph_work_useless(const struct ph_work *work, uint64_t waited_us);
+
 struct ph_work *ph_work_copy(const struct ph_mem *mem,
 			     const struct ph_work *work);
 void ph_work_free(const struct ph_mem *mem, struct ph_work *work);
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -412,33 +412,42 @@
 	}
 }
 
-uint64_t World::submit(Owner *owner, const std::string &job, uint32_t count,
-		       uint64_t duration, uint64_t estimate, uint64_t aim,
-		       uint64_t give_up, uint64_t sent_us)
+uint64_t World::submit_work(Owner *owner, const ph_work &work,
+			    uint64_t duration)
 {
 	ph_work *w = static_cast<ph_work *>(
 		ph_mem_default()->calloc(1, sizeof(ph_work)));
 	uint64_t seq = ++last_seq;
 
-	snprintf(w->job, sizeof(w->job), "%s", job.c_str());
-	snprintf(w->service, sizeof(w->service), "desk");
+	*w = work;
 	w->spec = ph_memdup(ph_mem_default(), "x", 1);
 	w->spec_len = 1;
-	w->count = count;
-	w->need = { 6800, 64, 0 };
-	w->estimate_us = estimate;
-	w->aim_us = aim;
-	w->give_up_us = give_up;
-	w->max_attempts = 3;
-	w->sent_us = sent_us;
-	w->first_run = 100;
-	duration_us[job] = duration;
-	cpu_of[job] = w->need.cpu_milli;
+	duration_us[w->job] = duration;
+	cpu_of[w->job] = w->need.cpu_milli;
 	works[seq] = *w;
 	ph_pool_submit(owner->pool, now_us, "front", seq, w);
 	return seq;
 }
 
+uint64_t World::submit(Owner *owner, const std::string &job, uint32_t count,
+		       uint64_t duration, uint64_t estimate, uint64_t aim,
+		       uint64_t give_up, uint64_t sent_us)
+{
+	ph_work w = {};
+
+	snprintf(w.job, sizeof(w.job), "%s", job.c_str());
+	snprintf(w.service, sizeof(w.service), "desk");
+	w.count = count;
+	w.need = { 6800, 64, 0 };
+	w.estimate_us = estimate;
+	w.aim_us = aim;
+	w.give_up_us = give_up;
+	w.max_attempts = 3;
+	w.sent_us = sent_us;
+	w.first_run = 100;
+	return submit_work(owner, w, duration);
+}
+
 void World::follow(Owner *from, Owner *to, uint64_t seq)
 {
 	ph_work *w = static_cast<ph_work *>(
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -97,6 +97,9 @@
 	uint64_t submit(Owner *owner, const std::string &job, uint32_t count,
 			uint64_t duration, uint64_t estimate, uint64_t aim,
 			uint64_t give_up, uint64_t sent_us = 0);
+	/** Any batch, whose tasks run for duration; the work is copied. */
+	uint64_t submit_work(Owner *owner, const ph_work &work,
+			     uint64_t duration);
 	/** Submits a moved batch to another owner. */
 	void follow(Owner *from, Owner *to, uint64_t seq);
 	bool ended(const Owner *owner, uint64_t seq, ph_verdict verdict) const;
--- a/test/test_front.cc
+++ b/test/test_front.cc
@@ -258,6 +258,26 @@
 	EXPECT_EQ(f.answers[0].retry_after_us, 2000 * kMs);
 }
 
+TEST(Front, AJobThatIsTooLateForAnotherPoolIsRefusedAtOnce)
+{
+	Fixture f;
+
+	f.hear("n2", "north", 5, 64000);
+	f.hear("s1", "south", 5, 64000);
+	f.submit(1);
+	ph_front_accepted(f.front, f.sent.back().seq);
+	for (int i = 0; i < 5; i++) {
+		f.pass(100 * kMs);
+		f.hear("n2", "north", 5, 64000);
+		f.hear("s1", "south", 5, 64000);
+	}
+	f.result(PH_VERDICT_NOT_RUN, 2000 * kMs);
+	EXPECT_EQ(f.sent.size(), 1U);
+	ASSERT_EQ(f.answers.size(), 1U);
+	EXPECT_EQ(f.answers[0].outcome, PH_FRONT_NOT_RUN);
+	EXPECT_EQ(f.answers[0].retry_after_us, 2000 * kMs);
+}
+
 TEST(Front, WithoutAPoolAJobIsRefusedAtOnce)
 {
 	Fixture f;
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -223,6 +223,44 @@
 	}
 }
 
+struct UselessCase {
+	const char *what;
+	uint64_t estimate;
+	uint64_t aim;
+	/** It is told by then, and not before. */
+	uint64_t told_after;
+};
+
+/* All room is taken for long: a job that waits is refused as soon as its end
+ * would be of no use, not when its patient caller gives up. */
+TEST(PoolLoad, WhatWouldEndTooLateIsRefusedThen)
+{
+	const UselessCase cases[] = {
+		{ "short", 60 * kMs, 160 * kMs, 420 * kMs },
+		{ "of middle length", 200 * kMs, 380 * kMs, 940 * kMs },
+	};
+
+	for (const UselessCase &c : cases) {
+		SCOPED_TRACE(c.what);
+		World w(2, 16000);
+		Owner *o = calm_owner(&w);
+		uint64_t t0;
+		uint64_t seq;
+
+		w.submit(o, "long", 4, 5000 * kMs, 5000 * kMs, 8000 * kMs,
+			 30000 * kMs);
+		t0 = w.now_us;
+		seq = w.submit(o, "a", 2, c.estimate, c.estimate, c.aim,
+			       8000 * kMs);
+		w.run_until(t0 + c.told_after - 20 * kMs);
+		EXPECT_EQ(o->results.count(seq), 0U);
+		w.run_until(t0 + c.told_after + 20 * kMs);
+		EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_NOT_RUN));
+		EXPECT_GT(o->results[seq].retry_after_us, 0U);
+		EXPECT_EQ(w.starts, 4);
+	}
+}
+
 /* ## Change of owners */
 
 struct ChangeCase {
