--- a/src/members.c
+++ b/src/members.c
@@ -21,9 +21,9 @@
 #define ADOPT_AFTER_US 2000000U
 #define MINORITY_AFTER_US 3000000U
 /* Time from the start to the first claim: a read of the other instances and a
- * heartbeat each way. Instances start within 0.3 s of each other and then find
- * the claim; what belongs to another domain waits for its own instances. */
-#define SETTLE_US 400000U
+ * heartbeat each way. Instances that start later find the claim; what belongs
+ * to another domain waits for its own instances. */
+#define SETTLE_US 200000U
 #define SETTLE_ADOPT_US 2000000U
 /* A silent peer counts as known for this long. */
 #define KNOWN_US 15000000U
