--- a/test/test_members.cc
+++ b/test/test_members.cc
@@ -252,6 +252,38 @@
 	}
 }
 
+/* All instances lose power and return one after the other: each pool has an
+ * owner of its domain soon after the first is back, and one in the end. */
+TEST(Members, AfterARestartOfAllEachPoolIsOwnedSoon)
+{
+	constexpr uint64_t kOwnedWithinUs = 400 * kMs;
+
+	for (uint64_t gap_ms : { 0, 40, 100 }) {
+		SCOPED_TRACE(gap_ms);
+		Net net;
+		uint64_t t0;
+
+		two_domains(&net);
+		for (auto &n : net.nodes)
+			n->up = false;
+		net.run_until(net.now_us + 1200 * kMs);
+		t0 = net.now_us;
+		/* The first of north, the first of south, and the others. */
+		for (const char *name : { "n1", "s1", "n2", "s2", "n3" }) {
+			net.boot(net.find(name));
+			net.run_until(net.now_us + gap_ms * kMs);
+		}
+		net.run_until(t0 + gap_ms * kMs * 4 + kOwnedWithinUs);
+		for (const std::string &pool : net.pools)
+			EXPECT_FALSE(net.owners(pool).empty()) << pool;
+		net.run_until(net.now_us + 1000 * kMs);
+		for (const std::string &pool : net.pools) {
+			ASSERT_EQ(net.owners(pool).size(), 1U) << pool;
+			EXPECT_EQ(net.owners(pool)[0]->domain, pool);
+		}
+	}
+}
+
 struct LossCase {
 	const char *what;
 	void (*strike)(Net *, Node *);
