--- a/test/scenario.c
+++ b/test/scenario.c
@@ -48,6 +48,8 @@
 	char name[NAME_BYTES];
 	struct sockaddr_in target;
 	int listener;
+	/** Bytes of its connections wait this long; 0: they don't. */
+	long delay_ms;
 };
 
 struct cut {
@@ -61,6 +63,10 @@
 	char source[INET_ADDRSTRLEN];
 	char link[NAME_BYTES];
 	int used;
+	/** It forwards nothing more, and is not closed. */
+	int silent;
+	/** What has arrived is forwarded then; 0: nothing has. */
+	long due_ms;
 };
 
 static struct process processes[MAX_PROCESSES];
@@ -94,6 +100,36 @@
 	return 0;
 }
 
+static struct link *link_of(const char *name)
+{
+	size_t i;
+
+	for (i = link_count; i > 0; i--)
+		if (!strcmp(links[i - 1].name, name))
+			return &links[i - 1];
+	return NULL;
+}
+
+/* Tells whether a flow takes bytes now: it is not cut, silent or delayed. */
+static int open_now(const struct flow *f)
+{
+	return f->used && !f->silent && !is_cut(f->source, f->link) &&
+	       now_ms() >= f->due_ms;
+}
+
+/* Holds what has arrived back for its link's delay; 1 while it is held. */
+static int held_back(struct flow *f)
+{
+	const struct link *l = link_of(f->link);
+
+	if (f->due_ms || !l || !l->delay_ms) {
+		f->due_ms = 0;
+		return 0;
+	}
+	f->due_ms = now_ms() + l->delay_ms;
+	return 1;
+}
+
 static void flow_close(struct flow *f)
 {
 	close(f->fds[0]);
@@ -132,6 +168,8 @@
 	}
 	inet_ntop(AF_INET, &from.sin_addr, f->source, sizeof(f->source));
 	snprintf(f->link, sizeof(f->link), "%s", l->name);
+	f->silent = 0;
+	f->due_ms = 0;
 	f->used = 1;
 }
 
@@ -157,7 +195,7 @@
 	}
 }
 
-/* Builds the poll set; cut flows are left out, so their bytes wait. */
+/* Builds the poll set; flows that take no bytes are left out: theirs wait. */
 static size_t gather(struct pollfd *fds, size_t *owner)
 {
 	size_t n = 0;
@@ -171,7 +209,7 @@
 		owner[n++] = i;
 	}
 	for (i = 0; i < MAX_FLOWS; i++) {
-		if (!flows[i].used || is_cut(flows[i].source, flows[i].link))
+		if (!open_now(&flows[i]))
 			continue;
 		fds[n] = (struct pollfd){ .fd = flows[i].fds[0],
 					  .events = POLLIN };
@@ -209,7 +247,7 @@
 				continue;
 			}
 			f = &flows[(owner[i] - MAX_LINKS) / 2];
-			if (f->used && !is_cut(f->source, f->link))
+			if (open_now(f) && !held_back(f))
 				forward(f, (int)(owner[i] % 2));
 		}
 		pthread_mutex_unlock(&lock);
@@ -290,6 +328,60 @@
 	return 0;
 }
 
+/* delay(link, ms): bytes wait that long from now on; 0: they don't. */
+static int verb_delay(lua_State *lua)
+{
+	struct link *l;
+
+	pthread_mutex_lock(&lock);
+	l = link_of(luaL_checkstring(lua, 1));
+	if (l)
+		l->delay_ms = (long)luaL_checkinteger(lua, 2);
+	pthread_mutex_unlock(&lock);
+	return 0;
+}
+
+static void strike_flows(const char *name, void (*strike)(struct flow *f))
+{
+	size_t i;
+
+	pthread_mutex_lock(&lock);
+	for (i = 0; i < MAX_FLOWS; i++)
+		if (flows[i].used && !strcmp(flows[i].link, name))
+			strike(&flows[i]);
+	pthread_mutex_unlock(&lock);
+}
+
+static void strike_reset(struct flow *f)
+{
+	struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+	int i;
+
+	for (i = 0; i < 2; i++)
+		setsockopt(f->fds[i], SOL_SOCKET, SO_LINGER, &at_once,
+			   sizeof(at_once));
+	flow_close(f);
+}
+
+static void strike_silence(struct flow *f)
+{
+	f->silent = 1;
+}
+
+/* reset(link): its connections are reset, with what is under way on them. */
+static int verb_reset(lua_State *lua)
+{
+	strike_flows(luaL_checkstring(lua, 1), strike_reset);
+	return 0;
+}
+
+/* silence(link): its connections hang for good; new ones work. */
+static int verb_silence(lua_State *lua)
+{
+	strike_flows(luaL_checkstring(lua, 1), strike_silence);
+	return 0;
+}
+
 /* ## Processes */
 
 static struct process *find(lua_State *lua, int arg)
@@ -414,11 +506,13 @@
 int main(int argc, char **argv)
 {
 	static const luaL_Reg verbs[] = {
-		{ "link", verb_link },	 { "unlink", verb_unlink },
-		{ "cut", verb_cut },	 { "heal", verb_heal },
-		{ "spawn", verb_spawn }, { "signal", verb_signal },
-		{ "wait", verb_wait },	 { "sleep", verb_sleep },
-		{ "now", verb_now },	 { "http", verb_http },
+		{ "link", verb_link },	     { "unlink", verb_unlink },
+		{ "cut", verb_cut },	     { "heal", verb_heal },
+		{ "spawn", verb_spawn },     { "signal", verb_signal },
+		{ "wait", verb_wait },	     { "sleep", verb_sleep },
+		{ "now", verb_now },	     { "http", verb_http },
+		{ "delay", verb_delay },     { "reset", verb_reset },
+		{ "silence", verb_silence },
 	};
 	lua_State *lua = luaL_newstate();
 	pthread_t thread;
--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -1,5 +1,6 @@
 -- A randomized soak: processes are killed, stopped, paused and restarted, links
--- between them and to the store are cut, the store fails, executors misbehave.
+-- between them and to the store are cut, reset, silenced and delayed, the store
+-- fails, executors misbehave.
 -- SEED picks the faults, SECS how long they go on. The promises are checked.
 dofile("test/scenarios/lib_dispatch.lua")
 
@@ -99,6 +100,23 @@
 		print("  executor " .. x .. " reborn")
 		fleet_mode(string.format('{"executor":%d,"reborn":true}', x))
 	end,
+	function(n)
+		local name = math.random() < 0.3 and "store" or dispatchers[n].name
+		print("  reset connections to " .. name)
+		reset(name)
+	end,
+	function(n)
+		local name = math.random() < 0.3 and "store" or dispatchers[n].name
+		print("  silence connections to " .. name)
+		silence(name)
+	end,
+	function(n)
+		local name = math.random() < 0.3 and "store" or dispatchers[n].name
+		local ms = math.random(20, 600)
+		print("  delay to " .. name .. " by " .. ms)
+		delay(name, ms)
+		later(math.random(500, 3000), function() delay(name, 0) end)
+	end,
 	function(n)
 		print("  reload " .. n .. ", new configuration")
 		if dispatchers[n].up then
