Serve while calls get lost: cap on avoided executors, shorter waits

Four things added up: two unanswered starts in a row made an executor avoided, so soon all were; a lost look hid ends for 375 ms, and their room; an order without an answer was waited for 200 ms, as was the repetition of its stop; a run whose stop was acknowledged kept its room until a later look did not show it.

Ruled out: lack of room (a third of it was in use), owners dying (the same from 4 s to 6.5 s, before the first died).

Now at most 30% of the executors that answer are avoided, beyond that the fault lies elsewhere; the wait for an answer follows the usual time of answers (50 ms and four times that, 200 ms at most); a lost look is repeated at once, and where looks get lost they are shorter; an acknowledged stop frees its room after the platform's bound (--stop-ms). So that a pause of the own process does not end calls whose answers have arrived, the HTTP client reads those first.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <time.h>
 
 #include <apr_thread_mutex.h>
 #include <apr_thread_proc.h>
@@ -10,6 +11,8 @@
 
 #define POLL_MS 1000
 #define US_PER_MS 1000U
+#define US_PER_S 1000000U
+#define NS_PER_US 1000U
 #define IDLE_HANDLES_MAX 256U
 #define CONNECT_TIMEOUT_MS 1000L
 /* Idle connections kept: a handful to each of some hundred servers. */
@@ -26,7 +29,10 @@
 	size_t body_sent;
 	char *url;
 	char *method;
-	uint64_t timeout_us;
+	/** On the steady clock. */
+	uint64_t deadline_us;
+	/** It was over its deadline when this was last looked at. */
+	bool overdue;
 	struct ph_buf answer;
 	uint64_t index;
 	bool closing;
@@ -48,6 +54,14 @@
 	bool stop;
 };
 
+static uint64_t now_us(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_MONOTONIC, &t);
+	return (uint64_t)t.tv_sec * US_PER_S + (uint64_t)t.tv_nsec / NS_PER_US;
+}
+
 static size_t on_body(char *data, size_t size, size_t count, void *user)
 {
 	struct transfer *t = user;
@@ -148,8 +162,6 @@
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, t);
 	curl_easy_setopt(e, CURLOPT_HTTPHEADER, t->headers);
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS,
-			 (long)(t->timeout_us / US_PER_MS));
 	if (client->source)
 		curl_easy_setopt(e, CURLOPT_INTERFACE, client->source);
 	set_body(t);
@@ -239,6 +251,31 @@
 	transfer_free(client, t);
 }
 
+/* Ends what is over its deadline, and tells how long to wait for the next. A
+ * process that was stopped for a while finds deadlines passed and answers that
+ * have arrived: those are read first, so a call is ended in the turn after. */
+static int end_overdue(struct ph_httpc *client)
+{
+	uint64_t present_us = now_us();
+	uint64_t next_us = present_us + POLL_MS * US_PER_MS;
+	struct transfer *t = client->active;
+
+	while (t) {
+		struct transfer *next = t->next;
+
+		if (t->overdue) {
+			complete(client, t->easy, CURLE_OPERATION_TIMEDOUT);
+		} else if (present_us >= t->deadline_us) {
+			t->overdue = true;
+			next_us = present_us;
+		} else if (t->deadline_us < next_us) {
+			next_us = t->deadline_us;
+		}
+		t = next;
+	}
+	return (int)((next_us - present_us + US_PER_MS - 1) / US_PER_MS);
+}
+
 static void *APR_THREAD_FUNC run(apr_thread_t *thread, void *data)
 {
 	struct ph_httpc *client = data;
@@ -255,7 +292,8 @@
 			if (msg->msg == CURLMSG_DONE)
 				complete(client, msg->easy_handle,
 					 msg->data.result);
-		curl_multi_poll(client->multi, NULL, 0, POLL_MS, NULL);
+		curl_multi_poll(client->multi, NULL, 0, end_overdue(client),
+				NULL);
 	}
 	return NULL;
 }
@@ -289,7 +327,7 @@
 
 	t->client = client;
 	t->user = call->user;
-	t->timeout_us = call->timeout_us;
+	t->deadline_us = now_us() + call->timeout_us;
 	t->url = ph_memdup(client->mem, call->url, strlen(call->url));
 	t->method = ph_memdup(client->mem, call->method, strlen(call->method));
 	t->body = ph_memdup(client->mem, call->body, call->body_len);
--- a/src/node.h
+++ b/src/node.h
@@ -42,6 +42,8 @@
 	uint64_t heartbeat_us;
 	uint64_t suspect_us;
 	uint64_t lease_us;
+	/** Longest time that an executor takes to stop a run. */
+	uint64_t stop_us;
 	/** Time to end in after a request to stop. */
 	uint64_t grace_us;
 	/** Time for the balancer to notice that the instance isn't ready. */
--- a/src/node_pools.c
+++ b/src/node_pools.c
@@ -57,6 +57,7 @@
 		.domain = p->domain,
 		.policy = &ph_order_slack,
 		.lease_us = n->set.lease_us,
+		.stop_us = n->set.stop_us,
 		.first_call = (uint64_t)n->pool_count << PH_POOL_CALL_SHIFT,
 		.sink = &pool_sink,
 		.ctx = n,
--- a/src/pool.h
+++ b/src/pool.h
@@ -44,6 +44,8 @@
 	const struct ph_order_policy *policy;
 	/** Lease of what runs, at most what executors allow. */
 	uint64_t lease_us;
+	/** Longest time that an acknowledged stop takes. */
+	uint64_t stop_us;
 	/** Handles of calls lie above this. */
 	uint64_t first_call;
 	const struct ph_pool_sink *sink;
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -8,6 +8,9 @@
 #include "pool.h"
 
 #define PH_US_PER_MS 1000U
+/* Longest wait for an answer: leaves time to repeat a look before the lease
+ * that it renews has ended. */
+#define PH_ANSWER_MAX_US 200000U
 
 enum ph_slot_state {
 	PH_SLOT_WAITING,
@@ -149,6 +152,12 @@
 	struct ph_cancelled cancelled[PH_CANCELLED];
 	uint32_t cancelled_next;
 	struct ph_pool_counters counters;
+	/** Time from an order to its answer, smoothed. */
+	uint64_t answer_us;
+	/** Looks without an answer in a thousand, smoothed. */
+	uint32_t lost_permille;
+	/** More executors are avoided than can be to blame: none is. */
+	bool avoids_many;
 	/** Something changed: starts are to be looked at again. */
 	bool dirty;
 	uint64_t placed_us;
@@ -179,6 +188,8 @@
 		  struct ph_batch *batch, uint32_t index, uint64_t now_us);
 /** Stops a run; nobody waits for its end any more. */
 void ph_run_abandon(struct ph_pool *pool, struct ph_run *run, uint64_t now_us);
+/** How long a call waits for its answer before its end is unknown. */
+uint64_t ph_pool_timeout_us(const struct ph_pool *pool);
 /** Lease end to send now, on the executor's clock; 0 if that is unknown. */
 uint64_t ph_lease_end(struct ph_pool *pool, struct ph_executor *executor,
 		      uint64_t now_us);
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -6,8 +6,8 @@
 
 #define PART "lease"
 
-/* Repetition of a stop that was not answered. */
-#define STOP_RETRY_US 200000U
+/* Margin to the time that a stop takes at most. */
+#define STOP_MARGIN_US 10000U
 /* Time that the batches of a dead owner have to be submitted again before
  * their runs are stopped: two heartbeats and a round trip. */
 #define ADOPT_US 350000U
@@ -19,6 +19,15 @@
 #define AVOID_MAX_US 4000000U
 #define AVOID_SHIFT_MAX 4U
 #define OLD_RUN_STEP 16U
+/* Wait for an answer: some times the usual, as an instance that is busy or
+ * slow is late to see one, and several turns of the control thread more. */
+#define ANSWER_FACTOR 4U
+#define ANSWER_EXTRA_US 50000U
+/* Part of the wait that counts as the time of a missing answer: if all are
+ * missing the wait grows to the longest, if few are it hardly grows. */
+#define ANSWER_MISSING_DIVISOR 2U
+/* Weight of one answer's time in the smoothed one. */
+#define ANSWER_WEIGHT 16U
 
 struct ph_executor *ph_executor_find(struct ph_pool *pool, const char *id)
 {
@@ -122,6 +131,19 @@
 	return c;
 }
 
+uint64_t ph_pool_timeout_us(const struct ph_pool *pool)
+{
+	uint64_t us = ANSWER_FACTOR * pool->answer_us + ANSWER_EXTRA_US;
+
+	return us < PH_ANSWER_MAX_US ? us : PH_ANSWER_MAX_US;
+}
+
+static void learn_answer(struct ph_pool *pool, uint64_t took_us)
+{
+	pool->answer_us = ((ANSWER_WEIGHT - 1) * pool->answer_us + took_us) /
+			  ANSWER_WEIGHT;
+}
+
 /* Takes a call out of the list; the caller frees it. */
 static struct ph_order_call *call_take(struct ph_pool *pool, uint64_t id)
 {
@@ -174,6 +196,7 @@
 	order->index = run->index;
 	order->run = run->run;
 	order->token = pool->token;
+	order->timeout_us = ph_pool_timeout_us(pool);
 }
 
 void ph_run_start(struct ph_pool *pool, struct ph_executor *x,
@@ -273,14 +296,20 @@
 	ph_run_lost(pool, x, run);
 }
 
-/* Takes an answered call; finds what it was for, false if that is gone. */
-static bool call_answered(struct ph_pool *pool, uint64_t call_id,
-			  struct ph_executor **x, struct ph_run **run)
+/* Takes a call that has ended; finds what it was for, false if that is gone. */
+static bool call_ended(struct ph_pool *pool, uint64_t now_us, uint64_t call_id,
+		       enum ph_order_status status, struct ph_executor **x,
+		       struct ph_run **run)
 {
 	struct ph_order_call *c = call_take(pool, call_id);
 
 	if (!c)
 		return false;
+	if (status == PH_ORDER_UNKNOWN)
+		learn_answer(pool,
+			     ph_pool_timeout_us(pool) / ANSWER_MISSING_DIVISOR);
+	else if (status != PH_ORDER_UNSENT)
+		learn_answer(pool, now_us - c->sent_us);
 	*x = ph_executor_find(pool, c->executor);
 	*run = *x ? ph_run_find(*x, c->job, c->index, c->run) : NULL;
 	pool->mem->free(c);
@@ -293,7 +322,7 @@
 	struct ph_executor *x;
 	struct ph_run *run;
 
-	if (!call_answered(pool, call_id, &x, &run) ||
+	if (!call_ended(pool, now_us, call_id, reply->status, &x, &run) ||
 	    run->state == PH_RUN_STRAY)
 		return;
 	switch (reply->status) {
@@ -326,7 +355,7 @@
 	struct ph_executor *x;
 	struct ph_run *run;
 
-	if (!call_answered(pool, call_id, &x, &run))
+	if (!call_ended(pool, now_us, call_id, reply->status, &x, &run))
 		return;
 	run->stop_pending = false;
 	if (reply->status == PH_ORDER_OK) {
@@ -352,21 +381,34 @@
 	}
 }
 
+/* Its stop was acknowledged so long ago that it runs no more, and it starts no
+ * more if it never came: no look is needed to tell. */
+static bool surely_stopped(const struct ph_pool *pool, const struct ph_run *run,
+			   uint64_t now_us)
+{
+	return run->state == PH_RUN_STOPPING && run->acked_us &&
+	       now_us > run->acked_us + pool->opt.stop_us + STOP_MARGIN_US;
+}
+
 static void runs_tick(struct ph_pool *pool, struct ph_executor *x,
 		      uint64_t now_us)
 {
-	struct ph_run *run;
+	struct ph_run *run = x->runs;
+
+	while (run) {
+		struct ph_run *next = run->next;
 
-	for (run = x->runs; run; run = run->next) {
 		if (run->state == PH_RUN_STRAY &&
 		    now_us > run->ordered_us + ADOPT_US) {
 			pool->counters.strays_stopped++;
 			ph_run_stop(pool, x, run, now_us);
 		} else if (run->state == PH_RUN_STOPPING && !run->acked_us &&
-			   !run->stop_pending &&
-			   now_us > run->stop_sent_us + STOP_RETRY_US) {
+			   !run->stop_pending) {
 			ph_run_stop(pool, x, run, now_us);
+		} else if (surely_stopped(pool, run, now_us)) {
+			ph_run_lost(pool, x, run);
 		}
+		run = next;
 	}
 }
 
--- a/src/pool_look.c
+++ b/src/pool_look.c
@@ -10,6 +10,10 @@
 /* A long poll ends well before the lease that it renewed, so that a lost one
  * can be repeated in time. */
 #define LOOK_WAIT_DIVISOR 4U
+/* Where looks get lost a long one hides for long what has ended. */
+#define LOOK_WAIT_LOST_DIVISOR 8U
+#define LOST_PERMILLE 30U
+#define LOST_WEIGHT 32U
 /* First retry of a look that failed; doubles up to the longest. */
 #define LOOK_RETRY_US 50000U
 #define LOOK_RETRY_MAX_US 400000U
@@ -22,6 +26,7 @@
 /* A task is taken from a slow executor once; the next may be no better. */
 #define MOVES_MAX 1U
 #define PERCENT 100U
+#define PERMILLE 1000U
 
 /* A look that repeats a failed one renews nothing: it may arrive without an
  * answer, and what runs there has to lapse at a time that is known. */
@@ -36,20 +41,35 @@
 	look.addr = x->info.addr;
 	look.token = pool->token;
 	look.ends_seen = x->ends_seen;
+	look.timeout_us =
+		x->look_failures ? PH_ANSWER_MAX_US : ph_pool_timeout_us(pool);
 	if (x->known && !x->look_failures) {
 		look.lease_until_ms = ph_lease_end(pool, x, now_us);
-		look.wait_us = pool->opt.lease_us / LOOK_WAIT_DIVISOR;
+		look.wait_us = pool->opt.lease_us /
+			       (pool->lost_permille > LOST_PERMILLE
+					? LOOK_WAIT_LOST_DIVISOR
+					: LOOK_WAIT_DIVISOR);
 	}
 	pool->counters.looks++;
 	pool->opt.sink->look(pool->opt.ctx, &look);
 }
 
+static void learn_lost(struct ph_pool *pool, bool lost)
+{
+	pool->lost_permille = ((LOST_WEIGHT - 1) * pool->lost_permille +
+			       (lost ? PERMILLE : 0)) /
+			      LOST_WEIGHT;
+}
+
 static void look_failed(struct ph_pool *pool, struct ph_executor *x,
 			const struct ph_look_reply *reply, uint64_t now_us)
 {
-	uint64_t wait_us = (uint64_t)LOOK_RETRY_US
-			   << (x->look_failures < 3 ? x->look_failures : 3);
+	uint64_t wait_us = 0;
 
+	/* The first one may just be lost: it is repeated at once. */
+	if (x->look_failures)
+		wait_us = (uint64_t)LOOK_RETRY_US
+			  << (x->look_failures < 4 ? x->look_failures - 1 : 3);
 	if (reply->status == PH_ORDER_FENCED)
 		ph_pool_fenced_by(pool, x);
 	if (!x->look_failures)
@@ -253,6 +273,7 @@
 	if (!x || !pool->owned)
 		return;
 	x->look_call = 0;
+	learn_lost(pool, reply->status == PH_ORDER_UNKNOWN);
 	if (reply->status != PH_ORDER_OK) {
 		look_failed(pool, x, reply, now_us);
 		return;
--- a/src/pool_place.c
+++ b/src/pool_place.c
@@ -12,6 +12,9 @@
  * the batch within this time of the instance's doing so. */
 #define GIVE_UP_US 300000U
 #define PERCENT 100U
+/* Of the executors that answer at most this share is avoided; with more the
+ * fault lies elsewhere, as when calls are lost by the way. */
+#define AVOID_PERCENT 30U
 #define PACE_MIN_PERCENT 30U
 
 uint64_t ph_batch_estimate(const struct ph_batch *batch)
@@ -83,14 +86,37 @@
 
 /* ## Placement */
 
-bool ph_executor_usable(const struct ph_pool *pool, const struct ph_executor *x,
-			uint64_t now_us)
+/* It answers, and stays. */
+static bool reachable(const struct ph_pool *pool, const struct ph_executor *x,
+		      uint64_t now_us)
 {
 	return x->listed && x->known && !x->info.draining &&
-	       now_us >= x->avoid_us && !x->look_failures &&
+	       !x->look_failures &&
 	       now_us < x->look_ok_us + pool->opt.lease_us / SILENT_DIVISOR;
 }
 
+bool ph_executor_usable(const struct ph_pool *pool, const struct ph_executor *x,
+			uint64_t now_us)
+{
+	return reachable(pool, x, now_us) &&
+	       (now_us >= x->avoid_us || pool->avoids_many);
+}
+
+static bool avoids_many(const struct ph_pool *pool, uint64_t now_us)
+{
+	const struct ph_executor *x;
+	size_t all = 0;
+	size_t avoided = 0;
+
+	for (x = pool->executors; x; x = x->next) {
+		if (!reachable(pool, x, now_us))
+			continue;
+		all++;
+		avoided += x->failures > 0;
+	}
+	return avoided * PERCENT > all * AVOID_PERCENT;
+}
+
 static bool label_ok(const struct ph_executor *x, const char *label)
 {
 	const char *at = label[0] ? strstr(x->info.labels, label) : NULL;
@@ -130,7 +156,7 @@
 		    !label_ok(x, w->label))
 			continue;
 		/* One that has failed proves itself with a single run. */
-		if (x->failures && x->runs)
+		if (x->failures && x->runs && !pool->avoids_many)
 			continue;
 		if (!best || rank(x, &w->need) < rank(best, &w->need))
 			best = x;
@@ -236,6 +262,7 @@
 	/* A token that was refused somewhere may be another owner's by now. */
 	if (pool->fenced)
 		return;
+	pool->avoids_many = avoids_many(pool, now_us);
 	for (b = pool->batches; b; b = b->next)
 		b->passed = false;
 	while ((b = next_batch(pool, now_us))) {
--- a/src/work.h
+++ b/src/work.h
@@ -147,6 +147,8 @@
 	uint64_t token;
 	/** On the executor's clock. */
 	uint64_t lease_until_ms;
+	/** Without an answer for this long the end of the call is unknown. */
+	uint64_t timeout_us;
 	const char *spec;
 	size_t spec_len;
 };
@@ -161,6 +163,8 @@
 	/** On the executor's clock; 0 renews nothing. */
 	uint64_t lease_until_ms;
 	uint64_t wait_us;
+	/** Counted from the end of the wait. */
+	uint64_t timeout_us;
 };
 
 enum ph_order_status {
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -12,6 +12,12 @@
 	return std::string(job) + "." + std::to_string(index);
 }
 
+/* Scatters the numbers of calls. */
+static uint32_t mix(uint32_t n)
+{
+	return n * 2654435761U >> 12;
+}
+
 static uint64_t clock_ms(const World *w)
 {
 	return w->now_us / kMs;
@@ -110,6 +116,7 @@
 
 	/* Delivers an order, or reports it unanswered after its time. */
 	static void deliver(Owner *o, const std::string &id,
+			    uint64_t timeout_us,
 			    std::function<void(Executor *)> what,
 			    std::function<void()> unanswered)
 	{
@@ -117,11 +124,13 @@
 
 		w->at(w->now_us + kWayUs, [=] {
 			Executor *x = w->find(id);
+			bool lost = x && x->loses_one_in &&
+				    mix(++x->calls) % x->loses_one_in == 0;
 
-			if (x && !x->cut_from.count(o->number))
+			if (x && !x->cut_from.count(o->number) && !lost)
 				what(x);
 			else
-				w->at(w->now_us + 200 * kMs, unanswered);
+				w->at(w->now_us + timeout_us, unanswered);
 		});
 	}
 
@@ -160,7 +169,7 @@
 		};
 
 		deliver(
-			o, order->executor,
+			o, order->executor, order->timeout_us,
 			[=](Executor *x) {
 				std::string xid = x->id;
 
@@ -189,7 +198,7 @@
 		uint64_t id = order->call_id;
 
 		deliver(
-			o, order->executor,
+			o, order->executor, order->timeout_us,
 			[=](Executor *x) {
 				order_reply(o, id, true,
 					    stop(x, key, run, token));
@@ -268,7 +277,7 @@
 		uint64_t id = look->call_id;
 
 		deliver(
-			o, look->executor,
+			o, look->executor, wait + look->timeout_us,
 			[=](Executor *x) {
 				if (token < x->token) {
 					look_failed(o, id, PH_ORDER_FENCED);
@@ -340,6 +349,7 @@
 	options.domain = "north";
 	options.policy = policy;
 	options.lease_us = kLeaseUs;
+	options.stop_us = kStopUs;
 	options.first_call = (uint64_t)owners.size() << 48;
 	options.sink = &sink;
 	options.ctx = o;
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -24,6 +24,7 @@
 constexpr uint64_t kMs = 1000;
 constexpr uint64_t kTickUs = 10 * kMs;
 constexpr uint64_t kLeaseUs = 700 * kMs;
+constexpr uint64_t kStopUs = 50 * kMs;
 constexpr uint64_t kWayUs = 200;
 
 struct Run {
@@ -58,6 +59,9 @@
 	std::set<int> cut_from;
 	bool fails_all = false;
 	bool loses_start_answers = false;
+	/** Of so many calls one gets no answer and does nothing; 0: none. */
+	uint32_t loses_one_in = 0;
+	uint32_t calls = 0;
 	/** Starts are carried out this much later, without an answer. */
 	uint64_t starts_late_us = 0;
 	double slow = 1.0;
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -223,6 +223,50 @@
 	}
 }
 
+struct LossCase {
+	const char *what;
+	uint32_t loses_one_in;
+	/** Least of 200 jobs that are served within three aims. */
+	int useful_min;
+};
+
+/* Calls to all executors get lost by the way, as when orders are carried out
+ * late: no executor is to blame, and what has ended is seen soon. */
+TEST(PoolLoad, LostCallsToAllExecutorsHoldUpFewJobs)
+{
+	const LossCase cases[] = {
+		{ "none", 0, 200 },
+		{ "one in twenty", 20, 190 },
+		{ "one in four", 4, 100 },
+	};
+
+	for (const LossCase &c : cases) {
+		SCOPED_TRACE(c.what);
+		World w(12, 16000);
+		Owner *o = calm_owner(&w);
+		uint64_t aim = 160 * kMs;
+		int useful = 0;
+		std::map<uint64_t, uint64_t> sent;
+
+		for (size_t i = 0; i < w.executors.size(); i++) {
+			w.executors[i].loses_one_in = c.loses_one_in;
+			w.executors[i].calls = (uint32_t)i * 1000;
+		}
+		for (int i = 0; i < 200; i++) {
+			sent[w.submit(o, "j" + std::to_string(i), 4, 60 * kMs,
+				      60 * kMs, aim, kGiveUp)] = w.now_us;
+			w.run_until(w.now_us + 30 * kMs);
+		}
+		w.run_until(w.now_us + 2500 * kMs);
+		for (const auto &it : sent)
+			useful += w.ended(o, it.first, PH_VERDICT_DONE) &&
+				  o->result_us[it.first] <=
+					  it.second + PH_LATE_AIMS * aim;
+		EXPECT_GE(useful, c.useful_min);
+		EXPECT_EQ(w.twice, 0);
+	}
+}
+
 struct UselessCase {
 	const char *what;
 	uint64_t estimate;
