Log when executors are held blameless and looks are kept short

What the pool believes of its executors changes there; on-call engineers have only the log to see it. No change of behaviour. The steady load of two tests is played by one function.

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -156,8 +156,11 @@
 	uint64_t answer_us;
 	/** Looks without an answer in a thousand, smoothed. */
 	uint32_t lost_permille;
-	/** More executors are avoided than can be to blame: none is. */
-	bool avoids_many;
+	/** More executors have failed last than can be to blame: none is
+	 * avoided. */
+	bool blameless;
+	/** Looks get lost: they are kept short. */
+	bool short_looks;
 	/** Something changed: starts are to be looked at again. */
 	bool dirty;
 	uint64_t placed_us;
--- a/src/pool_look.c
+++ b/src/pool_look.c
@@ -12,7 +12,9 @@
 #define LOOK_WAIT_DIVISOR 4U
 /* Where looks get lost a long one hides for long what has ended. */
 #define LOOK_WAIT_LOST_DIVISOR 8U
+/* From this share on; a calm link loses none. */
 #define LOST_PERMILLE 30U
+/* Weight of one look in the smoothed share. */
 #define LOST_WEIGHT 32U
 /* First retry of a look that failed; doubles up to the longest. */
 #define LOOK_RETRY_US 50000U
@@ -46,9 +48,8 @@
 	if (x->known && !x->look_failures) {
 		look.lease_until_ms = ph_lease_end(pool, x, now_us);
 		look.wait_us = pool->opt.lease_us /
-			       (pool->lost_permille > LOST_PERMILLE
-					? LOOK_WAIT_LOST_DIVISOR
-					: LOOK_WAIT_DIVISOR);
+			       (pool->short_looks ? LOOK_WAIT_LOST_DIVISOR
+						  : LOOK_WAIT_DIVISOR);
 	}
 	pool->counters.looks++;
 	pool->opt.sink->look(pool->opt.ctx, &look);
@@ -56,9 +57,16 @@
 
 static void learn_lost(struct ph_pool *pool, bool lost)
 {
+	bool before = pool->short_looks;
+
 	pool->lost_permille = ((LOST_WEIGHT - 1) * pool->lost_permille +
 			       (lost ? PERMILLE : 0)) /
 			      LOST_WEIGHT;
+	pool->short_looks = pool->lost_permille > LOST_PERMILLE;
+	if (pool->short_looks != before)
+		ph_event(PART, "event=looks_%s pool=%s lost_permille=%u",
+			 before ? "long" : "short", pool->opt.domain,
+			 pool->lost_permille);
 }
 
 static void look_failed(struct ph_pool *pool, struct ph_executor *x,
--- a/src/pool_place.c
+++ b/src/pool_place.c
@@ -1,7 +1,10 @@
 #include <string.h>
 
+#include "log.h"
 #include "pool_impl.h"
 
+#define PART "place"
+
 /* Response time that is lost outside the pool: the way from and to the
  * caller and the processing on it. */
 #define AIM_MARGIN_US 12000U
@@ -12,9 +15,9 @@
  * the batch within this time of the instance's doing so. */
 #define GIVE_UP_US 300000U
 #define PERCENT 100U
-/* Of the executors that answer at most this share is avoided; with more the
- * fault lies elsewhere, as when calls are lost by the way. */
-#define AVOID_PERCENT 30U
+/* If more than this share of the executors that answer have failed last, the
+ * fault lies elsewhere, as when calls are lost by the way: none is avoided. */
+#define BLAME_PERCENT 30U
 #define PACE_MIN_PERCENT 30U
 
 uint64_t ph_batch_estimate(const struct ph_batch *batch)
@@ -99,22 +102,30 @@
 			uint64_t now_us)
 {
 	return reachable(pool, x, now_us) &&
-	       (now_us >= x->avoid_us || pool->avoids_many);
+	       (now_us >= x->avoid_us || pool->blameless);
 }
 
-static bool avoids_many(const struct ph_pool *pool, uint64_t now_us)
+/* Decides whether the executors that fail are to blame for it. */
+static void judge_failures(struct ph_pool *pool, uint64_t now_us)
 {
 	const struct ph_executor *x;
-	size_t all = 0;
-	size_t avoided = 0;
+	uint32_t all = 0;
+	uint32_t failing = 0;
+	bool blameless;
 
 	for (x = pool->executors; x; x = x->next) {
 		if (!reachable(pool, x, now_us))
 			continue;
 		all++;
-		avoided += x->failures > 0;
+		failing += x->failures > 0;
 	}
-	return avoided * PERCENT > all * AVOID_PERCENT;
+	blameless = failing * PERCENT > all * BLAME_PERCENT;
+	if (blameless != pool->blameless)
+		ph_event(PART,
+			 "event=executors_%s pool=%s failing=%u reachable=%u",
+			 blameless ? "blameless" : "to_blame", pool->opt.domain,
+			 failing, all);
+	pool->blameless = blameless;
 }
 
 static bool label_ok(const struct ph_executor *x, const char *label)
@@ -156,7 +167,7 @@
 		    !label_ok(x, w->label))
 			continue;
 		/* One that has failed proves itself with a single run. */
-		if (x->failures && x->runs && !pool->avoids_many)
+		if (x->failures && x->runs && !pool->blameless)
 			continue;
 		if (!best || rank(x, &w->need) < rank(best, &w->need))
 			best = x;
@@ -262,7 +273,7 @@
 	/* A token that was refused somewhere may be another owner's by now. */
 	if (pool->fenced)
 		return;
-	pool->avoids_many = avoids_many(pool, now_us);
+	judge_failures(pool, now_us);
 	for (b = pool->batches; b; b = b->next)
 		b->passed = false;
 	while ((b = next_batch(pool, now_us))) {
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -181,6 +181,24 @@
 	EXPECT_LT(ph_pool_counters(o->pool)->failed_runs, 12U);
 }
 
+/* Submits a job of four short tasks every 30 ms and waits until all have
+ * ended; gives the time of each submission. */
+std::map<uint64_t, uint64_t> play_steady(World *w, Owner *o, int jobs,
+					 uint64_t aim)
+{
+	std::map<uint64_t, uint64_t> sent;
+
+	for (int i = 0; i < jobs; i++) {
+		uint64_t seq = w->submit(o, "j" + std::to_string(i), 4,
+					 60 * kMs, 60 * kMs, aim, kGiveUp);
+
+		sent[seq] = w->now_us;
+		w->run_until(w->now_us + 30 * kMs);
+	}
+	w->run_until(w->now_us + 2500 * kMs);
+	return sent;
+}
+
 struct SlowCase {
 	const char *what;
 	double slow;
@@ -208,12 +226,7 @@
 
 		/* The one that is filled first. */
 		w.executors.back().slow = c.slow;
-		for (int i = 0; i < 100; i++) {
-			sent[w.submit(o, "j" + std::to_string(i), 4, 60 * kMs,
-				      60 * kMs, aim, kGiveUp)] = w.now_us;
-			w.run_until(w.now_us + 30 * kMs);
-		}
-		w.run_until(w.now_us + 2500 * kMs);
+		sent = play_steady(&w, o, 100, aim);
 		for (const auto &it : sent) {
 			EXPECT_TRUE(w.ended(o, it.first, PH_VERDICT_DONE));
 			late += o->result_us[it.first] > it.second + aim;
@@ -252,12 +265,7 @@
 			w.executors[i].loses_one_in = c.loses_one_in;
 			w.executors[i].calls = (uint32_t)i * 1000;
 		}
-		for (int i = 0; i < 200; i++) {
-			sent[w.submit(o, "j" + std::to_string(i), 4, 60 * kMs,
-				      60 * kMs, aim, kGiveUp)] = w.now_us;
-			w.run_until(w.now_us + 30 * kMs);
-		}
-		w.run_until(w.now_us + 2500 * kMs);
+		sent = play_steady(&w, o, 200, aim);
 		for (const auto &it : sent)
 			useful += w.ended(o, it.first, PH_VERDICT_DONE) &&
 				  o->result_us[it.first] <=
