Blame executors apart for failures and for orders without an answer

Cause, found in reading: the share of failing executors beyond which none is avoided counted failed runs too, so that in a small pool a third that fails all that it starts would have been held blameless; and an end that a lost look hid counted as slow. Now only unanswered orders can be nobody's fault, and the speed of a run is judged only by looks that were not late.

Ruled out: that it had shown; PoolLoad.ManyFailingExecutorsAreStillAvoided, new, passes before and after (sound ones are preferred anyway).

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -78,6 +78,12 @@
 	uint32_t percent;
 };
 
+/** Failures of a kind in a row, and until when they keep work away. */
+struct ph_blame {
+	uint32_t count;
+	uint64_t avoid_us;
+};
+
 struct ph_executor {
 	struct ph_executor *next;
 	struct ph_executor_info info;
@@ -100,9 +106,13 @@
 	uint64_t look_ok_us;
 	uint64_t look_again_us;
 	uint32_t look_failures;
-	/** Failures in a row, and the time before which it gets no work. */
-	uint32_t failures;
-	uint64_t avoid_us;
+	/** Runs that failed or crawled there, and orders that it refused. */
+	struct ph_blame own;
+	/** Orders without an answer; they may have got lost by the way. */
+	struct ph_blame lost;
+	/** Looks had failed before the one that was answered last: ends may
+	 * have been seen late. */
+	bool blind;
 	/** Run time against the declared one, in percent; smoothed. */
 	uint32_t pace_percent;
 };
@@ -156,8 +166,8 @@
 	uint64_t answer_us;
 	/** Looks without an answer in a thousand, smoothed. */
 	uint32_t lost_permille;
-	/** More executors have failed last than can be to blame: none is
-	 * avoided. */
+	/** More executors have left orders unanswered than can be to blame:
+	 * none is avoided for that. */
 	bool blameless;
 	/** Looks get lost: they are kept short. */
 	bool short_looks;
@@ -210,7 +220,8 @@
 /** Looks, lapses and stops that are due. */
 void ph_lease_tick(struct ph_pool *pool, uint64_t now_us);
 /** A call to the executor failed or worked. */
-void ph_executor_failed(struct ph_executor *executor, uint64_t now_us);
+void ph_executor_failed(struct ph_executor *executor, struct ph_blame *blame,
+			uint64_t now_us);
 void ph_executor_worked(struct ph_executor *executor);
 
 /* ## pool_look.c */
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -39,30 +39,32 @@
 	return NULL;
 }
 
-void ph_executor_failed(struct ph_executor *x, uint64_t now_us)
+void ph_executor_failed(struct ph_executor *x, struct ph_blame *blame,
+			uint64_t now_us)
 {
 	uint32_t shift;
 
-	x->failures++;
-	if (x->failures < 2)
+	blame->count++;
+	if (blame->count < 2)
 		return;
-	shift = x->failures - 2;
+	shift = blame->count - 2;
 	if (shift > AVOID_SHIFT_MAX)
 		shift = AVOID_SHIFT_MAX;
-	x->avoid_us = now_us + ((uint64_t)AVOID_US << shift);
-	if (x->avoid_us > now_us + AVOID_MAX_US)
-		x->avoid_us = now_us + AVOID_MAX_US;
-	if (x->failures == 2)
-		ph_event(PART, "event=executor_avoided executor=%s failures=%u",
-			 x->info.id, x->failures);
+	blame->avoid_us = now_us + ((uint64_t)AVOID_US << shift);
+	if (blame->avoid_us > now_us + AVOID_MAX_US)
+		blame->avoid_us = now_us + AVOID_MAX_US;
+	if (blame->count == 2)
+		ph_event(PART, "event=executor_avoided executor=%s cause=%s",
+			 x->info.id,
+			 blame == &x->lost ? "unanswered" : "failures");
 }
 
 void ph_executor_worked(struct ph_executor *x)
 {
-	if (x->failures >= 2)
+	if (x->own.count >= 2 || x->lost.count >= 2)
 		ph_event(PART, "event=executor_back executor=%s", x->info.id);
-	x->failures = 0;
-	x->avoid_us = 0;
+	memset(&x->own, 0, sizeof(x->own));
+	memset(&x->lost, 0, sizeof(x->lost));
 }
 
 /* ## Runs */
@@ -287,7 +289,9 @@
 		break;
 	}
 	if (status != PH_ORDER_OLD_RUN && status != PH_ORDER_LATE)
-		ph_executor_failed(x, now_us);
+		ph_executor_failed(
+			x, status == PH_ORDER_UNSENT ? &x->lost : &x->own,
+			now_us);
 	ph_event(PART,
 		 "event=start_refused job=%s task=%u run=%llu executor=%s "
 		 "status=%d",
@@ -334,7 +338,7 @@
 		return;
 	case PH_ORDER_UNKNOWN:
 		/* It may still start: the stop makes sure that it doesn't. */
-		ph_executor_failed(x, now_us);
+		ph_executor_failed(x, &x->lost, now_us);
 		ph_event(PART,
 			 "event=start_unanswered job=%s task=%u run=%llu "
 			 "executor=%s",
--- a/src/pool_look.c
+++ b/src/pool_look.c
@@ -101,8 +101,8 @@
 	x->ends_seen = 0;
 	x->clock_ms = 0;
 	x->lease_ms = 0;
-	x->failures = 0;
-	x->avoid_us = 0;
+	memset(&x->own, 0, sizeof(x->own));
+	memset(&x->lost, 0, sizeof(x->lost));
 }
 
 static void remember_stray_end(struct ph_pool *pool,
@@ -157,7 +157,7 @@
 		return;
 	slot->moves++;
 	pool->counters.moved_runs++;
-	ph_executor_failed(x, now_us);
+	ph_executor_failed(x, &x->own, now_us);
 	ph_event(PART,
 		 "event=run_slow job=%s task=%u run=%llu executor=%s "
 		 "percent=%u so_far_us=%llu",
@@ -181,10 +181,10 @@
 	}
 	switch (seen->end) {
 	case PH_END_DONE:
-		if (batch)
+		if (batch && !x->blind)
 			learn_pace(x, run, now_us);
-		if (batch && slow(run, now_us - run->ordered_us))
-			ph_executor_failed(x, now_us);
+		if (batch && !x->blind && slow(run, now_us - run->ordered_us))
+			ph_executor_failed(x, &x->own, now_us);
 		else
 			ph_executor_worked(x);
 		ph_run_drop(pool, x, run);
@@ -198,7 +198,7 @@
 			 seen->job, seen->index, (unsigned long long)seen->run,
 			 x->info.id);
 		ph_run_drop(pool, x, run);
-		ph_executor_failed(x, now_us);
+		ph_executor_failed(x, &x->own, now_us);
 		if (batch)
 			ph_batch_task_failed(pool, batch, seen->index, now_us);
 		break;
@@ -289,6 +289,7 @@
 	if (x->look_failures)
 		ph_event(PART, "event=executor_reached executor=%s failures=%u",
 			 x->info.id, x->look_failures);
+	x->blind = x->look_failures;
 	x->look_failures = 0;
 	if (reply->born_ms && reply->born_ms != x->born_ms) {
 		if (x->born_ms)
--- a/src/pool_place.c
+++ b/src/pool_place.c
@@ -15,8 +15,8 @@
  * the batch within this time of the instance's doing so. */
 #define GIVE_UP_US 300000U
 #define PERCENT 100U
-/* If more than this share of the executors that answer have failed last, the
- * fault lies elsewhere, as when calls are lost by the way: none is avoided. */
+/* If more than this share of the executors that answer looks have left an order
+ * unanswered, calls get lost by the way: none is avoided for that. */
 #define BLAME_PERCENT 30U
 #define PACE_MIN_PERCENT 30U
 
@@ -101,30 +101,30 @@
 bool ph_executor_usable(const struct ph_pool *pool, const struct ph_executor *x,
 			uint64_t now_us)
 {
-	return reachable(pool, x, now_us) &&
-	       (now_us >= x->avoid_us || pool->blameless);
+	return reachable(pool, x, now_us) && now_us >= x->own.avoid_us &&
+	       (now_us >= x->lost.avoid_us || pool->blameless);
 }
 
-/* Decides whether the executors that fail are to blame for it. */
-static void judge_failures(struct ph_pool *pool, uint64_t now_us)
+/* Decides whether executors are to blame for orders without an answer. */
+static void judge_lost(struct ph_pool *pool, uint64_t now_us)
 {
 	const struct ph_executor *x;
 	uint32_t all = 0;
-	uint32_t failing = 0;
+	uint32_t losing = 0;
 	bool blameless;
 
 	for (x = pool->executors; x; x = x->next) {
 		if (!reachable(pool, x, now_us))
 			continue;
 		all++;
-		failing += x->failures > 0;
+		losing += x->lost.count > 0;
 	}
-	blameless = failing * PERCENT > all * BLAME_PERCENT;
+	blameless = losing * PERCENT > all * BLAME_PERCENT;
 	if (blameless != pool->blameless)
 		ph_event(PART,
-			 "event=executors_%s pool=%s failing=%u reachable=%u",
+			 "event=executors_%s pool=%s losing=%u reachable=%u",
 			 blameless ? "blameless" : "to_blame", pool->opt.domain,
-			 failing, all);
+			 losing, all);
 	pool->blameless = blameless;
 }
 
@@ -141,8 +141,15 @@
 	return false;
 }
 
+/* What an executor is blamed for. */
+static uint32_t failures(const struct ph_pool *pool,
+			 const struct ph_executor *x)
+{
+	return x->own.count + (pool->blameless ? 0 : x->lost.count);
+}
+
 /* Smaller is better: sound ones first, then the tightest fit, then speed. */
-static uint64_t rank(const struct ph_executor *x,
+static uint64_t rank(const struct ph_pool *pool, const struct ph_executor *x,
 		     const struct ph_capacity *need)
 {
 	uint64_t left = x->info.capacity.cpu_milli - x->used.cpu_milli -
@@ -150,7 +157,7 @@
 	uint64_t pace = x->pace_percent < PACE_MIN_PERCENT ? PACE_MIN_PERCENT
 							   : x->pace_percent;
 
-	return ((uint64_t)x->failures << 48) + left * pace / PERCENT;
+	return ((uint64_t)failures(pool, x) << 48) + left * pace / PERCENT;
 }
 
 static struct ph_executor *pick(struct ph_pool *pool,
@@ -167,9 +174,10 @@
 		    !label_ok(x, w->label))
 			continue;
 		/* One that has failed proves itself with a single run. */
-		if (x->failures && x->runs && !pool->blameless)
+		if (failures(pool, x) && x->runs)
 			continue;
-		if (!best || rank(x, &w->need) < rank(best, &w->need))
+		if (!best ||
+		    rank(pool, x, &w->need) < rank(pool, best, &w->need))
 			best = x;
 	}
 	return best;
@@ -273,7 +281,7 @@
 	/* A token that was refused somewhere may be another owner's by now. */
 	if (pool->fenced)
 		return;
-	judge_failures(pool, now_us);
+	judge_lost(pool, now_us);
 	for (b = pool->batches; b; b = b->next)
 		b->passed = false;
 	while ((b = next_batch(pool, now_us))) {
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -236,6 +236,25 @@
 	}
 }
 
+/* Over half of a small pool fails all that it starts: those are to blame, and
+ * few jobs run out of attempts. */
+TEST(PoolLoad, ManyFailingExecutorsAreStillAvoided)
+{
+	World w(12, 16000);
+	Owner *o = calm_owner(&w);
+	std::map<uint64_t, uint64_t> sent;
+	int failed = 0;
+
+	for (size_t i = 0; i < 7; i++)
+		w.executors[i].fails_all = true;
+	sent = play_steady(&w, o, 200, 160 * kMs);
+	for (const auto &it : sent)
+		failed += w.ended(o, it.first, PH_VERDICT_FAILED);
+	/* Three attempts each, at seven of twelve: 20% of 800 tasks if none were
+	 * avoided, over half of the jobs. */
+	EXPECT_LE(failed, 10);
+}
+
 struct LossCase {
 	const char *what;
 	uint32_t loses_one_in;
