--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 SECS ?= 30
 SOURCES = $(wildcard src/*.c src/*.h include/*.h platform/*.c platform/*.h \
-	test/*.c test/*.h test/*.cc bench/*.c fuzz/*.c)
+	test/*.c test/*.h test/*.cc bench/*.c bench/*.cc fuzz/*.c)
 PACKAGES = gcc g++ make cmake pkg-config clang-format clang-tidy curl \
 	libapr1-dev libaprutil1-dev libmsgpack-dev libmicrohttpd-dev \
 	libargtable2-dev libjansson-dev libxxhash-dev libgtest-dev \
--- a/bench/load_model.cc
+++ b/bench/load_model.cc
@@ -96,8 +96,8 @@
 {
 	std::uniform_real_distribution<double> off(1 - kEstimateOff,
 						   1 + kEstimateOff);
-	double width = std::max(1.0, std::round(draw(rng, k.width, kSpread,
-						     k.width_max)));
+	double width = std::max(
+		1.0, std::round(draw(rng, k.width, kSpread, k.width_max)));
 	double estimate;
 	ph_work w = {};
 
@@ -187,7 +187,8 @@
 		ph_work job = job_of(kinds[k], ++number, &rng, &run_ms);
 
 		w.at(next, [&, k, job, run_ms] {
-			sent[w.submit_work(o, job, (uint64_t)(run_ms * kMs))] = {
+			sent[w.submit_work(o, job,
+					   (uint64_t)(run_ms * kMs))] = {
 				k, w.now_us, run_ms,
 				credit_of(kinds[k], job, run_ms)
 			};
@@ -245,8 +246,8 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_dbl *factor = arg_dbl0(NULL, "load", "X",
-					  "times the usual load (1)");
+	struct arg_dbl *factor =
+		arg_dbl0(NULL, "load", "X", "times the usual load (1)");
 	struct arg_dbl *burst = arg_dbl0(NULL, "burst", "X",
 					 "times that, a third of the time (2)");
 	struct arg_int *seeds = arg_int0(NULL, "seeds", "N", "seeds (3)");
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -250,8 +250,8 @@
 	sent = play_steady(&w, o, 200, 160 * kMs);
 	for (const auto &it : sent)
 		failed += w.ended(o, it.first, PH_VERDICT_FAILED);
-	/* Three attempts each, at seven of twelve: 20% of 800 tasks if none were
-	 * avoided, over half of the jobs. */
+	/* Three attempts each, at seven of twelve: 20% of 800 tasks if none
+	 * were avoided, over half of the jobs. */
 	EXPECT_LE(failed, 10);
 }
 
