--- a/Makefile
+++ b/Makefile
@@ -46,12 +46,14 @@
 # Prints the slopes that docs/CAPACITY.md works with.
 slopes: all
 	@$(BUILD)/core-bench
+	@$(BUILD)/members-bench
 	@for n in 2 4 8; do BUILD=$(BUILD) bench/idle.sh $$n; done
 	@for rate in 40 120 200; do BUILD=$(BUILD) bench/throughput.sh $$rate 5; done
 
 # Runs every benchmark of the project.
 bench: slopes
 	@BUILD=$(BUILD) bench/latency.sh
+	@$(BUILD)/load-model --load 1.3 --burst 1.8
 
 # Soaks the dispatch processes; SEED is the first of fifty seeds.
 soak: setup all
