Drop the order's class of useless jobs, which are given up before it is asked

Since a batch that would end too late to be of use is refused at each tick, before starts are looked at, no batch of that class is left to be ordered. The find of a pool by name no longer casts const away at its callers.

--- a/src/members.c
+++ b/src/members.c
@@ -275,7 +275,8 @@
 	}
 }
 
-static struct domain *domain_find(struct ph_members *ms, const char *name)
+static const struct domain *domain_known(const struct ph_members *ms,
+					 const char *name)
 {
 	size_t i;
 
@@ -285,6 +286,11 @@
 	return NULL;
 }
 
+static struct domain *domain_find(struct ph_members *ms, const char *name)
+{
+	return (struct domain *)domain_known(ms, name);
+}
+
 void ph_members_set_domains(struct ph_members *ms,
 			    char (*domains)[PH_NAME_BYTES], size_t count)
 {
@@ -340,7 +346,7 @@
 bool ph_members_owner(const struct ph_members *ms, uint64_t now_us,
 		      const char *name, struct ph_owner *owner)
 {
-	const struct domain *d = domain_find((struct ph_members *)ms, name);
+	const struct domain *d = domain_known(ms, name);
 	const struct ph_member *m = best_claimant(ms, name, false, now_us);
 	const struct ph_claim *c;
 
@@ -591,7 +597,7 @@
 bool ph_members_offers(const struct ph_members *ms, uint64_t now_us,
 		       const char *pool)
 {
-	const struct domain *d = domain_find((struct ph_members *)ms, pool);
+	const struct domain *d = domain_known(ms, pool);
 
 	return d && now_us < d->offered_until_us;
 }
--- a/src/pool_place.c
+++ b/src/pool_place.c
@@ -40,19 +40,15 @@
 	BEGUN,
 	/** Can meet its aim. */
 	IN_TIME,
+	/** Can't; what can't be of use any more is given up before. */
 	LATE,
-	/** So late that the answer is worth nothing. */
-	TOO_LATE,
 };
 
 static enum lateness lateness(const struct ph_batch *b, uint64_t now_us)
 {
 	if (b->started)
 		return BEGUN;
-	if (now_us <= ph_batch_latest_start(b))
-		return IN_TIME;
-	return ph_work_useless(b->work, now_us - b->arrived_us) ? TOO_LATE
-								: LATE;
+	return now_us <= ph_batch_latest_start(b) ? IN_TIME : LATE;
 }
 
 static bool slack_before(const struct ph_batch *a, const struct ph_batch *b,
@@ -63,7 +59,7 @@
 
 	if (late_a != late_b)
 		return late_a < late_b;
-	if (late_a == BEGUN || late_a == IN_TIME)
+	if (late_a != LATE)
 		return ph_batch_latest_start(a) < ph_batch_latest_start(b);
 	if (a->work->priority != b->work->priority)
 		return a->work->priority < b->work->priority;
