--- a/src/client.c
+++ b/src/client.c
@@ -1,15 +1,14 @@
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 
 #include <jansson.h>
 
+#include "clock.h"
 #include "client.h"
 #include "httpc.h"
 #include "mailbox.h"
 
 #define US_PER_S 1000000U
-#define NS_PER_US 1000U
 #define RETRY_US 150000U
 #define WAIT_US 20000U
 #define PROGRESS_US 500000U
@@ -42,21 +41,13 @@
 	size_t again_count;
 };
 
-static uint64_t now_us(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_MONOTONIC, &t);
-	return (uint64_t)t.tv_sec * US_PER_S + (uint64_t)t.tv_nsec / NS_PER_US;
-}
-
 static void on_done(void *ctx, void *user, const struct ph_http_result *result)
 {
 	struct run *run = ctx;
 	struct mail *m = run->opt->mem->calloc(1, sizeof(*m));
 
 	m->job = user;
-	m->at_us = now_us();
+	m->at_us = ph_clock_us();
 	m->err = result->err;
 	m->status = result->status;
 	m->data = ph_memdup(run->opt->mem, result->body, result->body_len);
@@ -171,7 +162,7 @@
 
 static void submit_due(struct run *run)
 {
-	uint64_t now = now_us();
+	uint64_t now = ph_clock_us();
 	size_t i = 0;
 
 	while (run->sent < run->count &&
@@ -191,7 +182,7 @@
 
 static uint64_t wait_time_us(const struct run *run)
 {
-	uint64_t now = now_us();
+	uint64_t now = ph_clock_us();
 	uint64_t next;
 
 	if (run->sent == run->count)
@@ -204,7 +195,7 @@
 
 static void loop(struct run *run)
 {
-	uint64_t shown = now_us();
+	uint64_t shown = ph_clock_us();
 
 	while (run->ended < run->count) {
 		struct ph_mail *mail;
@@ -217,9 +208,9 @@
 			handle(run, (struct mail *)mail);
 			mail = next;
 		}
-		if (!run->opt->progress || now_us() < shown + PROGRESS_US)
+		if (!run->opt->progress || ph_clock_us() < shown + PROGRESS_US)
 			continue;
-		shown = now_us();
+		shown = ph_clock_us();
 		run->opt->progress(run->opt->ctx, run->ended, run->count);
 	}
 }
@@ -242,7 +233,7 @@
 	run.box = ph_mailbox_new(options->mem);
 	run.again = options->mem->calloc(count, sizeof(*run.again));
 	run.http = ph_httpc_new(&http);
-	run.start_us = now_us();
+	run.start_us = ph_clock_us();
 	loop(&run);
 	ph_httpc_free(run.http);
 	ph_mailbox_free(run.box);
--- a/src/entry.c
+++ b/src/entry.c
@@ -1,17 +1,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include <apr_general.h>
 #include <apr_thread_proc.h>
 
+#include "clock.h"
 #include "entry_impl.h"
 #include "log.h"
 
 #define PART "entry"
-#define US_PER_S 1000000U
-#define NS_PER_US 1000U
 #define HTTP_THREADS 2U
 #define ENDPOINT_CONNECTIONS 8U
 #define CALL_TIMEOUT_US 1000000U
@@ -24,14 +22,6 @@
 #define URL_BYTES 256
 #define HEADER_BYTES 256
 
-static uint64_t now_us(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_MONOTONIC, &t);
-	return (uint64_t)t.tv_sec * US_PER_S + (uint64_t)t.tv_nsec / NS_PER_US;
-}
-
 static struct mail *mail_new(struct ph_entry *e, enum mail_type type)
 {
 	struct mail *m = e->mem->calloc(1, sizeof(*m));
@@ -502,13 +492,13 @@
 		while (mail) {
 			struct ph_mail *next = mail->next;
 
-			handle(e, (struct mail *)mail, now_us());
+			handle(e, (struct mail *)mail, ph_clock_us());
 			mail_free(e, (struct mail *)mail);
 			mail = next;
 		}
-		if (now_us() < ticked_us + PH_CORE_TICK_US)
+		if (ph_clock_us() < ticked_us + PH_CORE_TICK_US)
 			continue;
-		ticked_us = now_us();
+		ticked_us = ph_clock_us();
 		watches_retry(e, ticked_us);
 		ph_core_tick(e->core, ticked_us);
 		if (may_exit(e, ticked_us))
@@ -560,7 +550,7 @@
 		.ctx = e,
 	};
 
-	e->core = ph_core_new(&options, now_us());
+	e->core = ph_core_new(&options, ph_clock_us());
 }
 
 static void add_seeds(struct ph_entry *e)
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -1,18 +1,16 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <time.h>
 
 #include <apr_thread_mutex.h>
 #include <apr_thread_proc.h>
 #include <curl/curl.h>
 
+#include "clock.h"
 #include "httpc.h"
 
 #define POLL_MS 1000
 #define US_PER_MS 1000U
-#define US_PER_S 1000000U
-#define NS_PER_US 1000U
 #define IDLE_HANDLES_MAX 256U
 #define CONNECT_TIMEOUT_MS 1000L
 /* Idle connections kept: a handful to each of some hundred servers. */
@@ -54,14 +52,6 @@
 	bool stop;
 };
 
-static uint64_t now_us(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_MONOTONIC, &t);
-	return (uint64_t)t.tv_sec * US_PER_S + (uint64_t)t.tv_nsec / NS_PER_US;
-}
-
 static size_t on_body(char *data, size_t size, size_t count, void *user)
 {
 	struct transfer *t = user;
@@ -256,7 +246,7 @@
  * have arrived: those are read first, so a call is ended in the turn after. */
 static int end_overdue(struct ph_httpc *client)
 {
-	uint64_t present_us = now_us();
+	uint64_t present_us = ph_clock_us();
 	uint64_t next_us = present_us + POLL_MS * US_PER_MS;
 	struct transfer *t = client->active;
 
@@ -327,7 +317,7 @@
 
 	t->client = client;
 	t->user = call->user;
-	t->deadline_us = now_us() + call->timeout_us;
+	t->deadline_us = ph_clock_us() + call->timeout_us;
 	t->url = ph_memdup(client->mem, call->url, strlen(call->url));
 	t->method = ph_memdup(client->mem, call->method, strlen(call->method));
 	t->body = ph_memdup(client->mem, call->body, call->body_len);
--- a/src/node.c
+++ b/src/node.c
@@ -1,6 +1,5 @@
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 
 #include <apr_general.h>
 #include <apr_thread_proc.h>
@@ -11,10 +10,6 @@
 #include "shard.h"
 
 #define PART "node"
-#define US_PER_S 1000000U
-#define NS_PER_US 1000U
-#define MS_PER_S 1000U
-#define NS_PER_MS 1000000U
 /* Longest wait of the control thread; the deciders' ticks need 20 ms. */
 #define TICK_US 10000U
 /* A gap of the steady clock, or of it against the clock that counts suspended
@@ -34,35 +29,6 @@
 	char addr[PH_ADDR_BYTES];
 };
 
-uint64_t ph_node_now_us(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_MONOTONIC, &t);
-	return (uint64_t)t.tv_sec * US_PER_S + (uint64_t)t.tv_nsec / NS_PER_US;
-}
-
-uint64_t ph_node_unix_ms(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_REALTIME, &t);
-	return (uint64_t)t.tv_sec * MS_PER_S + (uint64_t)t.tv_nsec / NS_PER_MS;
-}
-
-/* Time that the steady clock doesn't count while the machine is suspended. */
-static uint64_t suspended_us(void)
-{
-	uint64_t steady_us = ph_node_now_us();
-	struct timespec t;
-	uint64_t all_us;
-
-	clock_gettime(CLOCK_BOOTTIME, &t);
-	all_us =
-		(uint64_t)t.tv_sec * US_PER_S + (uint64_t)t.tv_nsec / NS_PER_US;
-	return all_us > steady_us ? all_us - steady_us : 0;
-}
-
 /* ## Threads */
 
 static void post(struct ph_node *n, struct mail *m, enum mail_type type)
@@ -143,7 +109,7 @@
 /* What a process held before it stood still may be another's by now. */
 static void check_pause(struct ph_node *n, uint64_t now_us)
 {
-	uint64_t suspended = suspended_us();
+	uint64_t suspended = ph_clock_suspended_us();
 	uint64_t gap_us = now_us - n->ticked_us;
 
 	if (n->ticked_us && (suspended > n->suspended_us + SUSPENDED_US ||
@@ -198,7 +164,7 @@
 {
 	size_t i;
 
-	ph_members_tick(n->members, now_us, ph_node_unix_ms(),
+	ph_members_tick(n->members, now_us, ph_clock_unix_ms(),
 			&ph_node_members_sink, n);
 	for (i = 0; i < n->pool_count; i++) {
 		ph_node_check_fence(n, &n->pools[i], now_us);
@@ -223,7 +189,7 @@
 	do {
 		struct ph_mail *mail = ph_mailbox_take(n->box, TICK_US);
 
-		now_us = ph_node_now_us();
+		now_us = ph_clock_us();
 		check_pause(n, now_us);
 		while (mail) {
 			struct ph_mail *next = mail->next;
@@ -290,7 +256,7 @@
 		.incarnation = n->incarnation,
 		.heartbeat_us = n->set.heartbeat_us,
 		.suspect_us = n->set.suspect_us,
-		.start_us = ph_node_now_us(),
+		.start_us = ph_clock_us(),
 		.cpu_milli = n->set.cpu_milli,
 	};
 	struct ph_front_options front = {
@@ -299,7 +265,7 @@
 		.domain = n->set.domain,
 		.policy = &ph_spill_wait,
 		.first_seq = n->incarnation << INCARNATION_SHIFT,
-		.settled_us = ph_node_now_us() + SETTLED_US,
+		.settled_us = ph_clock_us() + SETTLED_US,
 		.sink = &ph_node_front_sink,
 		.ctx = n,
 	};
@@ -330,7 +296,7 @@
 	n->set = *settings;
 	n->port = port;
 	n->port_ctx = port_ctx;
-	n->incarnation = ph_node_unix_ms();
+	n->incarnation = ph_clock_unix_ms();
 	if (settings->advertise && settings->advertise[0])
 		ph_strcopy(n->addr, sizeof(n->addr), settings->advertise);
 	else
@@ -339,7 +305,7 @@
 	apr_pool_create(&n->apr, NULL);
 	n->box = ph_mailbox_new(mem);
 	ph_buf_init(&n->frame, mem);
-	n->suspended_us = suspended_us();
+	n->suspended_us = ph_clock_suspended_us();
 	deciders_start(n);
 	*out = n;
 	n->transport = ph_transport_new(&peer);
--- a/src/node.h
+++ b/src/node.h
@@ -7,6 +7,7 @@
  * table of calls. Functions without "any thread" are for the control thread.
  */
 
+#include "clock.h"
 #include "directory.h"
 #include "front.h"
 #include "routing.h"
@@ -71,12 +72,6 @@
 void ph_node_post(struct ph_node *node, void (*run)(void *arg, uint64_t now_us),
 		  void *arg);
 
-/** Present time of the steady clock; any thread. */
-uint64_t ph_node_now_us(void);
-
-/** Present Unix time; any thread. */
-uint64_t ph_node_unix_ms(void);
-
 /* ## From the adapter */
 
 /** Offers a configuration as read; takes it over. doc is kept for peers. */
--- a/src/node_front.c
+++ b/src/node_front.c
@@ -27,7 +27,7 @@
 
 	memset(load, 0, sizeof(*load));
 	if (p)
-		ph_pool_measure(p->pool, ph_node_now_us(), load);
+		ph_pool_measure(p->pool, ph_clock_us(), load);
 }
 
 static void sink_answer(void *ctx, uint64_t token,
--- a/src/node_peer.c
+++ b/src/node_peer.c
@@ -75,7 +75,7 @@
 {
 	struct ph_node *n = ctx;
 	struct ph_outcome_due *o = n->mem->calloc(1, sizeof(*o));
-	uint64_t now_us = ph_node_now_us();
+	uint64_t now_us = ph_clock_us();
 
 	ph_strcopy(o->front, sizeof(o->front), front);
 	o->seq = seq;
@@ -297,7 +297,7 @@
 		n->local_head = l->next;
 		if (!n->local_head)
 			n->local_tail = NULL;
-		ph_node_message(n, &l->msg, ph_node_now_us());
+		ph_node_message(n, &l->msg, ph_clock_us());
 		ph_work_free(n->mem, l->msg.work);
 		n->mem->free(l);
 	}
--- a/src/node_pools.c
+++ b/src/node_pools.c
@@ -79,7 +79,7 @@
 			 uint64_t now_us)
 {
 	if (ph_pool_owned(p->pool) && ph_pool_fenced(p->pool))
-		ph_members_fenced(n->members, now_us, ph_node_unix_ms(),
+		ph_members_fenced(n->members, now_us, ph_clock_unix_ms(),
 				  p->domain, &ph_node_members_sink, n);
 }
 
@@ -215,7 +215,7 @@
 	struct ph_node_pool *p = ph_node_pool(n, domain);
 
 	if (p)
-		ph_pool_acquire(p->pool, ph_node_now_us(), token);
+		ph_pool_acquire(p->pool, ph_clock_us(), token);
 	n->greet_all = true;
 }
 
@@ -225,7 +225,7 @@
 	struct ph_node_pool *p = ph_node_pool(n, domain);
 
 	if (p)
-		ph_pool_release(p->pool, ph_node_now_us());
+		ph_pool_release(p->pool, ph_clock_us());
 	n->greet_all = true;
 }
 
@@ -239,7 +239,7 @@
 static void sink_greet(void *ctx, const char *addr, const struct ph_member *m)
 {
 	struct ph_node *n = ctx;
-	uint64_t now_us = ph_node_now_us();
+	uint64_t now_us = ph_clock_us();
 	struct ph_poolmsg *msg = &n->hello;
 	size_t i;
 
@@ -284,7 +284,7 @@
 	size_t i;
 
 	for (i = 0; i < n->pool_count; i++)
-		ph_pool_front_lost(n->pools[i].pool, ph_node_now_us(), name);
+		ph_pool_front_lost(n->pools[i].pool, ph_clock_us(), name);
 }
 
 const struct ph_members_sink ph_node_members_sink = {
--- a/test/standin_fleet.c
+++ b/test/standin_fleet.c
@@ -165,7 +165,7 @@
 
 static uint64_t clock_ms(void)
 {
-	return ph_node_now_us() / US_PER_MS;
+	return ph_clock_us() / US_PER_MS;
 }
 
 /* ## Executors */
@@ -257,7 +257,7 @@
 	r = &x->runs[x->run_count++];
 	ph_strcopy(r->task, TASK_BYTES, task);
 	r->run = run;
-	r->end_us = ph_node_now_us() +
+	r->end_us = ph_clock_us() +
 		    (x->fails ? 5 : strtoull(spec, NULL, 10)) * US_PER_MS;
 	return NULL;
 }
@@ -271,7 +271,7 @@
 		struct late_start *l = calloc(1, sizeof(*l));
 
 		l->x = x;
-		l->at_us = ph_node_now_us() + LATE_US;
+		l->at_us = ph_clock_us() + LATE_US;
 		l->order = json_incref(o);
 		l->next = f.late;
 		f.late = l;
@@ -346,7 +346,7 @@
 {
 	uint64_t token = ph_json_number(o, "fencingToken", 0);
 	uint64_t until_us = ph_json_number(o, "deadlineMs", 0) * US_PER_MS;
-	uint64_t now_us = ph_node_now_us();
+	uint64_t now_us = ph_clock_us();
 	struct look *l = NULL;
 	size_t i;
 
@@ -600,7 +600,7 @@
 	} else {
 		j->unsure = j->unsure || r->err != PH_ERR_UNREACHABLE;
 		j->state = j->attempts < ATTEMPTS_MAX ? JOB_WAITING : JOB_LOST;
-		j->due_us = ph_node_now_us() + RESEND_US;
+		j->due_us = ph_clock_us() + RESEND_US;
 	}
 	unlocked();
 	free(a);
@@ -711,7 +711,7 @@
 	(void)thread;
 	(void)data;
 	for (;;) {
-		uint64_t now_us = ph_node_now_us();
+		uint64_t now_us = ph_clock_us();
 		size_t i;
 
 		locked();
