A run knows its executor; one function adds a run

Giving a run up, and telling where a moved task runs, looked through the runs of all executors for the one that holds it. Runs that are ordered and runs that a look shows were made by two copies of the same lines. ph_batch_estimate only named a field.

--- a/src/front.c
+++ b/src/front.c
@@ -326,8 +326,7 @@
 /* Sends a job that has not run to a pool, or refuses it. */
 static void dispatch(struct ph_front *f, struct job *j, uint64_t now_us)
 {
-	uint32_t domain = 0;
-	uint32_t i;
+	uint32_t i = 0;
 
 	j->unplaced = false;
 	if (j->tries && ph_work_useless(j->work, now_us - j->arrived_us)) {
@@ -335,7 +334,7 @@
 		       "too late for another pool", now_us);
 		return;
 	}
-	if (j->tries >= TRIES_MAX || !choose(f, j, now_us, &domain)) {
+	if (j->tries >= TRIES_MAX || !choose(f, j, now_us, &i)) {
 		if (!j->tries && now_us < f->opt.settled_us &&
 		    now_us < j->arrived_us + FIRST_OWNER_US) {
 			j->unplaced = true;
@@ -347,8 +346,7 @@
 		       now_us);
 		return;
 	}
-	j->refused[j->tries++] = domain;
-	i = domain;
+	j->refused[j->tries++] = i;
 	f->sent[i].sent_milli += core_need(j->work);
 	f->sent[i].sent_milli_us += core_need(j->work) * j->work->estimate_us;
 	first_send(f, j, now_us);
--- a/src/pool.c
+++ b/src/pool.c
@@ -85,20 +85,11 @@
 /* ## Batches */
 
 /* Where a task may be running; with no better word that of before. */
-static uint32_t task_where(struct ph_pool *pool, const struct ph_batch *b,
-			   uint32_t index)
+static uint32_t task_where(const struct ph_batch *b, uint32_t index)
 {
-	const struct ph_executor *x;
-	const struct ph_run *r;
-
-	if (b->tasks[index].state != PH_SLOT_PLACED)
-		return b->work->resumed ? b->work->where[index]
-					: PH_WHERE_NOWHERE;
-	for (x = pool->executors; x; x = x->next)
-		for (r = x->runs; r; r = r->next)
-			if (r == b->tasks[index].run)
-				return ph_where(x->info.id);
-	return PH_WHERE_UNKNOWN;
+	if (b->tasks[index].state == PH_SLOT_PLACED)
+		return ph_where(b->tasks[index].run->executor->info.id);
+	return b->work->resumed ? b->work->where[index] : PH_WHERE_NOWHERE;
 }
 
 static void batch_tell(struct ph_pool *pool, struct ph_batch *b,
@@ -114,7 +105,7 @@
 		if (b->tasks[i].state == PH_SLOT_DONE)
 			ph_bit_set(result.done, i);
 	for (i = 0; verdict == PH_VERDICT_MOVED && i < b->work->count; i++)
-		result.where[result.count++] = task_where(pool, b, i);
+		result.where[result.count++] = task_where(b, i);
 	ph_event(PART,
 		 "event=batch_end job=%s verdict=%s reason=\"%s\" tasks=%u "
 		 "left=%u held_us=%llu aim_us=%llu estimate_us=%llu",
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -62,6 +62,7 @@
 /** A run that occupies, or may occupy, an executor. */
 struct ph_run {
 	struct ph_run *next;
+	struct ph_executor *executor;
 	char job[PH_JOB_BYTES];
 	uint32_t index;
 	uint64_t run;
@@ -193,6 +194,10 @@
 
 struct ph_executor *ph_executor_find(struct ph_pool *pool, const char *id);
 void ph_executor_free(struct ph_pool *pool, struct ph_executor *executor);
+/** Adds a run, which takes its room. */
+struct ph_run *ph_run_add(struct ph_pool *pool, struct ph_executor *executor,
+			  const char *job, uint32_t index, uint64_t number,
+			  const struct ph_capacity *need, uint64_t now_us);
 /** Drops a run and its room; tells the batch nothing. */
 void ph_run_drop(struct ph_pool *pool, struct ph_executor *executor,
 		 struct ph_run *run);
@@ -236,8 +241,6 @@
 void ph_pool_place(struct ph_pool *pool, uint64_t now_us);
 bool ph_executor_usable(const struct ph_pool *pool,
 			const struct ph_executor *executor, uint64_t now_us);
-/** Expected run time of a batch's task. */
-uint64_t ph_batch_estimate(const struct ph_batch *batch);
 /** Latest start of a task that still meets the batch's aim. */
 uint64_t ph_batch_latest_start(const struct ph_batch *batch);
 
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -80,6 +80,24 @@
 	return NULL;
 }
 
+struct ph_run *ph_run_add(struct ph_pool *pool, struct ph_executor *x,
+			  const char *job, uint32_t index, uint64_t number,
+			  const struct ph_capacity *need, uint64_t now_us)
+{
+	struct ph_run *run = pool->mem->calloc(1, sizeof(*run));
+
+	ph_strcopy(run->job, sizeof(run->job), job);
+	run->index = index;
+	run->run = number;
+	run->need = *need;
+	run->executor = x;
+	run->ordered_us = now_us;
+	run->next = x->runs;
+	x->runs = run;
+	ph_capacity_add(&x->used, need);
+	return run;
+}
+
 void ph_run_drop(struct ph_pool *pool, struct ph_executor *x,
 		 struct ph_run *run)
 {
@@ -205,19 +223,13 @@
 		  struct ph_batch *batch, uint32_t index, uint64_t now_us)
 {
 	struct ph_slot *task = &batch->tasks[index];
-	struct ph_run *run = pool->mem->calloc(1, sizeof(*run));
+	struct ph_run *run =
+		ph_run_add(pool, x, batch->work->job, index, task->next_run++,
+			   &batch->work->need, now_us);
 	struct ph_order order = { 0 };
 
-	ph_strcopy(run->job, sizeof(run->job), batch->work->job);
-	run->index = index;
-	run->run = task->next_run++;
-	run->need = batch->work->need;
 	run->state = PH_RUN_ORDERED;
 	run->batch = batch;
-	run->ordered_us = now_us;
-	run->next = x->runs;
-	x->runs = run;
-	ph_capacity_add(&x->used, &run->need);
 	task->run = run;
 	task->state = PH_SLOT_PLACED;
 	batch->waiting--;
@@ -248,14 +260,9 @@
 
 void ph_run_abandon(struct ph_pool *pool, struct ph_run *run, uint64_t now_us)
 {
-	struct ph_executor *x;
-	struct ph_run *r;
-
 	run->batch = NULL;
-	for (x = pool->executors; x; x = x->next)
-		for (r = x->runs; r; r = r->next)
-			if (r == run && r->state != PH_RUN_STOPPING)
-				ph_run_stop(pool, x, r, now_us);
+	if (run->state != PH_RUN_STOPPING)
+		ph_run_stop(pool, run->executor, run, now_us);
 }
 
 /* An executor that is no longer this pool's may have a new owner by right. */
--- a/src/pool_look.c
+++ b/src/pool_look.c
@@ -119,7 +119,7 @@
 static void learn_pace(struct ph_executor *x, const struct ph_run *run,
 		       uint64_t now_us)
 {
-	uint64_t estimate = ph_batch_estimate(run->batch);
+	uint64_t estimate = run->batch->work->estimate_us;
 	uint64_t percent;
 
 	if (!estimate)
@@ -133,7 +133,7 @@
 static bool slow(const struct ph_run *run, uint64_t run_us)
 {
 	return run_us >
-	       SLOW_FACTOR * ph_batch_estimate(run->batch) + SLOW_EXTRA_US;
+	       SLOW_FACTOR * run->batch->work->estimate_us + SLOW_EXTRA_US;
 }
 
 /* Takes a run that stands still, or crawls, from its executor while it can
@@ -152,7 +152,7 @@
 		return;
 	slot = &run->batch->tasks[run->index];
 	if (slot->moves >= MOVES_MAX ||
-	    now_us + ph_batch_estimate(run->batch) >
+	    now_us + run->batch->work->estimate_us >
 		    run->batch->arrived_us + run->batch->work->give_up_us)
 		return;
 	slot->moves++;
@@ -214,27 +214,20 @@
 		     const struct ph_seen_run *seen, uint64_t now_us)
 {
 	struct ph_run *run = ph_run_find(x, seen->job, seen->index, seen->run);
+	struct ph_capacity need = { 0 };
 
 	if (!run) {
-		run = pool->mem->calloc(1, sizeof(*run));
-		ph_strcopy(run->job, sizeof(run->job), seen->job);
-		run->index = seen->index;
-		run->run = seen->run;
-		run->state = PH_RUN_STRAY;
-		run->need.cpu_milli =
+		need.cpu_milli =
 			seen->cpu_milli ? seen->cpu_milli : STRAY_CPU_MILLI;
-		run->ordered_us = now_us;
-		run->next = x->runs;
-		x->runs = run;
-		ph_capacity_add(&x->used, &run->need);
+		run = ph_run_add(pool, x, seen->job, seen->index, seen->run,
+				 &need, now_us);
+		run->state = PH_RUN_STRAY;
 	}
 	if (run->state == PH_RUN_ORDERED) {
 		run->state = PH_RUN_RUNNING;
 		run->acked_us = now_us;
 	}
-	if (seen->percent != run->percent) {
-		run->percent = seen->percent;
-	}
+	run->percent = seen->percent;
 	check_progress(pool, x, run, now_us);
 }
 
--- a/src/pool_place.c
+++ b/src/pool_place.c
@@ -20,15 +20,10 @@
 #define BLAME_PERCENT 30U
 #define PACE_MIN_PERCENT 30U
 
-uint64_t ph_batch_estimate(const struct ph_batch *batch)
-{
-	return batch->work->estimate_us;
-}
-
 uint64_t ph_batch_latest_start(const struct ph_batch *batch)
 {
 	uint64_t aim = batch->arrived_us + batch->work->aim_us;
-	uint64_t need = ph_batch_estimate(batch) + AIM_MARGIN_US;
+	uint64_t need = batch->work->estimate_us + AIM_MARGIN_US;
 
 	return aim > need ? aim - need : 0;
 }
