Count executors whose first poll is pending as capacity

Cause: a new owner refuses jobs with "no room in time" although nearly all executors are idle. The first poll that is answered makes one executor stand for the whole pool, and all jobs that wait stand in front of it. Change: the lower bound of a job's wait also counts listed executors that were polled and have not answered yet.

--- a/src/pool.c
+++ b/src/pool.c
@@ -333,12 +333,14 @@
 }
 
 /* Lower bound of the time until the tasks ahead of a batch have been started:
- * assumes that all usable executors run only these, faster than declared. */
+ * assumes that all executors that may be usable run only these, faster than
+ * declared. */
 static uint64_t min_wait_us(const struct ph_batch *b)
 {
-	if (!b->usable_milli)
+	if (!b->possible_milli)
 		return 0;
-	return b->ahead_milli_us * MIN_RUN_TIME_PERCENT / 100 / b->usable_milli;
+	return b->ahead_milli_us * MIN_RUN_TIME_PERCENT / 100 /
+	       b->possible_milli;
 }
 
 static bool batch_overdue(const struct ph_batch *b, uint64_t now_us)
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -50,9 +50,9 @@
 	/** Core time, in millicore-microseconds, of waiting tasks that need the
 	 * same executors and precede this batch; as of the last round. */
 	uint64_t ahead_milli_us;
-	/** Capacity of the service's usable executors in thousandths of a core;
-	 * set only if ahead_milli_us isn't 0. */
-	uint64_t usable_milli;
+	/** Capacity of the service's executors that may start these tasks, in
+	 * thousandths of a core; set only if ahead_milli_us isn't 0. */
+	uint64_t possible_milli;
 	/** Tasks in state PH_BATCH_TASK_WAITING. */
 	uint32_t waiting;
 	/** Tasks that are not done. */
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -284,15 +284,26 @@
 	return best;
 }
 
-static uint64_t usable_milli(const struct ph_pool *pool, const char *service,
-			     uint64_t now_us)
+/* True if the executor may turn out to be usable: this owner has sent its first
+ * poll there and waits for the answer. */
+static bool first_poll_pending(const struct ph_executor *x)
+{
+	return x->listed && !x->polled && !x->poll_failures &&
+	       !x->info.draining;
+}
+
+/* Capacity of the service's executors that are usable, or may be as far as this
+ * owner knows. */
+static uint64_t possible_milli(const struct ph_pool *pool, const char *service,
+			       uint64_t now_us)
 {
 	const struct ph_executor *x;
 	uint64_t sum = 0;
 
 	for (x = pool->executors; x; x = x->next)
 		if (!strcmp(x->info.service, service) &&
-		    ph_executor_usable(pool, x, now_us))
+		    (ph_executor_usable(pool, x, now_us) ||
+		     first_poll_pending(x)))
 			sum += x->info.capacity.cpu_milli;
 	return sum;
 }
@@ -330,10 +341,10 @@
 		b->visited = true;
 		place_batch(pool, b, now_us);
 		b->ahead_milli_us = b->waiting ? core_time_ahead(pool, b) : 0;
-		b->usable_milli =
+		b->possible_milli =
 			b->ahead_milli_us
-				? usable_milli(pool, b->request->service,
-					       now_us)
+				? possible_milli(pool, b->request->service,
+						 now_us)
 				: 0;
 	}
 	pool->dirty = false;
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -292,8 +292,14 @@
 				while (!x->ends.empty() &&
 				       x->ends[0].number <= seen_up_to)
 					x->ends.erase(x->ends.begin());
-				poll_wait(o, x->id, id, seen_up_to,
-					  w->now_us + wait);
+				std::string xid = x->id;
+				uint64_t until_us =
+					w->now_us + wait + x->poll_delay_us;
+
+				w->at(w->now_us + x->poll_delay_us, [=] {
+					poll_wait(o, xid, id, seen_up_to,
+						  until_us);
+				});
 			},
 			[=] { poll_failed(o, id, PH_CALL_UNKNOWN); });
 	}
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -62,6 +62,8 @@
 	/** Numbers of the owners whose calls don't reach this executor. */
 	std::set<int> unreachable_from;
 	bool fails_all = false;
+	/** Polls are answered this much later. */
+	uint64_t poll_delay_us = 0;
 	/** Start commands are carried out, but their answers are lost. */
 	bool loses_start_answers = false;
 	/** One call of this many is lost before it arrives; 0: none. */
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -445,6 +445,30 @@
 	EXPECT_GE(refused_at_once, kJobs - 2 * kStartable);
 }
 
+/* A pool gets an owner while many jobs wait for one, and one of its executors
+ * answers before the others. The capacity of those that were polled and have
+ * not answered yet counts when a job's wait is estimated: all jobs are served. */
+TEST(PoolLoad, JobsAreNotRefusedBeforeTheFirstPollsAreAnswered)
+{
+	constexpr size_t kExecutors = 16;
+	constexpr int kJobs = 16;
+	World w(kExecutors, 16000);
+	Owner *o;
+	int done = 0;
+
+	for (size_t i = 1; i < kExecutors; i++)
+		w.executors[i].poll_delay_us = 30 * kMs;
+	o = w.add_owner();
+	ph_pool_acquire(o->pool, w.now_us, 1000);
+	for (int i = 0; i < kJobs; i++)
+		w.submit(o, "j" + std::to_string(i), 2, 200 * kMs, 200 * kMs,
+			 380 * kMs, 8000 * kMs);
+	w.run_until(w.now_us + 2000 * kMs);
+	for (const auto &r : o->results)
+		done += r.second.verdict == PH_VERDICT_DONE;
+	EXPECT_EQ(done, kJobs);
+}
+
 /* One service has a long backlog, another a short one. Tasks that wait for the
  * executors of the first must not count as ahead of jobs of the second. */
 TEST(PoolLoad, TheBacklogOfOneServiceCausesNoRefusalsInAnother)
