Run the waits before a first claim at the same time

Change: vacancy counts from the loss of the owner, whichever instance is assigned the pool; in a small domain, an instance that cannot claim yet does not take precedence over one that can. The shared plan of a large domain spreads the pools as before. Test: Cluster.LaterInstancesDoNotDelayTheFirstClaimOfADomain fails without.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -181,6 +181,8 @@
 	    !m->loss_reported)
 		m->restarted = true;
 	m->loss_reported = false;
+	if (m->incarnation != heartbeat->incarnation)
+		m->first_heard_us = now_us;
 	m->incarnation = heartbeat->incarnation;
 	ph_strcopy(m->domain, sizeof(m->domain), heartbeat->domain);
 	ph_strcopy(m->addr, sizeof(m->addr), heartbeat->addr);
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -40,6 +40,8 @@
 	char domain[PH_NAME_BYTES];
 	char addr[PH_ADDR_BYTES];
 	uint64_t incarnation;
+	/** When the first heartbeat of this incarnation was received. */
+	uint64_t first_heard_us;
 	/** When its last heartbeat was received; set back if it fails. */
 	uint64_t heard_us;
 	/** When the last heartbeat was sent to it; 0: one is due. */
--- a/src/cluster_impl.h
+++ b/src/cluster_impl.h
@@ -30,8 +30,7 @@
 	bool vacant;
 	/** The claim plan assigns the vacant pool to this instance. */
 	bool assigned_to_self;
-	/** Since when the pool has been vacant and assigned to this instance;
-	 * 0: it is not. */
+	/** Since when the pool has been vacant; 0: it is not. */
 	uint64_t vacant_since_us;
 	/** When an executor first rejected the token; 0: none has. */
 	uint64_t fenced_since_us;
--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -24,6 +24,9 @@
  * domain: enough to read the list of the other instances and to exchange a
  * heartbeat with each. Instances that start later hear of the claim in time. */
 #define START_CLAIM_DELAY_US 200000U
+/* An instance that may make its first claim within this time counts as ready to
+ * claim: more than a tick and the exchange of a heartbeat. */
+#define START_CLAIM_MARGIN_US 60000U
 /* Time from the start of an instance to its first claim of a pool of another
  * domain, so that the instances of that domain can claim it first. */
 #define START_TAKE_OVER_DELAY_US 2000000U
@@ -248,6 +251,8 @@
 
 /* What decides which of several instances claims a pool. */
 struct rank {
+	/** It does not have to wait before its first claim. */
+	bool ready;
 	/** Number of pools that it owns or is assigned. */
 	uint32_t owned;
 	uint32_t cpu_milli;
@@ -265,31 +270,42 @@
 	return n;
 }
 
-static struct rank rank_self(const struct ph_cluster *cluster)
+static bool ready_to_claim(uint64_t start_us, uint64_t now_us)
 {
-	struct rank r = { ph_claims_owned_count(cluster),
+	return now_us >=
+	       start_us + START_CLAIM_DELAY_US - START_CLAIM_MARGIN_US;
+}
+
+static struct rank rank_self(const struct ph_cluster *cluster, uint64_t now_us)
+{
+	struct rank r = { ready_to_claim(cluster->opt.start_us, now_us),
+			  ph_claims_owned_count(cluster),
 			  cluster->opt.cpu_milli, cluster->opt.incarnation,
 			  cluster->opt.name };
 
 	return r;
 }
 
-static struct rank rank_of(const struct ph_member *m)
+static struct rank rank_of(const struct ph_member *m, uint64_t now_us)
 {
-	struct rank r = { m->claim_count, m->cpu_milli, m->incarnation,
+	struct rank r = { ready_to_claim(m->first_heard_us, now_us),
+			  m->claim_count, m->cpu_milli, m->incarnation,
 			  m->name };
 
 	return r;
 }
 
-/* Whether a takes precedence over b for one more pool: the instance with more
- * CPU per pool, then the one that was started last, since in a rolling restart
- * it is the least likely to be stopped next. */
+/* Whether a takes precedence over b for one more pool: an instance that is
+ * ready to claim, then the one with more CPU per pool, then the one that was
+ * started last, since in a rolling restart it is the least likely to be stopped
+ * next. */
 static bool outranks(const struct rank *a, const struct rank *b)
 {
 	uint64_t load_a = (uint64_t)(a->owned + 1) * b->cpu_milli;
 	uint64_t load_b = (uint64_t)(b->owned + 1) * a->cpu_milli;
 
+	if (a->ready != b->ready)
+		return a->ready;
 	if (load_a != load_b)
 		return load_a < load_b;
 	if (a->incarnation / MS_PER_S != b->incarnation / MS_PER_S)
@@ -311,14 +327,14 @@
 
 	if (!cluster->leaving &&
 	    ph_claims_owned_count(cluster) < PH_CLAIMS_MAX) {
-		list[n].rank = rank_self(cluster);
+		list[n].rank = rank_self(cluster, now_us);
 		list[n++].domain = cluster->opt.domain;
 	}
 	for (m = cluster->first; m; m = m->next) {
 		if (!ph_member_alive(cluster, m, now_us) || m->leaving ||
 		    m->claim_count >= PH_CLAIMS_MAX)
 			continue;
-		list[n].rank = rank_of(m);
+		list[n].rank = rank_of(m, now_us);
 		list[n++].domain = m->domain;
 	}
 	return n;
@@ -362,6 +378,10 @@
 	for (i = 0; i < count; i++)
 		same_domain += !strcmp(list[i].domain, cluster->opt.domain);
 	cluster->plan_shared = same_domain >= PLAN_MIN_INSTANCES;
+	/* The shared plan of a large domain spreads its pools over all
+	 * instances instead of waiting for as few as possible. */
+	for (i = 0; cluster->plan_shared && i < count; i++)
+		list[i].rank.ready = true;
 	for (i = 0; i < cluster->pool_count; i++) {
 		struct ph_pool_claim *p = &cluster->pools[cluster->by_name[i]];
 		struct candidate *c;
@@ -486,15 +506,17 @@
 
 	if (!minority)
 		p->yielded = false;
-	if (!p->vacant || !p->assigned_to_self ||
-	    now_us < cluster->opt.start_us + start_delay_us ||
-	    (minority && p->yielded)) {
+	if (!p->vacant || (minority && p->yielded)) {
 		p->vacant_since_us = 0;
 		return;
 	}
 	if (!p->vacant_since_us)
 		p->vacant_since_us = now_us;
-	if (now_us < p->vacant_since_us + claim_delay_us(cluster, p->name,
+	if (!p->assigned_to_self)
+		return;
+	/* Both waits run at the same time. */
+	if (now_us < cluster->opt.start_us + start_delay_us ||
+	    now_us < p->vacant_since_us + claim_delay_us(cluster, p->name,
 							 in_domain, now_us))
 		return;
 	if (!(in_domain && cluster->plan_shared) &&
--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -289,6 +289,37 @@
 	}
 }
 
+/* All instances fail and restart one after the other. Those that start later
+ * don't delay the claim of the first one of a small domain. */
+TEST(Cluster, LaterInstancesDoNotDelayTheFirstClaimOfADomain)
+{
+	/* The first claim is due 200 ms after the start of an instance. Each of
+	 * the other two may claim in its place if it started within 60 ms. */
+	constexpr uint64_t kOwnedWithinUs = (200 + 2 * 60) * kMs + 2 * kTickUs;
+
+	for (uint64_t start_gap_ms : { 0, 40, 80, 150 }) {
+		SCOPED_TRACE(start_gap_ms);
+		Network net;
+		uint64_t t0;
+
+		two_domains(&net);
+		for (auto &n : net.instances)
+			n->running = false;
+		net.run_until(net.now_us + 1200 * kMs);
+		t0 = net.now_us;
+		for (const char *name : { "n1", "n2", "n3" }) {
+			if (net.now_us >= t0 + kOwnedWithinUs)
+				break;
+			net.start(net.find(name));
+			net.run_until(net.now_us + start_gap_ms * kMs);
+		}
+		net.run_until(t0 + kOwnedWithinUs);
+		EXPECT_EQ(net.owners("north").size(), 1U);
+		net.run_until(net.now_us + 1000 * kMs);
+		EXPECT_EQ(net.owners("north").size(), 1U);
+	}
+}
+
 struct FailureCase {
 	const char *what;
 	void (*fail)(Network *, Instance *);
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -447,7 +447,8 @@
 
 /* A pool gets an owner while many jobs wait for one, and one of its executors
  * answers before the others. The capacity of those that were polled and have
- * not answered yet counts when a job's wait is estimated: all jobs are served. */
+ * not answered yet counts when a job's wait is estimated: all jobs are served.
+ */
 TEST(PoolLoad, JobsAreNotRefusedBeforeTheFirstPollsAreAnswered)
 {
 	constexpr size_t kExecutors = 16;
