Let requests wait for the first configuration during start-up

Change: src/startup.c decides for how long a request may wait for what a starting instance does not have yet: 600 ms, 45% of the caller's timeout and the start-up phase bound it. The wait for a pool's first owner uses it too, and a job that would end too late meanwhile is refused at once.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -7,7 +7,7 @@
 #include "log.h"
 #include "mailbox.h"
 #include "dispatcher_impl.h"
-#include "pool_shard.h"
+#include "startup.h"
 
 #define PART "dispatcher"
 /* Interval of ticks while this instance owns a pool: task starts and lease
@@ -19,9 +19,6 @@
  * thread that counts as a pause of the process. Without one, a gap of more than
  * a lease does. */
 #define SUSPENDED_MIN_US 100000U
-/* Length of the start-up phase, in which pools may not have an owner yet.
- * Afterwards a pool without an owner counts as unreachable. */
-#define STARTUP_US 3000000U
 /* Bits of a batch's sequence number below the incarnation. */
 #define INCARNATION_SHIFT 20U
 
@@ -157,6 +154,15 @@
 	return d->routing && count && !d->stopping;
 }
 
+bool ph_dispatcher_may_wait_for_routing(const struct ph_dispatcher *d,
+					uint64_t now_us, uint64_t arrived_us,
+					uint64_t caller_timeout_us)
+{
+	return !d->stopping &&
+	       ph_startup_may_wait(d->startup_end_us, now_us, arrived_us,
+				   caller_timeout_us);
+}
+
 static bool owns_any(const struct ph_dispatcher *d)
 {
 	size_t i;
@@ -303,7 +309,7 @@
 		.domain = d->settings.domain,
 		.policy = &ph_pool_choice_spread,
 		.first_seq = d->incarnation << INCARNATION_SHIFT,
-		.startup_until_us = ph_clock_us() + STARTUP_US,
+		.startup_end_us = d->startup_end_us,
 		.sink = &ph_dispatcher_submitter_sink,
 		.ctx = d,
 	};
@@ -335,6 +341,7 @@
 	d->platform = platform;
 	d->platform_ctx = platform_ctx;
 	d->incarnation = ph_clock_unix_ms();
+	d->startup_end_us = ph_startup_end_us(ph_clock_us());
 	if (settings->advertise && settings->advertise[0])
 		ph_strcopy(d->addr, sizeof(d->addr), settings->advertise);
 	else
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -121,6 +121,11 @@
 /** The configuration in force, or NULL. */
 const struct ph_routing *
 ph_dispatcher_routing(const struct ph_dispatcher *dispatcher);
+/** Without a configuration: whether a request that arrived at arrived_us may
+ * wait for it. caller_timeout_us: 0 if unknown. */
+bool ph_dispatcher_may_wait_for_routing(const struct ph_dispatcher *dispatcher,
+					uint64_t now_us, uint64_t arrived_us,
+					uint64_t caller_timeout_us);
 /** True if the load balancer may send new connections: there are a
  * configuration and executors, and the instance is not stopping. */
 bool ph_dispatcher_ready(const struct ph_dispatcher *dispatcher);
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -58,6 +58,8 @@
 	struct ph_dispatcher_settings settings;
 	char addr[PH_ADDR_BYTES];
 	uint64_t incarnation;
+	/** See startup.h. */
+	uint64_t startup_end_us;
 	const struct ph_dispatcher_platform *platform;
 	void *platform_ctx;
 	apr_pool_t *apr;
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -4,6 +4,7 @@
 #include "ident.h"
 #include "log.h"
 #include "pool_shard.h"
+#include "startup.h"
 
 #define PART "submitter"
 /* Interval at which a batch is sent again until its owner accepts it. Leaves
@@ -26,9 +27,6 @@
 #define MIN_WEIGHT_DIVISOR 4U
 /* Retry-after sent to the caller if no pool can be reached. */
 #define NO_POOL_RETRY_AFTER_US 1000000U
-/* How long a job that arrives during start-up waits for a pool to get its
- * first owner. */
-#define FIRST_OWNER_TIMEOUT_US 600000U
 /* Pools that a job is sent to before it is refused. */
 #define POOLS_TRIED_MAX 4U
 /* A stopping instance accepts only jobs that end before it exits. Declared run
@@ -465,6 +463,11 @@
 	job_free(s, j);
 }
 
+static uint64_t retry_after_us(const struct job *j)
+{
+	return j->retry_after_us ? j->retry_after_us : NO_POOL_RETRY_AFTER_US;
+}
+
 /* Sends a job to a pool; none of its tasks has run yet. Answers "not run" if no
  * pool is left, or if another one would run it too late. During start-up the
  * job waits for the first owner of a pool instead. */
@@ -473,22 +476,23 @@
 	uint32_t i = 0;
 
 	j->waiting_for_first_owner = false;
-	if (j->pools_tried &&
-	    ph_batch_request_too_late(j->batch, now_us - j->arrived_us)) {
-		answer(s, j, PH_JOB_NOT_RUN, j->retry_after_us,
-		       "too late for another pool", now_us);
+	if (ph_batch_request_too_late(j->batch, now_us - j->arrived_us)) {
+		answer(s, j, PH_JOB_NOT_RUN, retry_after_us(j),
+		       j->pools_tried ? "too late for another pool"
+				      : "too late for a first pool",
+		       now_us);
 		return;
 	}
 	if (j->pools_tried >= POOLS_TRIED_MAX ||
 	    !choose_pool(s, j, now_us, &i)) {
-		if (!j->pools_tried && now_us < s->opt.startup_until_us &&
-		    now_us < j->arrived_us + FIRST_OWNER_TIMEOUT_US) {
+		if (!j->pools_tried &&
+		    ph_startup_may_wait(s->opt.startup_end_us, now_us,
+					j->arrived_us,
+					j->batch->caller_timeout_us)) {
 			j->waiting_for_first_owner = true;
 			return;
 		}
-		answer(s, j, PH_JOB_NOT_RUN,
-		       j->retry_after_us ? j->retry_after_us
-					 : NO_POOL_RETRY_AFTER_US,
+		answer(s, j, PH_JOB_NOT_RUN, retry_after_us(j),
 		       j->pools_tried ? "no pool has room"
 				      : "no pool can be reached",
 		       now_us);
--- a/src/submitter.h
+++ b/src/submitter.h
@@ -81,9 +81,9 @@
 	/** Sequence numbers of batches start above this, which is above those
 	 * of earlier incarnations of this instance. */
 	uint64_t first_seq;
-	/** End of the start-up phase, in which pools may have no owner yet.
-	 * Until then a job waits for one rather than being refused. */
-	uint64_t startup_until_us;
+	/** End of the start-up phase, in which pools may have no owner yet; see
+	 * startup.h. */
+	uint64_t startup_end_us;
 	const struct ph_submitter_sink *sink;
 	void *ctx;
 };
--- a/test/test_submitter.cc
+++ b/test/test_submitter.cc
@@ -44,7 +44,7 @@
 
 	explicit Fixture(
 		const ph_pool_choice_policy *policy = &ph_pool_choice_wait,
-		uint64_t startup_until_us = 0)
+		uint64_t startup_end_us = 0)
 	{
 		static const ph_submitter_sink sink = { on_send, on_own_load,
 							on_answer };
@@ -68,7 +68,7 @@
 		f.domain = "north";
 		f.policy = policy;
 		f.cluster = cluster;
-		f.startup_until_us = startup_until_us;
+		f.startup_end_us = startup_end_us;
 		f.sink = &sink;
 		f.ctx = this;
 		submitter = ph_submitter_new(&f);
