Claim pools of other domains only while their executors can be reached

Cause: while a domain is cut off, its instances claim the pools of the others and the others claim its pools, without reaching one executor. An instance waits for a claim of another domain's pool only from when they answer. Tests: Cluster.PoolsBehindAPartitionAreNotClaimed fails without; Pool.ProbesTellWhetherExecutorsAreReachableAndDisturbNoOwner.

--- a/bench/cluster_bench.c
+++ b/bench/cluster_bench.c
@@ -59,9 +59,17 @@
 	w->heartbeats_sent++;
 }
 
+static bool on_reaches(void *ctx, const char *name)
+{
+	(void)ctx;
+	(void)name;
+	return true;
+}
+
 static const struct ph_cluster_sink sink = {
 	.acquire = on_acquire,
 	.release = on_name,
+	.reaches = on_reaches,
 	.send_heartbeat = on_send_heartbeat,
 	.reset_link = on_name,
 	.member_lost = on_name,
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -124,6 +124,10 @@
 	void (*acquire)(void *ctx, const char *pool, uint64_t token);
 	/** This instance no longer owns the pool. */
 	void (*release)(void *ctx, const char *pool);
+	/** Whether an executor of a pool of another domain, which this instance
+	 * does not own, has answered it recently. If not, tries to reach some,
+	 * for the next tick. */
+	bool (*reaches)(void *ctx, const char *pool);
 	/** A heartbeat is due; m is NULL for an address at which no member is
 	 * known yet. */
 	void (*send_heartbeat)(void *ctx, const char *addr,
--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -506,7 +506,12 @@
 
 	if (!minority)
 		p->yielded = false;
-	if (!p->vacant || (minority && p->yielded)) {
+	/* Behind a network partition, a claim of executors that cannot be
+	 * reached serves no job, and takes the pool from its owner when the
+	 * partition heals. So the wait begins when they can be reached. */
+	if (!p->vacant || (minority && p->yielded) ||
+	    (!in_domain && p->assigned_to_self &&
+	     !sink->reaches(ctx, p->name))) {
 		p->vacant_since_us = 0;
 		return;
 	}
@@ -514,7 +519,7 @@
 		p->vacant_since_us = now_us;
 	if (!p->assigned_to_self)
 		return;
-	/* Both waits run at the same time. */
+	/* The waits run at the same time. */
 	if (now_us < cluster->opt.start_us + start_delay_us ||
 	    now_us < p->vacant_since_us + claim_delay_us(cluster, p->name,
 							 in_domain, now_us))
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -171,6 +171,13 @@
 	ph_dispatcher_heartbeat_soon(d, PH_HEARTBEAT_ALL);
 }
 
+static bool sink_reaches(void *ctx, const char *pool_name)
+{
+	struct ph_dispatcher_pool *p = ph_dispatcher_pool(ctx, pool_name);
+
+	return p && ph_pool_reached(p->pool, ph_clock_us());
+}
+
 static uint32_t own_shards(struct ph_dispatcher *d)
 {
 	struct ph_dispatcher_domain *domain =
@@ -240,6 +247,7 @@
 const struct ph_cluster_sink ph_dispatcher_cluster_sink = {
 	.acquire = sink_acquire,
 	.release = sink_release,
+	.reaches = sink_reaches,
 	.send_heartbeat = sink_send_heartbeat,
 	.reset_link = sink_reset_link,
 	.member_lost = sink_member_lost,
--- a/src/pool.h
+++ b/src/pool.h
@@ -101,6 +101,10 @@
 void ph_pool_submitter_lost(struct ph_pool *pool, uint64_t now_us,
 			    const char *submitter);
 
+/** Whether an executor of the pool, which this instance does not own, has
+ * answered it within the last half second. If not, probes some executors. */
+bool ph_pool_reached(struct ph_pool *pool, uint64_t now_us);
+
 /** The three functions below take the outcome of a call that the sink was given
  * with this call_id; reply and what it refers to are not kept. */
 void ph_pool_poll_done(struct ph_pool *pool, uint64_t now_us, uint64_t call_id,
@@ -144,6 +148,8 @@
 	uint64_t claimed_runs;
 	/** Polls sent. */
 	uint64_t polls;
+	/** Probes sent to executors of the pool while it was not owned. */
+	uint64_t probes;
 };
 
 const struct ph_pool_counters *ph_pool_counters(const struct ph_pool *pool);
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -2,8 +2,9 @@
 #define PH_POOL_IMPL_H
 
 /* Shared by the parts of the pool: pool.c (batches), pool_lease.c (leases and
- * run commands), pool_poll.c (polls of executors), pool_placement.c (in which
- * order tasks start, and on which executors). */
+ * run commands), pool_poll.c (polls of executors), pool_probe.c (reachability
+ * of executors of other owners), pool_placement.c (in which order tasks start,
+ * and on which executors). */
 
 #include "pool.h"
 
@@ -207,6 +208,11 @@
 	bool dirty;
 	/** Time of the last placement round. */
 	uint64_t placed_us;
+	/** While the pool is not owned: when an executor last answered a probe,
+	 * when the last probes were sent, and the executor probed last. */
+	uint64_t reached_us;
+	uint64_t probed_us;
+	char probed_last[PH_NAME_BYTES];
 };
 
 /* ## pool.c */
@@ -275,6 +281,12 @@
 void ph_poll_send(struct ph_pool *pool, struct ph_executor *executor,
 		  uint64_t now_us);
 
+/* ## pool_probe.c */
+
+/** Handles the answer to a probe. */
+void ph_probe_done(struct ph_pool *pool, struct ph_executor *executor,
+		   enum ph_call_status status, uint64_t now_us);
+
 /* ## pool_placement.c */
 
 /** Starts all waiting tasks that fit, in the order of the policy. */
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -292,8 +292,12 @@
 	for (x = pool->executors; x; x = x->next)
 		if (x->poll_call == call_id)
 			break;
-	if (!x || !pool->owned)
+	if (!x)
 		return;
+	if (!pool->owned) {
+		ph_probe_done(pool, x, reply->status, now_us);
+		return;
+	}
 	x->poll_call = 0;
 	record_poll(pool, reply->status == PH_CALL_UNKNOWN);
 	if (reply->status != PH_CALL_OK) {
--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -117,6 +117,16 @@
 		});
 	}
 
+	/* Executors are in the group of their domain. */
+	static bool on_reaches(void *ctx, const char *pool)
+	{
+		Instance *n = static_cast<Instance *>(ctx);
+		std::string name = pool;
+
+		return n->net->group[n->name] ==
+		       n->net->group[name.substr(0, name.find('#'))];
+	}
+
 	static void on_nothing(void *, const char *)
 	{
 	}
@@ -198,9 +208,10 @@
 
 	void run_until(uint64_t us)
 	{
-		static const ph_cluster_sink sink = { on_acquire, on_release,
-						      on_send_heartbeat,
-						      on_nothing, on_nothing };
+		static const ph_cluster_sink sink = {
+			on_acquire,	   on_release, on_reaches,
+			on_send_heartbeat, on_nothing, on_nothing
+		};
 
 		while (now_us < us) {
 			now_us += kTickUs;
@@ -405,6 +416,34 @@
 	}
 }
 
+/* A domain is cut off together with its executors. Neither side claims pools
+ * whose executors it cannot reach, so that no pool changes its owner when the
+ * partition heals. */
+TEST(Cluster, PoolsBehindAPartitionAreNotClaimed)
+{
+	for (uint64_t partition_ms : { 2500, 3500, 6500 }) {
+		SCOPED_TRACE(partition_ms);
+		Network net;
+		std::map<std::string, Instance *> owner;
+
+		two_domains(&net);
+		for (const std::string &pool : net.pools)
+			owner[pool] = net.owners(pool)[0];
+		for (const char *name : { "s1", "s2", "south" })
+			net.group[name] = 1;
+		net.run_until(net.now_us + partition_ms * kMs);
+		for (const char *name : { "s1", "s2", "south" })
+			net.group[name] = 0;
+		net.run_until(net.now_us + 1500 * kMs);
+		for (const std::string &pool : net.pools) {
+			ASSERT_EQ(net.owners(pool).size(), 1U);
+			EXPECT_EQ(net.owners(pool)[0], owner[pool]);
+		}
+		for (auto &n : net.instances)
+			EXPECT_LE(n->acquisitions, 1);
+	}
+}
+
 TEST(Cluster, APoolWithoutInstancesInItsDomainIsTakenOver)
 {
 	Network net;
@@ -545,6 +584,7 @@
 	static const ph_cluster_sink sink = {
 		[](void *, const char *, uint64_t) {},
 		[](void *, const char *) {},
+		[](void *, const char *) { return true; },
 		[](void *ctx, const char *addr, const ph_member *) {
 			static_cast<std::set<std::string> *>(ctx)->insert(addr);
 		},
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -556,6 +556,45 @@
 	}
 }
 
+/* Before an instance claims a pool of another domain it finds out whether it
+ * reaches the executors. That must not take the pool from its owner. */
+TEST(Pool, ProbesTellWhetherExecutorsAreReachableAndDisturbNoOwner)
+{
+	struct ProbeCase {
+		const char *what;
+		std::set<int> unreachable_from;
+		bool reached;
+	};
+	const ProbeCase cases[] = {
+		{ "reachable", {}, true },
+		{ "not reachable", { 1 }, false },
+	};
+
+	for (const ProbeCase &c : cases) {
+		SCOPED_TRACE(c.what);
+		World w(4, 16000);
+		Owner *owner = ready_owner(&w);
+		Owner *other = w.add_owner();
+		uint64_t seq = w.submit(owner, "a", 8, 600 * kMs, 600 * kMs,
+					2000 * kMs, 4000 * kMs);
+
+		for (Executor &x : w.executors)
+			x.unreachable_from = c.unreachable_from;
+		EXPECT_FALSE(ph_pool_reached(other->pool, w.now_us));
+		w.run_until(w.now_us + 20 * kMs);
+		EXPECT_EQ(ph_pool_reached(other->pool, w.now_us), c.reached);
+		/* Probing goes on without an answer, at intervals. */
+		for (int i = 0; i < 100; i++) {
+			w.run_until(w.now_us + 10 * kMs);
+			ph_pool_reached(other->pool, w.now_us);
+		}
+		EXPECT_LE(ph_pool_counters(other->pool)->probes, 15U);
+		EXPECT_FALSE(ph_pool_fenced(owner->pool));
+		EXPECT_TRUE(w.ended(owner, seq, PH_VERDICT_DONE));
+		EXPECT_EQ(w.starts, 8);
+	}
+}
+
 TEST(Pool, AHandOverInterruptsNoRuns)
 {
 	World w(4, 16000);
