Give two claims of a pool different tokens also ahead of the time of day

Executors served both owners. Change: the next millisecond with the instance's own bits, 12 bits from its name and incarnation. Test: Cluster.InstancesThatDoNotHearOfEachOtherClaimWithDifferentTokens; with the old rule both get the same token.

--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -53,8 +53,9 @@
 #define PERCENT 100U
 #define MS_PER_S 1000U
 /* A fencing token is the Unix time in milliseconds, shifted left by this many
- * bits, with bits of the hash of the instance's name below. */
-#define TOKEN_SHIFT 8U
+ * bits, with bits of a hash of the instance below. It stays below 2^53, beyond
+ * which a JSON reader may round numbers. */
+#define TOKEN_SHIFT 12U
 /* Executors may reject a token because they have seen a higher one that no
  * instance knows: the time of day was set back, or all instances that knew it
  * have failed. The token is raised by the equivalent of 1 s, and by 8 times as
@@ -397,18 +398,21 @@
 	cluster->mem->free(list);
 }
 
-/* Two instances that claim a pool in the same millisecond get different tokens
- * with a probability of 255/256; outranked() compares their names if the tokens
- * are equal. */
+/* Two instances that do not hear of each other may claim a pool after the same
+ * highest token. The lower bits, which differ from instance to instance, are
+ * kept also when the token has to exceed that one: executors accept calls of
+ * both owners if their tokens are equal. */
 static uint64_t new_token(const struct ph_cluster *cluster,
 			  struct ph_pool_claim *p, uint64_t unix_ms)
 {
 	uint64_t own =
-		ph_hash_str(cluster->opt.name) & ((1U << TOKEN_SHIFT) - 1);
+		(ph_hash_str(cluster->opt.name) + cluster->opt.incarnation) &
+		((1U << TOKEN_SHIFT) - 1);
 	uint64_t token = unix_ms << TOKEN_SHIFT | own;
 
 	if (token <= p->highest_token)
-		token = p->highest_token + 1;
+		token = ((p->highest_token >> TOKEN_SHIFT) + 1) << TOKEN_SHIFT |
+			own;
 	p->highest_token = token;
 	return token;
 }
--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -646,6 +646,35 @@
 
 /* All instances restart after the time of day was set back, so that new tokens
  * are lower than those the executors know, and no instance knows the latter. */
+/* The tokens of a pool are ahead of the time of day, as after the time was set
+ * back. Its owner fails, and two instances that are cut off from each other
+ * claim the pool. With equal tokens the executors would serve both. */
+TEST(Cluster, InstancesThatDoNotHearOfEachOtherClaimWithDifferentTokens)
+{
+	constexpr uint64_t kHourMs = 3600 * 1000;
+	Network net;
+	Instance *owner;
+	std::set<uint64_t> tokens;
+
+	net.pools = { "north" };
+	for (const char *name : { "n1", "n2", "n3", "n4", "n5" })
+		net.add(name, "north");
+	net.start_all();
+	net.highest_token_seen["north"] = (kUnixMs + kHourMs) << 12;
+	net.run_until(net.now_us + 2000 * kMs);
+	ASSERT_EQ(net.owners("north").size(), 1U);
+	owner = net.owners("north")[0];
+	owner->running = false;
+	for (auto &n : net.instances)
+		net.group[n->name] = (int)(&n - &net.instances[0]) % 2;
+	/* An instance in a minority waits for three seconds. */
+	net.run_until(net.now_us + 4500 * kMs);
+	for (Instance *n : net.owners("north"))
+		tokens.insert(n->owned["north"]);
+	EXPECT_EQ(tokens.size(), 2U);
+	EXPECT_EQ(net.owners("north").size(), 2U);
+}
+
 TEST(Cluster, ATokenBelowTheOneKnownToExecutorsIsRaisedFast)
 {
 	constexpr uint64_t kHourMs = 3600 * 1000;
@@ -653,7 +682,7 @@
 	for (uint64_t behind_ms : { 2400UL, 60000UL, 3 * kHourMs }) {
 		SCOPED_TRACE(behind_ms);
 		Network net;
-		uint64_t remembered = (kUnixMs + behind_ms) << 8;
+		uint64_t remembered = (kUnixMs + behind_ms) << 12;
 
 		net.pools = { "north" };
 		for (const char *name : { "n1", "n2", "n3" })
