--- a/src/pool.c
+++ b/src/pool.c
@@ -128,21 +128,30 @@
 	struct ph_result result = { .verdict = verdict,
 				    .retry_after_us = retry_after_us,
 				    .reason = reason };
+	uint64_t waited_us =
+		(b->last_started_us ? b->last_started_us : now_us) -
+		b->received_us;
+	uint32_t failed = 0;
+	uint32_t moved = 0;
 	uint32_t i;
 
-	for (i = 0; i < b->request->count; i++)
+	for (i = 0; i < b->request->count; i++) {
 		if (b->tasks[i].state == PH_BATCH_TASK_DONE)
 			ph_bit_set(result.done, i);
+		failed += b->tasks[i].failures;
+		moved += b->tasks[i].moves;
+	}
 	for (i = 0; verdict == PH_VERDICT_MOVED && i < b->request->count; i++)
 		result.possible_executor[result.count++] =
 			task_possible_executor(b, i);
 	ph_event(PART,
 		 "event=batch_end job=%s verdict=%s reason=\"%s\" tasks=%u "
-		 "tasks_left=%u since_received_us=%llu target_us=%llu "
-		 "estimate_us=%llu",
+		 "tasks_left=%u since_received_us=%llu waited_us=%llu "
+		 "failed_runs=%u moved_runs=%u target_us=%llu estimate_us=%llu",
 		 b->request->job, ph_verdict_name(verdict), reason,
 		 b->request->count, b->left,
 		 (unsigned long long)(now_us - b->received_us),
+		 (unsigned long long)waited_us, failed, moved,
 		 (unsigned long long)b->request->target_us,
 		 (unsigned long long)b->request->estimate_us);
 	pool->opt.sink->result(pool->opt.ctx, b->submitter, b->seq, &result);
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -46,6 +46,8 @@
 	uint64_t received_us;
 	/** A task of it was started, here or by an earlier owner. */
 	bool started;
+	/** When this owner last started a task of it; 0: it has not. */
+	uint64_t last_started_us;
 	/** Already handled in the current placement round. */
 	bool visited;
 	/** Core time, in millicore-microseconds, of waiting tasks that need the
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -270,6 +270,7 @@
 	batch->waiting--;
 	batch->request->possible_executor[index] = PH_EXECUTOR_NONE;
 	batch->started = true;
+	batch->last_started_us = now_us;
 	pool->counters.starts++;
 	command_init(pool, x, run, &command);
 	command.call_id = call_new(pool, x, run, false, now_us)->id;
