Make placement rounds cheap while many jobs wait

Each reply of an executor led to a placement round, whose work grew with the square of the number of waiting jobs (choice of the next batch, and the sum of the work ahead of each). Change: one round for all mail of a wake-up; batches are sorted once a round; the work ahead is a running sum; a batch that needs no less than one before it that found no executor isn't tried. Test: PoolLoad.ARoundWithManyWaitingJobsTakesFewComparisons.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -195,6 +195,17 @@
 		d->heartbeat_domain_due = true;
 }
 
+/* Called once for all mail of a wake-up: while many tasks wait, a placement
+ * round for each reply of an executor would take most of the CPU. */
+static void handle_pool_changes(struct ph_dispatcher *d, uint64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < d->pool_count; i++)
+		ph_pool_handle_changes(d->pools[i].pool, now_us);
+	ph_dispatcher_handle_local_messages(d);
+}
+
 static void tick(struct ph_dispatcher *d, uint64_t now_us)
 {
 	size_t i;
@@ -240,6 +251,7 @@
 			handle_mail(d, (struct mail *)mail, now_us);
 			mail = next;
 		}
+		handle_pool_changes(d, now_us);
 		if (now_us < d->last_tick_us + tick_us(d))
 			continue;
 		d->last_tick_us = now_us;
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -96,7 +96,6 @@
 	if (!pool)
 		return;
 	ph_pool_poll_done(pool, now_us, call_id, reply);
-	ph_pool_tick(pool, now_us);
 }
 
 void ph_dispatcher_command_done(struct ph_dispatcher *d, uint64_t now_us,
@@ -111,7 +110,6 @@
 		ph_pool_stop_done(pool, now_us, call_id, reply);
 	else
 		ph_pool_start_done(pool, now_us, call_id, reply);
-	ph_pool_tick(pool, now_us);
 }
 
 struct ph_dispatcher_domain *ph_dispatcher_domain(struct ph_dispatcher *d,
--- a/src/pool.c
+++ b/src/pool.c
@@ -80,6 +80,7 @@
 		batch_free(pool, b);
 	}
 	forget_cancelled(pool, UINT64_MAX);
+	pool->mem->free(pool->waiting);
 	while (pool->calls) {
 		struct ph_pending_command *c = pool->calls;
 
@@ -466,7 +467,6 @@
 	}
 	if (request->resumed)
 		ph_pool_claim_orphans(pool, now_us);
-	ph_pool_tick(pool, now_us);
 }
 
 void ph_pool_cancel(struct ph_pool *pool, uint64_t now_us,
@@ -481,7 +481,6 @@
 	ph_event(PART, "event=batch_cancelled job=%s tasks_left=%u",
 		 b->request->job, b->left);
 	batch_end(pool, b, now_us);
-	ph_pool_tick(pool, now_us);
 }
 
 void ph_pool_submitter_lost(struct ph_pool *pool, uint64_t now_us,
@@ -629,6 +628,12 @@
 		ph_pool_place(pool, now_us);
 }
 
+void ph_pool_handle_changes(struct ph_pool *pool, uint64_t now_us)
+{
+	if (pool->dirty)
+		ph_pool_tick(pool, now_us);
+}
+
 void ph_pool_measure(const struct ph_pool *pool, uint64_t now_us,
 		     struct ph_pool_load *load)
 {
--- a/src/pool.h
+++ b/src/pool.h
@@ -117,6 +117,12 @@
 /** Handles timeouts, lease renewals and starts; call at least every 20 ms. */
 void ph_pool_tick(struct ph_pool *pool, uint64_t now_us);
 
+/** Starts tasks for which there is room by what has changed since the last
+ * round, and refuses batches that cannot start in time. To be called after the
+ * functions above: once for many calls, since a round is expensive while many
+ * tasks wait. */
+void ph_pool_handle_changes(struct ph_pool *pool, uint64_t now_us);
+
 /** Load figures by which other instances choose a pool for a job. */
 struct ph_pool_load {
 	uint32_t executors;
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -48,8 +48,10 @@
 	bool started;
 	/** When this owner last started a task of it; 0: it has not. */
 	uint64_t last_started_us;
-	/** Already handled in the current placement round. */
-	bool visited;
+	/** What a task needed that found no executor in the last placement
+	 * round, this batch's or one's before it that needs the same
+	 * executors; NULL: all found one. Valid during the round. */
+	const struct ph_capacity *blocked;
 	/** Core time, in millicore-microseconds, of waiting tasks that need the
 	 * same executors and precede this batch; as of the last round. */
 	uint64_t ahead_milli_us;
@@ -186,6 +188,10 @@
 	uint64_t last_call;
 	struct ph_executor *executors;
 	struct ph_batch *batches;
+	/** Working array of a placement round: the batches that have waiting
+	 * tasks, and its size in entries. */
+	struct ph_batch **waiting;
+	size_t waiting_size;
 	struct ph_pending_command *calls;
 	/** Ring buffer. */
 	struct ph_orphaned_end orphaned_ends[PH_ORPHANED_ENDS];
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "log.h"
@@ -249,8 +250,9 @@
 	return false;
 }
 
-/* Starts the waiting tasks of a batch until one finds no executor. */
-static void place_batch(struct ph_pool *pool, struct ph_batch *b,
+/* Starts the waiting tasks of a batch until one finds no executor. Returns
+ * false in this case. */
+static bool place_batch(struct ph_pool *pool, struct ph_batch *b,
 			uint64_t now_us)
 {
 	uint32_t i;
@@ -258,30 +260,91 @@
 	for (i = 0; i < b->request->count && b->waiting; i++) {
 		struct ph_executor *x;
 
-		if (b->tasks[i].state != PH_BATCH_TASK_WAITING ||
-		    !earlier_run_gone(pool, b, i, now_us) ||
-		    has_run(pool, b->request->job, i))
+		if (b->tasks[i].state != PH_BATCH_TASK_WAITING)
 			continue;
 		x = choose_executor(pool, b, now_us);
 		if (!x)
-			return;
-		ph_run_start(pool, x, b, i, now_us);
+			return false;
+		if (earlier_run_gone(pool, b, i, now_us) &&
+		    !has_run(pool, b->request->job, i))
+			ph_run_start(pool, x, b, i, now_us);
 	}
+	return true;
 }
 
-static struct ph_batch *next_batch(struct ph_pool *pool, uint64_t now_us)
+/* The context of a comparison of two batches. */
+struct order {
+	const struct ph_scheduling_policy *policy;
+	uint64_t now_us;
+};
+
+static int compare_batches(const void *a, const void *b, void *ctx)
 {
-	const struct ph_scheduling_policy *policy = pool->opt.policy;
-	struct ph_batch *best = NULL;
+	const struct ph_batch *x = *(const struct ph_batch *const *)a;
+	const struct ph_batch *y = *(const struct ph_batch *const *)b;
+	const struct order *order = ctx;
+
+	if (order->policy->before(x, y, order->now_us))
+		return -1;
+	return order->policy->before(y, x, order->now_us);
+}
+
+/* Fills pool->waiting with the batches that have waiting tasks, in the order of
+ * the policy, and returns their number. */
+static size_t sort_waiting(struct ph_pool *pool, uint64_t now_us)
+{
+	struct order order = { pool->opt.policy, now_us };
 	struct ph_batch *b;
+	size_t n = 0;
 
-	for (b = pool->batches; b; b = b->next) {
-		if (b->visited || !b->waiting)
-			continue;
-		if (!best || policy->before(b, best, now_us))
-			best = b;
+	for (b = pool->batches; b; b = b->next)
+		n += b->waiting > 0;
+	if (n > pool->waiting_size) {
+		pool->waiting_size = 2 * n;
+		pool->waiting = pool->mem->realloc(
+			pool->waiting,
+			pool->waiting_size * sizeof(struct ph_batch *));
 	}
-	return best;
+	n = 0;
+	for (b = pool->batches; b; b = b->next)
+		if (b->waiting)
+			pool->waiting[n++] = b;
+	if (n)
+		qsort_r(pool->waiting, n, sizeof(struct ph_batch *),
+			compare_batches, &order);
+	return n;
+}
+
+/* Whether two batches need executors of the same kind. */
+static bool same_executors(const struct ph_batch_request *a,
+			   const struct ph_batch_request *b)
+{
+	return !strcmp(a->service, b->service) && !strcmp(a->label, b->label);
+}
+
+/* The last batch before index i in the order that needs the same executors;
+ * NULL if there is none. */
+static const struct ph_batch *predecessor(const struct ph_pool *pool, size_t i)
+{
+	const struct ph_batch_request *w = pool->waiting[i]->request;
+	size_t k = i;
+
+	while (k--)
+		if (same_executors(pool->waiting[k]->request, w))
+			return pool->waiting[k];
+	return NULL;
+}
+
+/* Whether a batch finds no executor, since one that precedes it and needs no
+ * more has found none. */
+static bool blocked(const struct ph_batch *b, const struct ph_batch *before)
+{
+	const struct ph_capacity *need = &b->request->need;
+
+	return before && before->blocked &&
+	       need->cpu_milli >= before->blocked->cpu_milli &&
+	       need->mem_mb >= before->blocked->mem_mb &&
+	       need->gpu >= before->blocked->gpu;
 }
 
 /* True if the executor may turn out to be usable: this owner has sent its first
@@ -308,45 +371,43 @@
 	return sum;
 }
 
-/* Core time of waiting tasks that precede a batch in this round and need the
- * same service and label; tasks for other executors need not delay it. */
-static uint64_t core_time_ahead(const struct ph_pool *pool,
-				const struct ph_batch *batch)
+/* Core time of the waiting tasks of a batch, and of those ahead of it. */
+static uint64_t core_time_up_to(const struct ph_batch *b)
 {
-	const struct ph_batch_request *w = batch->request;
-	const struct ph_batch *b;
-	uint64_t sum = 0;
+	return b->ahead_milli_us + (uint64_t)b->waiting *
+					   b->request->need.cpu_milli *
+					   b->request->estimate_us;
+}
 
-	for (b = pool->batches; b; b = b->next)
-		if (b != batch && b->visited &&
-		    !strcmp(b->request->service, w->service) &&
-		    !strcmp(b->request->label, w->label))
-			sum += (uint64_t)b->waiting *
-			       b->request->need.cpu_milli *
-			       b->request->estimate_us;
-	return sum;
+/* Places the batch at index i in the order, and notes what is ahead of it.
+ * Tasks for other executors are not: they need not delay it. */
+static void place_in_turn(struct ph_pool *pool, size_t i, uint64_t now_us)
+{
+	struct ph_batch *b = pool->waiting[i];
+	const struct ph_batch *before = predecessor(pool, i);
+
+	b->blocked = before ? before->blocked : NULL;
+	if (!blocked(b, before) && !place_batch(pool, b, now_us))
+		b->blocked = &b->request->need;
+	b->ahead_milli_us = before ? core_time_up_to(before) : 0;
+	b->possible_milli = before ? before->possible_milli : 0;
+	if (b->ahead_milli_us && !b->possible_milli)
+		b->possible_milli =
+			possible_milli(pool, b->request->service, now_us);
 }
 
 void ph_pool_place(struct ph_pool *pool, uint64_t now_us)
 {
-	struct ph_batch *b;
+	size_t count;
+	size_t i;
 
 	/* A refused token means that another instance may own the pool. */
 	if (pool->fenced)
 		return;
 	update_widespread_loss(pool, now_us);
-	for (b = pool->batches; b; b = b->next)
-		b->visited = false;
-	while ((b = next_batch(pool, now_us))) {
-		b->visited = true;
-		place_batch(pool, b, now_us);
-		b->ahead_milli_us = b->waiting ? core_time_ahead(pool, b) : 0;
-		b->possible_milli =
-			b->ahead_milli_us
-				? possible_milli(pool, b->request->service,
-						 now_us)
-				: 0;
-	}
+	count = sort_waiting(pool, now_us);
+	for (i = 0; i < count; i++)
+		place_in_turn(pool, i, now_us);
 	pool->dirty = false;
 	pool->placed_us = now_us;
 }
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -446,6 +446,7 @@
 	cpu_of[w->job] = w->need.cpu_milli;
 	requests[seq] = *w;
 	ph_pool_submit(owner->pool, now_us, "submitter", seq, w);
+	ph_pool_handle_changes(owner->pool, now_us);
 	return seq;
 }
 
@@ -485,6 +486,7 @@
 		       sizeof(w->possible_executor));
 	}
 	ph_pool_submit(to->pool, now_us, "submitter", seq, w);
+	ph_pool_handle_changes(to->pool, now_us);
 }
 
 bool World::ended(const Owner *owner, uint64_t seq, ph_verdict verdict) const
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -445,6 +445,37 @@
 	EXPECT_GE(refused_at_once, kJobs - 2 * kStartable);
 }
 
+int comparisons;
+
+bool counted_before(const ph_batch *a, const ph_batch *b, uint64_t now_us)
+{
+	comparisons++;
+	return ph_scheduling_slack.before(a, b, now_us);
+}
+
+/* All callers come back after an outage, and each answer of an executor changes
+ * the state. The work for that must not grow with the square of the number of
+ * waiting jobs, or the owner spends its CPU on it while executors are idle. */
+TEST(PoolLoad, ARoundWithManyWaitingJobsTakesFewComparisons)
+{
+	constexpr int kJobs = 1000;
+	/* Two calls for each of n log2 n comparisons. */
+	constexpr int kComparisonsMax = 2 * kJobs * 10;
+	static const ph_scheduling_policy counted = { "counted",
+						      counted_before };
+	World w(2, 16000);
+	Owner *o = ready_owner(&w, &counted);
+
+	for (int i = 0; i < kJobs; i++)
+		w.submit(o, "j" + std::to_string(i), 2, 10 * kMs, 10 * kMs,
+			 60000 * kMs, 60000 * kMs);
+	comparisons = 0;
+	w.run_until(w.now_us + 1 * kTickUs);
+	EXPECT_GT(comparisons, 0);
+	/* A tick, and no more than the rounds that its events call for. */
+	EXPECT_LE(comparisons, kComparisonsMax);
+}
+
 /* A pool gets an owner while many jobs wait for one, and one of its executors
  * answers before the others. The capacity of those that were polled and have
  * not answered yet counts when a job's wait is estimated: all jobs are served.
