--- a/src/cluster.h
+++ b/src/cluster.h
@@ -181,10 +181,11 @@
 
 /**
  * An executor rejected this instance's fencing token for a pool. Releases the
- * pool or acquires it again under a higher token.
+ * pool or acquires it again under a higher token. accepted: most executors of
+ * the pool have accepted this token before.
  */
 void ph_cluster_fenced(struct ph_cluster *cluster, uint64_t now_us,
-		       uint64_t unix_ms, const char *pool,
+		       uint64_t unix_ms, const char *pool, bool accepted,
 		       const struct ph_cluster_sink *sink, void *ctx);
 
 /**
--- a/src/pool.c
+++ b/src/pool.c
@@ -105,6 +105,19 @@
 	return pool->fenced;
 }
 
+bool ph_pool_token_accepted(const struct ph_pool *pool)
+{
+	const struct ph_executor *x;
+	uint32_t listed = 0;
+	uint32_t accepted = 0;
+
+	for (x = pool->executors; x; x = x->next) {
+		listed += x->listed;
+		accepted += x->listed && x->polled;
+	}
+	return accepted * 2 > listed;
+}
+
 const struct ph_pool_counters *ph_pool_counters(const struct ph_pool *pool)
 {
 	return &pool->counters;
--- a/src/pool.h
+++ b/src/pool.h
@@ -75,6 +75,10 @@
  * the owner acquires the pool again with a higher one. */
 bool ph_pool_fenced(const struct ph_pool *pool);
 
+/** True if most executors have accepted the token that the owner last acquired
+ * the pool with. One that has restarted accepts any. */
+bool ph_pool_token_accepted(const struct ph_pool *pool);
+
 /**
  * Replaces the list of the pool's executors. Returns true while executors that
  * have left the list are still tracked; the caller then repeats the update.
