--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -177,7 +177,8 @@
 {
 	if (!d->stopping)
 		return false;
-	if (now_us >= ph_dispatcher_stop_deadline_us(d))
+	if (now_us >=
+	    ph_dispatcher_stop_deadline_us(d) + PH_DISPATCHER_LINGER_US)
 		return true;
 	if (owns_any(d) || ph_submitter_count(d->submitter) ||
 	    d->platform->open_requests(d->platform_ctx))
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -168,7 +168,7 @@
 
 /* ## dispatcher_jobs.c */
 
-/** When a stopping process exits at the latest. */
+/** When a stopping process ends all open jobs. */
 uint64_t ph_dispatcher_stop_deadline_us(const struct ph_dispatcher *d);
 
 #endif
--- a/src/dispatcher_jobs.c
+++ b/src/dispatcher_jobs.c
@@ -5,8 +5,9 @@
 #include "log.h"
 #include "dispatcher_impl.h"
 
-/* End of the grace time that is kept for closing the sockets. */
-#define GRACE_MARGIN_US 400000U
+/* End of the grace time that is kept for the answers to jobs that have to be
+ * ended, and for closing the sockets. */
+#define GRACE_MARGIN_US 700000U
 
 /* ## Submitter callbacks */
 
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -84,7 +84,7 @@
 	uint64_t last_seq;
 	struct job *jobs;
 	struct cancellation *cancellations;
-	/** When this process exits at the latest; 0: it is not stopping. */
+	/** When this process has to end all jobs; 0: it is not stopping. */
 	uint64_t end_us;
 	/** What this instance sent to each pool since its owner's last
 	 * heartbeat, by index of the pool. */
@@ -631,17 +631,23 @@
 	}
 }
 
-void ph_submitter_paused(struct ph_submitter *s, uint64_t now_us)
+/* Cancels all jobs and answers them. */
+static void end_all(struct ph_submitter *s, const char *reason, uint64_t now_us)
 {
 	while (s->jobs) {
 		struct job *j = s->jobs;
 
 		if (!j->waiting_for_owner && !j->waiting_for_first_owner)
 			cancel(s, j, now_us);
-		answer(s, j, PH_JOB_UNKNOWN, 0, "process was paused", now_us);
+		answer(s, j, PH_JOB_UNKNOWN, 0, reason, now_us);
 	}
 }
 
+void ph_submitter_paused(struct ph_submitter *s, uint64_t now_us)
+{
+	end_all(s, "process was paused", now_us);
+}
+
 /* ## Time */
 
 /* Resumes a batch at the pool's new owner, which claims the orphaned runs of
@@ -710,5 +716,7 @@
 		job_tick(s, j, now_us);
 		j = next;
 	}
+	if (s->end_us && now_us >= s->end_us)
+		end_all(s, "instance has to exit", now_us);
 	resend_cancellations(s, now_us);
 }
--- a/src/submitter.h
+++ b/src/submitter.h
@@ -109,8 +109,8 @@
 void ph_submitter_result(struct ph_submitter *submitter, uint64_t now_us,
 			 uint64_t seq, const struct ph_result *result);
 
-/** The process is stopping and exits at end_us at the latest: refuses jobs that
- * may take longer. */
+/** The process is stopping: refuses jobs that may not end before end_us, and at
+ * that time cancels those that are open and answers them with PH_JOB_UNKNOWN. */
 void ph_submitter_stopping(struct ph_submitter *submitter, uint64_t end_us);
 
 /** The process was paused (frozen or suspended): cancels all jobs and answers
--- a/test/test_submitter.cc
+++ b/test/test_submitter.cc
@@ -366,6 +366,28 @@
 	EXPECT_GT(f.answers[0].retry_after_us, 0U);
 }
 
+/* A job takes longer than expected while its instance stops. The caller gets an
+ * answer before the process exits, not a closed connection. */
+TEST(Submitter, AStoppingInstanceAnswersOpenJobsBeforeItExits)
+{
+	constexpr uint64_t kTimeLeftUs = 600 * kMs;
+	Fixture f;
+
+	f.receive_heartbeat("n2", "north", 5, 64000);
+	f.submit(1);
+	ph_submitter_accepted(f.submitter, f.sent.back().seq);
+	ph_submitter_stopping(f.submitter, f.now_us + kTimeLeftUs);
+	for (uint64_t t = 0; t + 20 * kMs < kTimeLeftUs; t += 20 * kMs) {
+		f.receive_heartbeat("n2", "north", 5, 64000);
+		f.advance(20 * kMs);
+	}
+	EXPECT_TRUE(f.answers.empty());
+	f.advance(20 * kMs);
+	ASSERT_EQ(f.answers.size(), 1U);
+	EXPECT_EQ(f.answers[0].outcome, PH_JOB_UNKNOWN);
+	EXPECT_EQ(f.sent.back().type, PH_POOLMSG_CANCEL);
+}
+
 TEST(Submitter, DuringStartUpAJobWaitsForTheFirstOwnerOfAPool)
 {
 	for (bool owner_comes : { true, false }) {
