Move tasks off slow executors by their progress

Change: src/pool_progress.c decides by the progress that a poll reports whether the task would end in half the time elsewhere; the poll returns when the first run should have ended. Test: PoolLoad.ATaskOnASlowExecutorEndsInTimeElsewhere fails without.

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -289,6 +289,15 @@
 void ph_poll_send(struct ph_pool *pool, struct ph_executor *executor,
 		  uint64_t now_us);
 
+/* ## pool_progress.c */
+
+/** When the progress of a batch's run should be looked at next. */
+uint64_t ph_progress_check_us(const struct ph_run *run, uint64_t now_us);
+/** Whether the task of a batch's run would end much sooner on another executor,
+ * by the progress that was last reported. */
+bool ph_progress_worth_move(const struct ph_pool *pool,
+			    const struct ph_run *run, uint64_t now_us);
+
 /* ## pool_probe.c */
 
 /** Handles the answer to a probe. */
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -39,6 +39,28 @@
 #define PERCENT 100U
 #define PERMILLE 1000U
 
+/* Longest wait of a poll: until the progress of one of the executor's runs has
+ * to be looked at. */
+static uint64_t wait_us(const struct ph_pool *pool, const struct ph_executor *x,
+			uint64_t now_us)
+{
+	uint64_t wait_us = pool->opt.lease_us /
+			   (pool->short_polls ? SHORT_POLL_WAIT_DIVISOR
+					      : POLL_WAIT_DIVISOR);
+	const struct ph_run *run;
+
+	for (run = x->runs; run; run = run->next) {
+		uint64_t check_us;
+
+		if (!run->batch || run->state == PH_RUN_STOPPING)
+			continue;
+		check_us = ph_progress_check_us(run, now_us);
+		if (check_us < now_us + wait_us)
+			wait_us = check_us - now_us;
+	}
+	return wait_us;
+}
+
 /* A poll after a failed one doesn't renew the lease: it might arrive and its
  * answer be lost, but the time at which the runs' leases expire has to be
  * certain. */
@@ -58,9 +80,7 @@
 				  : ph_pool_timeout_us(pool);
 	if (x->polled && !x->poll_failures) {
 		poll.lease_until_ms = ph_lease_end(pool, x, now_us);
-		poll.wait_us = pool->opt.lease_us /
-			       (pool->short_polls ? SHORT_POLL_WAIT_DIVISOR
-						  : POLL_WAIT_DIVISOR);
+		poll.wait_us = wait_us(pool, x, now_us);
 	}
 	pool->counters.polls++;
 	pool->opt.sink->poll(pool->opt.ctx, &poll);
@@ -163,10 +183,7 @@
 	struct ph_batch_task *task;
 
 	if (!run->batch || run->state != PH_RUN_RUNNING ||
-	    !too_slow(run, elapsed_us))
-		return;
-	/* More than half done: likely to end sooner than a new run. */
-	if (run->percent > PERCENT / 2)
+	    !ph_progress_worth_move(pool, run, now_us))
 		return;
 	task = &run->batch->tasks[run->index];
 	if (task->moves >= MAX_MOVES ||
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -307,6 +307,38 @@
 	}
 }
 
+/* An executor turns slow, or its tasks stand still. The poll that waits for its
+ * ends returns when a run should have ended; by the progress that it reports
+ * the task is restarted elsewhere, early enough for the latency target of a job
+ * that has waited for nothing else. */
+TEST(PoolLoad, ATaskOnASlowExecutorEndsInTimeElsewhere)
+{
+	const SlowCase cases[] = {
+		{ "seven times as slow", 7.0, 0 },
+		{ "tasks make no progress", 10000.0, 0 },
+	};
+
+	for (const SlowCase &c : cases) {
+		SCOPED_TRACE(c.what);
+		World w(4, 16000);
+		Owner *o = ready_owner(&w);
+		uint64_t target = 400 * kMs;
+		uint64_t sent;
+		uint64_t seq;
+
+		w.executors.back().slow = c.slow;
+		/* Two tasks on each executor. */
+		sent = w.now_us;
+		seq = w.submit(o, "a", 6, 120 * kMs, 120 * kMs, target,
+			       kCallerTimeout);
+		w.run_until(sent + 1500 * kMs);
+		ASSERT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+		EXPECT_LE(o->result_us[seq], sent + target);
+		EXPECT_EQ(w.starts, 8);
+		EXPECT_EQ(w.concurrent_runs, 0);
+	}
+}
+
 /* Seven of twelve executors fail all their runs. Widespread loss of calls
  * doesn't apply to failed runs, so the executors are avoided and few jobs run
  * out of attempts. */
