--- a/src/cluster.h
+++ b/src/cluster.h
@@ -8,6 +8,7 @@
  * has no instances are taken over by instances of other domains.
  */
 
+#include "mechanisms.h"
 #include "poolmsg.h"
 
 struct ph_cluster;
@@ -28,6 +29,8 @@
 	uint64_t start_us;
 	/** CPU that this instance may use, in thousandths of a core. */
 	uint32_t cpu_milli;
+	/** What an experiment has switched off. */
+	struct ph_mechanisms_off off;
 };
 
 /** A peer of which at least one heartbeat has been received. */
--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -378,11 +378,15 @@
 
 	for (i = 0; i < count; i++)
 		same_domain += !strcmp(list[i].domain, cluster->opt.domain);
-	cluster->plan_shared = same_domain >= PLAN_MIN_INSTANCES;
+	cluster->plan_shared =
+		same_domain >= PLAN_MIN_INSTANCES &&
+		ph_mechanism_on(cluster->opt.off, PH_MECHANISM_SHARED_PLAN);
 	/* The shared plan of a large domain spreads its pools over all
 	 * instances instead of waiting for as few as possible. */
-	for (i = 0; cluster->plan_shared && i < count; i++)
-		list[i].rank.ready = true;
+	if (cluster->plan_shared ||
+	    !ph_mechanism_on(cluster->opt.off, PH_MECHANISM_READY_FIRST))
+		for (i = 0; i < count; i++)
+			list[i].rank.ready = true;
 	for (i = 0; i < cluster->pool_count; i++) {
 		struct ph_pool_claim *p = &cluster->pools[cluster->by_name[i]];
 		struct candidate *c;
@@ -515,6 +519,7 @@
 	 * partition heals. So the wait begins when they can be reached. */
 	if (!p->vacant || (minority && p->yielded) ||
 	    (!in_domain && p->assigned_to_self &&
+	     ph_mechanism_on(cluster->opt.off, PH_MECHANISM_PROBES) &&
 	     !sink->reaches(ctx, p->name))) {
 		p->vacant_since_us = 0;
 		return;
@@ -565,6 +570,7 @@
 	size_t i;
 
 	if (cluster->leaving ||
+	    !ph_mechanism_on(cluster->opt.off, PH_MECHANISM_OFFERS) ||
 	    now_us < cluster->last_offer_us + OFFER_INTERVAL_US ||
 	    now_us < cluster->last_claim_us + OFFER_INTERVAL_US ||
 	    !peer_has_spare_capacity(cluster, now_us))
--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -159,6 +159,7 @@
 					uint64_t caller_timeout_us)
 {
 	return !d->stopping &&
+	       ph_mechanism_on(d->settings.off, PH_MECHANISM_START_WAIT) &&
 	       ph_startup_may_wait(d->startup_end_us, now_us, arrived_us,
 				   caller_timeout_us);
 }
@@ -315,14 +316,18 @@
 		.suspect_us = d->settings.suspect_us,
 		.start_us = ph_clock_us(),
 		.cpu_milli = d->settings.cpu_milli,
+		.off = d->settings.off,
 	};
 	struct ph_submitter_options submitter = {
 		.mem = d->mem,
 		.name = d->settings.name,
 		.domain = d->settings.domain,
-		.policy = &ph_pool_choice_spread,
+		.policy = ph_mechanism_on(d->settings.off, PH_MECHANISM_SPREAD)
+				  ? &ph_pool_choice_spread
+				  : &ph_pool_choice_wait,
 		.first_seq = d->incarnation << INCARNATION_SHIFT,
 		.startup_end_us = d->startup_end_us,
+		.off = d->settings.off,
 		.sink = &ph_dispatcher_submitter_sink,
 		.ctx = d,
 	};
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -64,6 +64,8 @@
 	/** Age of the list of executors at which this instance reads it itself,
 	 * although another reads it for the domain. */
 	uint64_t list_age_us;
+	/** What an experiment has switched off. */
+	struct ph_mechanisms_off off;
 };
 
 /** Creates a dispatcher and binds the port for its peers. The strings in
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -56,7 +56,11 @@
 	struct ph_pool_options options = {
 		.mem = d->mem,
 		.name = pool_name,
-		.policy = &ph_scheduling_slack,
+		.policy = ph_mechanism_on(d->settings.off,
+					  PH_MECHANISM_SLACK_ORDER)
+				  ? &ph_scheduling_slack
+				  : &ph_scheduling_fifo,
+		.off = d->settings.off,
 		.lease_us = d->settings.lease_us,
 		.stop_us = d->settings.stop_us,
 		.first_call = (uint64_t)d->pool_count << PH_POOL_CALL_SHIFT,
--- a/src/pool.c
+++ b/src/pool.c
@@ -300,7 +300,8 @@
 	while (b) {
 		struct ph_batch *next = b->next;
 
-		if (b->request->resumed && b->waiting)
+		if (b->request->resumed && b->waiting &&
+		    ph_mechanism_on(pool->opt.off, PH_MECHANISM_CLAIM_ORPHANS))
 			claim_orphans(pool, b, now_us);
 		b = next;
 	}
@@ -340,13 +341,15 @@
 /* Latest first start of a batch. It is bounded by the time that is left before
  * its result is of no use, by the caller's timeout less the declared run time,
  * and by the part of the timeout after which another pool should be tried. */
-static uint64_t last_start_us(const struct ph_batch *b)
+static uint64_t last_start_us(const struct ph_pool *pool,
+			      const struct ph_batch *b)
 {
 	const struct ph_batch_request *w = b->request;
 	uint64_t wait_us = w->caller_timeout_us * MAX_WAIT_PERCENT / 100;
 	uint64_t useful_us = ph_batch_request_max_useful_wait_us(w);
 
-	if (useful_us < wait_us)
+	if (ph_mechanism_on(pool->opt.off, PH_MECHANISM_USEFUL_WAIT) &&
+	    useful_us < wait_us)
 		wait_us = useful_us;
 	if (w->caller_timeout_us < w->estimate_us + wait_us)
 		wait_us = w->caller_timeout_us > w->estimate_us
@@ -358,19 +361,22 @@
 /* Lower bound of the time until the tasks ahead of a batch have been started:
  * assumes that all executors that may be usable run only these, faster than
  * declared. */
-static uint64_t min_wait_us(const struct ph_batch *b)
+static uint64_t min_wait_us(const struct ph_pool *pool,
+			    const struct ph_batch *b)
 {
-	if (!b->possible_milli)
+	if (!b->possible_milli ||
+	    !ph_mechanism_on(pool->opt.off, PH_MECHANISM_EARLY_REFUSAL))
 		return 0;
 	return b->ahead_milli_us * MIN_RUN_TIME_PERCENT / 100 /
 	       b->possible_milli;
 }
 
-static bool batch_overdue(const struct ph_batch *b, uint64_t now_us)
+static bool batch_overdue(const struct ph_pool *pool, const struct ph_batch *b,
+			  uint64_t now_us)
 {
 	if (b->started)
 		return now_us >= b->arrived_us + b->request->caller_timeout_us;
-	return now_us + min_wait_us(b) >= last_start_us(b);
+	return now_us + min_wait_us(pool, b) >= last_start_us(pool, b);
 }
 
 static void batch_expire(struct ph_pool *pool, struct ph_batch *b,
@@ -633,7 +639,7 @@
 	while (b) {
 		struct ph_batch *next = b->next;
 
-		if (batch_overdue(b, now_us))
+		if (batch_overdue(pool, b, now_us))
 			batch_expire(pool, b, now_us);
 		b = next;
 	}
--- a/src/pool.h
+++ b/src/pool.h
@@ -8,6 +8,7 @@
  * calls: this code reads no clock and opens no socket.
  */
 
+#include "mechanisms.h"
 #include "pool_types.h"
 
 struct ph_pool;
@@ -50,6 +51,8 @@
 	uint64_t lease_us;
 	/** Longest time from a stop's acknowledgement to the end of the run. */
 	uint64_t stop_us;
+	/** What an experiment has switched off. */
+	struct ph_mechanisms_off off;
 	/** Call ids are assigned in increasing order, starting above this. */
 	uint64_t first_call;
 	const struct ph_pool_sink *sink;
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -172,8 +172,10 @@
  * says too little. */
 uint64_t ph_pool_timeout_us(const struct ph_pool *pool)
 {
-	bool some_lost = pool->short_polls &&
-			 pool->lost_polls_permille < UNRELIABLE_LOST_PERMILLE;
+	bool some_lost =
+		ph_mechanism_on(pool->opt.off, PH_MECHANISM_SHORT_TIMEOUT) &&
+		pool->short_polls &&
+		pool->lost_polls_permille < UNRELIABLE_LOST_PERMILLE;
 
 	return timeout_us(some_lost ? pool->answered_call_us : pool->call_us);
 }
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -99,8 +99,12 @@
 bool ph_executor_usable(const struct ph_pool *pool, const struct ph_executor *x,
 			uint64_t now_us)
 {
-	return reachable(pool, x, now_us) && now_us >= x->faults.until_us &&
-	       (now_us >= x->unanswered.until_us || pool->widespread_loss);
+	return reachable(pool, x, now_us) &&
+	       (now_us >= x->faults.until_us ||
+		!ph_mechanism_on(pool->opt.off, PH_MECHANISM_AVOID_FAILING)) &&
+	       (now_us >= x->unanswered.until_us || pool->widespread_loss ||
+		!ph_mechanism_on(pool->opt.off,
+				 PH_MECHANISM_AVOID_UNANSWERING));
 }
 
 /* Decides whether unanswered commands count against the executors or are
@@ -118,7 +122,9 @@
 		all++;
 		losing += x->unanswered.count > 0;
 	}
-	widespread = losing * PERCENT > all * WIDESPREAD_LOSS_PERCENT;
+	widespread =
+		losing * PERCENT > all * WIDESPREAD_LOSS_PERCENT &&
+		ph_mechanism_on(pool->opt.off, PH_MECHANISM_WIDESPREAD_LOSS);
 	if (widespread != pool->widespread_loss)
 		ph_event(PART,
 			 "event=call_loss_%s pool=%s executors_with_loss=%u "
@@ -145,8 +151,14 @@
 static uint32_t failures(const struct ph_pool *pool,
 			 const struct ph_executor *x)
 {
-	return x->faults.count +
-	       (pool->widespread_loss ? 0 : x->unanswered.count);
+	uint32_t n = 0;
+
+	if (ph_mechanism_on(pool->opt.off, PH_MECHANISM_AVOID_FAILING))
+		n += x->faults.count;
+	if (ph_mechanism_on(pool->opt.off, PH_MECHANISM_AVOID_UNANSWERING) &&
+	    !pool->widespread_loss)
+		n += x->unanswered.count;
+	return n;
 }
 
 /* The executor with the lowest rank is chosen: first by the number of failures,
@@ -349,9 +361,11 @@
 
 /* True if the executor may turn out to be usable: this owner has sent its first
  * poll there and waits for the answer. */
-static bool first_poll_pending(const struct ph_executor *x)
+static bool first_poll_pending(const struct ph_pool *pool,
+			       const struct ph_executor *x)
 {
-	return x->listed && !x->polled && !x->poll_failures &&
+	return ph_mechanism_on(pool->opt.off, PH_MECHANISM_PENDING_POLLS) &&
+	       x->listed && !x->polled && !x->poll_failures &&
 	       !x->info.draining;
 }
 
@@ -366,7 +380,7 @@
 	for (x = pool->executors; x; x = x->next)
 		if (!strcmp(x->info.service, service) &&
 		    (ph_executor_usable(pool, x, now_us) ||
-		     first_poll_pending(x)))
+		     first_poll_pending(pool, x)))
 			sum += x->info.capacity.cpu_milli;
 	return sum;
 }
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -52,7 +52,9 @@
 	for (run = x->runs; run; run = run->next) {
 		uint64_t check_us;
 
-		if (!run->batch || run->state == PH_RUN_STOPPING)
+		if (!ph_mechanism_on(pool->opt.off,
+				     PH_MECHANISM_PROGRESS_CHECKS) ||
+		    !run->batch || run->state == PH_RUN_STOPPING)
 			continue;
 		check_us = ph_progress_check_us(run, now_us);
 		if (check_us < now_us + wait_us)
@@ -95,7 +97,8 @@
 		 (lost ? PERMILLE : 0)) /
 		POLL_WEIGHT;
 	pool->short_polls =
-		pool->lost_polls_permille > SHORT_POLL_LOST_PERMILLE;
+		pool->lost_polls_permille > SHORT_POLL_LOST_PERMILLE &&
+		ph_mechanism_on(pool->opt.off, PH_MECHANISM_SHORT_POLLS);
 	if (pool->short_polls != before)
 		ph_event(PART, "event=polls_%s pool=%s lost_polls_permille=%u",
 			 before ? "long" : "short", pool->opt.name,
@@ -183,6 +186,7 @@
 	struct ph_batch_task *task;
 
 	if (!run->batch || run->state != PH_RUN_RUNNING ||
+	    !ph_mechanism_on(pool->opt.off, PH_MECHANISM_MOVE_SLOW) ||
 	    !ph_progress_worth_move(pool, run, now_us))
 		return;
 	task = &run->batch->tasks[run->index];
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -463,6 +463,13 @@
 	job_free(s, j);
 }
 
+static uint32_t pools_tried_max(const struct ph_submitter *s)
+{
+	return ph_mechanism_on(s->opt.off, PH_MECHANISM_SECOND_POOL)
+		       ? POOLS_TRIED_MAX
+		       : 1;
+}
+
 static uint64_t retry_after_us(const struct job *j)
 {
 	return j->retry_after_us ? j->retry_after_us : NO_POOL_RETRY_AFTER_US;
@@ -483,9 +490,10 @@
 		       now_us);
 		return;
 	}
-	if (j->pools_tried >= POOLS_TRIED_MAX ||
+	if (j->pools_tried >= pools_tried_max(s) ||
 	    !choose_pool(s, j, now_us, &i)) {
 		if (!j->pools_tried &&
+		    ph_mechanism_on(s->opt.off, PH_MECHANISM_START_WAIT) &&
 		    ph_startup_may_wait(s->opt.startup_end_us, now_us,
 					j->arrived_us,
 					j->batch->caller_timeout_us)) {
--- a/src/submitter.h
+++ b/src/submitter.h
@@ -84,6 +84,8 @@
 	/** End of the start-up phase, in which pools may have no owner yet; see
 	 * startup.h. */
 	uint64_t startup_end_us;
+	/** What an experiment has switched off. */
+	struct ph_mechanisms_off off;
 	const struct ph_submitter_sink *sink;
 	void *ctx;
 };
@@ -110,7 +112,8 @@
 			 uint64_t seq, const struct ph_result *result);
 
 /** The process is stopping: refuses jobs that may not end before end_us, and at
- * that time cancels those that are open and answers them with PH_JOB_UNKNOWN. */
+ * that time cancels those that are open and answers them with PH_JOB_UNKNOWN.
+ */
 void ph_submitter_stopping(struct ph_submitter *submitter, uint64_t end_us);
 
 /** The process was paused (frozen or suspended): cancels all jobs and answers
