Leave a margin for run times in the order of starts

Change: a job counts as in time for three quarters of its slack; policy last-moment keeps the old rule for comparisons.

--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -49,6 +49,16 @@
 	return NULL;
 }
 
+static const struct ph_scheduling_policy *
+scheduling_policy(const struct ph_dispatcher *d)
+{
+	if (!ph_mechanism_on(d->settings.off, PH_MECHANISM_SLACK_ORDER))
+		return &ph_scheduling_fifo;
+	return ph_mechanism_on(d->settings.off, PH_MECHANISM_SLACK_MARGIN)
+		       ? &ph_scheduling_slack
+		       : &ph_scheduling_last_moment;
+}
+
 /* Creates a pool. The upper bits of its call ids are its index. */
 static void pool_add(struct ph_dispatcher *d, const char *pool_name)
 {
@@ -56,10 +66,7 @@
 	struct ph_pool_options options = {
 		.mem = d->mem,
 		.name = pool_name,
-		.policy = ph_mechanism_on(d->settings.off,
-					  PH_MECHANISM_SLACK_ORDER)
-				  ? &ph_scheduling_slack
-				  : &ph_scheduling_fifo,
+		.policy = scheduling_policy(d),
 		.off = d->settings.off,
 		.lease_us = d->settings.lease_us,
 		.stop_us = d->settings.stop_us,
--- a/src/mechanisms.c
+++ b/src/mechanisms.c
@@ -5,6 +5,7 @@
 
 static const char *const names[PH_MECHANISMS] = {
 	[PH_MECHANISM_SLACK_ORDER] = "slack-order",
+	[PH_MECHANISM_SLACK_MARGIN] = "slack-margin",
 	[PH_MECHANISM_EARLY_REFUSAL] = "early-refusal",
 	[PH_MECHANISM_USEFUL_WAIT] = "useful-wait",
 	[PH_MECHANISM_PENDING_POLLS] = "pending-polls",
--- a/src/pool.h
+++ b/src/pool.h
@@ -34,10 +34,13 @@
 		       uint64_t now_us);
 };
 
-/** Least slack first: earliest latest start that still meets the latency
- * target. Started batches precede others; batches that can no longer meet
- * their target come last. */
+/** Least slack first: earliest latest start that is likely to meet the latency
+ * target. Started batches precede others; batches that are not likely to meet
+ * their target any more come last. */
 extern const struct ph_scheduling_policy ph_scheduling_slack;
+/** The same, but a batch counts as in time until the last moment at which it
+ * would meet its target if its run took exactly the declared time. */
+extern const struct ph_scheduling_policy ph_scheduling_last_moment;
 /** By arrival at the pool; the baseline for comparisons. */
 extern const struct ph_scheduling_policy ph_scheduling_fifo;
 /** All policies; NULL-terminated. */
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -311,7 +311,5 @@
 /** True if tasks may be placed on the executor. */
 bool ph_executor_usable(const struct ph_pool *pool,
 			const struct ph_executor *executor, uint64_t now_us);
-/** Latest start of a task that still meets the batch's latency target. */
-uint64_t ph_batch_latest_start(const struct ph_batch *batch);
 
 #endif
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -9,6 +9,12 @@
 /* Part of the response time that is spent outside the pool: the network
  * between caller and pool, both ways, and the processing on it. */
 #define TARGET_MARGIN_US 12000U
+#define PERCENT 100U
+/* Share of a job's slack, the wait that its latency target leaves, after which
+ * it no longer counts as in time. The rest covers run times that are longer
+ * than declared. With all of it, an overloaded pool starts each job at the last
+ * moment, and many end late. */
+#define SLACK_PERCENT 75U
 /* An executor gets no new tasks if its last successful poll is longer ago than
  * this part of the lease; a long poll waits for at most a quarter of it. */
 #define SILENT_DIVISOR 2U
@@ -16,7 +22,6 @@
  * the submitter's batches at most this long after the submitter has abandoned
  * that owner. */
 #define SUBMITTER_LOSS_US 300000U
-#define PERCENT 100U
 /* If more than this share of the executors that answer polls have left run
  * commands unanswered, the network is taken to lose calls, and no executor is
  * avoided for unanswered commands. */
@@ -24,14 +29,6 @@
 /* Lower bound of the relative run time by which executors are ranked. */
 #define RUN_TIME_MIN_PERCENT 30U
 
-uint64_t ph_batch_latest_start(const struct ph_batch *batch)
-{
-	uint64_t target_at_us = batch->arrived_us + batch->request->target_us;
-	uint64_t need_us = batch->request->estimate_us + TARGET_MARGIN_US;
-
-	return target_at_us > need_us ? target_at_us - need_us : 0;
-}
-
 /* ## Order of starts */
 
 /** Precedence of batches by slack; lower values start first. */
@@ -45,30 +42,61 @@
 	LATE,
 };
 
-static enum lateness lateness(const struct ph_batch *b, uint64_t now_us)
+/* Start until which a batch is likely to meet its latency target, if a wait may
+ * take this share of the slack. */
+static uint64_t latest_start_us(const struct ph_batch *b,
+				uint32_t slack_percent)
+{
+	uint64_t need_us = b->request->estimate_us + TARGET_MARGIN_US;
+	uint64_t slack_us = b->request->target_us > need_us
+				    ? b->request->target_us - need_us
+				    : 0;
+
+	return b->arrived_us + slack_us * slack_percent / PERCENT;
+}
+
+static enum lateness lateness(const struct ph_batch *b, uint64_t latest_us,
+			      uint64_t now_us)
 {
 	if (b->started)
 		return STARTED;
-	return now_us <= ph_batch_latest_start(b) ? IN_TIME : LATE;
+	return now_us <= latest_us ? IN_TIME : LATE;
 }
 
-static bool slack_before(const struct ph_batch *a, const struct ph_batch *b,
-			 uint64_t now_us)
+static bool starts_before(const struct ph_batch *a, const struct ph_batch *b,
+			  uint32_t slack_percent, uint64_t now_us)
 {
-	enum lateness a_lateness = lateness(a, now_us);
-	enum lateness b_lateness = lateness(b, now_us);
+	uint64_t a_latest_us = latest_start_us(a, slack_percent);
+	uint64_t b_latest_us = latest_start_us(b, slack_percent);
+	enum lateness a_lateness = lateness(a, a_latest_us, now_us);
+	enum lateness b_lateness = lateness(b, b_latest_us, now_us);
 
 	if (a_lateness != b_lateness)
 		return a_lateness < b_lateness;
 	if (a_lateness != LATE)
-		return ph_batch_latest_start(a) < ph_batch_latest_start(b);
+		return a_latest_us < b_latest_us;
 	if (a->request->priority != b->request->priority)
 		return a->request->priority < b->request->priority;
 	return a->arrived_us < b->arrived_us;
 }
 
+static bool slack_before(const struct ph_batch *a, const struct ph_batch *b,
+			 uint64_t now_us)
+{
+	return starts_before(a, b, SLACK_PERCENT, now_us);
+}
+
+static bool last_moment_before(const struct ph_batch *a,
+			       const struct ph_batch *b, uint64_t now_us)
+{
+	return starts_before(a, b, PERCENT, now_us);
+}
+
 const struct ph_scheduling_policy ph_scheduling_slack = { "slack",
 							  slack_before };
+const struct ph_scheduling_policy ph_scheduling_last_moment = {
+	"last-moment", last_moment_before
+};
 
 static bool fifo_before(const struct ph_batch *a, const struct ph_batch *b,
 			uint64_t now_us)
@@ -81,6 +109,7 @@
 
 const struct ph_scheduling_policy *const ph_scheduling_policies[] = {
 	&ph_scheduling_slack,
+	&ph_scheduling_last_moment,
 	&ph_scheduling_fifo,
 	NULL,
 };
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -780,6 +780,51 @@
 	EXPECT_GE(slack.done + slack.not_run, fifo.done + fifo.not_run);
 }
 
+/* Runs more jobs than the executors can serve, with run times that differ from
+ * the declared ones; returns the number of those that end within their target.
+ */
+int run_overload(const ph_scheduling_policy *policy)
+{
+	World w(8, 16000);
+	Owner *o = ready_owner(&w, policy);
+	std::map<uint64_t, uint64_t> latest;
+	uint64_t t0;
+	int in_target = 0;
+
+	t0 = w.now_us;
+	for (int i = 0; i < 400; i++) {
+		/* From 60 to 140 percent of the declared time. */
+		uint64_t percent = 60 + (uint64_t)(i * 37) % 81;
+		uint64_t declared = (i % 10 ? 200 : 900) * kMs;
+		uint64_t actual = declared * percent / 100;
+		uint64_t target = declared * 16 / 10 + 60 * kMs;
+		uint64_t seq;
+
+		w.run_until(t0 + (uint64_t)i * 22 * kMs);
+		seq = w.submit(o, "j" + std::to_string(i), 2, actual, declared,
+			       target, target + 1500 * kMs);
+		latest[seq] = w.now_us + actual * 16 / 10 + 60 * kMs;
+	}
+	w.run_until(w.now_us + 5000 * kMs);
+	for (const auto &it : latest)
+		in_target += w.ended(o, it.first, PH_VERDICT_DONE) &&
+			     o->result_us[it.first] <= it.second;
+	return in_target;
+}
+
+/* More jobs than can be served, for seconds. If each is started at the last
+ * moment that its declared run time allows, those that run for longer are late.
+ */
+TEST(PoolLoad, InAnOverloadAMarginForRunTimesMeetsMoreTargets)
+{
+	int slack = run_overload(&ph_scheduling_slack);
+	int last_moment = run_overload(&ph_scheduling_last_moment);
+
+	RecordProperty("slack_in_target", slack);
+	RecordProperty("last_moment_in_target", last_moment);
+	EXPECT_GT(slack, last_moment);
+}
+
 TEST(PoolLoad, AJobWithoutCapacityIsRefusedInTimeAndNeverRuns)
 {
 	World w(1, 16000);
