--- a/src/mechanisms.c
+++ b/src/mechanisms.c
@@ -48,7 +48,7 @@
 			char *unknown)
 {
 	char name[PH_NAME_BYTES];
-	const char *at = list;
+	const char *at = list ? list : "";
 
 	off->bits = 0;
 	while (*at) {
--- a/src/mechanisms.h
+++ b/src/mechanisms.h
@@ -47,9 +47,9 @@
 /** Name of a mechanism in settings. */
 const char *ph_mechanism_name(enum ph_mechanism mechanism);
 
-/** Reads a list of names, separated by commas; an empty one switches nothing
- * off. Returns PH_ERR_UNKNOWN if a name is unknown, and then copies it to
- * unknown, which has PH_NAME_BYTES. */
+/** Reads a list of names, separated by commas; an empty one, or NULL,
+ * switches nothing off. Returns PH_ERR_UNKNOWN if a name is unknown, and then
+ * copies it to unknown, which has PH_NAME_BYTES. */
 int ph_mechanisms_parse(const char *names, struct ph_mechanisms_off *off,
 			char *unknown);
 
--- a/test/test_mechanisms.cc
+++ b/test/test_mechanisms.cc
@@ -21,6 +21,7 @@
 TEST(Mechanisms, AListOfNamesSwitchesThemOff)
 {
 	const ListCase cases[] = {
+		{ nullptr, 0, {}, "" },
 		{ "", 0, {}, "" },
 		{ "spread", 0, { PH_MECHANISM_SPREAD }, "" },
 		{ "probes,slack-order",
@@ -33,7 +34,7 @@
 	};
 
 	for (const ListCase &c : cases) {
-		SCOPED_TRACE(c.names);
+		SCOPED_TRACE(c.names ? c.names : "none");
 		struct ph_mechanisms_off off;
 		char unknown[PH_NAME_BYTES] = "";
 
