--- a/src/dispatcher_report.c
+++ b/src/dispatcher_report.c
@@ -31,6 +31,7 @@
 		{ "strays_stopped_total", c->orphans_stopped },
 		{ "adopted_runs_total", c->claimed_runs },
 		{ "looks_total", c->polls },
+		{ "probes_total", c->probes },
 	};
 	size_t i;
 
