A few refusals of a token do not stop a pool

Cause: when a domain's executors are split over more pools, instances have the new list at different times, and the owner of the old pool polls executors that belong to a new one. Change: the pool counts as fenced if half of its listed executors refuse the token, or one does so for 1.5 s. Until then those that refuse it get no tasks. Test: Pool.AFewRefusalsOfTheTokenDoNotStopThePool.

--- a/src/cluster.h
+++ b/src/cluster.h
@@ -184,11 +184,10 @@
 
 /**
  * An executor rejected this instance's fencing token for a pool. Releases the
- * pool or acquires it again under a higher token. accepted: most executors of
- * the pool have accepted this token before.
+ * pool or acquires it again under a higher token.
  */
 void ph_cluster_fenced(struct ph_cluster *cluster, uint64_t now_us,
-		       uint64_t unix_ms, const char *pool, bool accepted,
+		       uint64_t unix_ms, const char *pool,
 		       const struct ph_cluster_sink *sink, void *ctx);
 
 /**
--- a/src/cluster_impl.h
+++ b/src/cluster_impl.h
@@ -34,8 +34,7 @@
 	uint64_t vacant_since_us;
 	/** When an executor first rejected the token; 0: none has. */
 	uint64_t fenced_since_us;
-	/** How often the token has been raised since most executors last
-	 * accepted one. */
+	/** How often the token has been raised since the pool was claimed. */
 	uint32_t token_raises;
 	/** Released because executors rejected the token while this instance
 	 * was in a minority; not claimed again until it is in the majority. */
--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -599,16 +599,12 @@
 
 /* ## Rejected tokens */
 
-/* Raises the minimum of the next token. The raise grows only while the
- * executors accept no token: a token that was accepted, and then exceeded by
- * another instance's, is not far behind. */
-static void raise_token(struct ph_pool_claim *p, bool accepted)
+/* Raises the minimum of the next token. */
+static void raise_token(struct ph_pool_claim *p)
 {
 	uint64_t raise_ms = TOKEN_RAISE_MS;
 	uint32_t i;
 
-	if (accepted)
-		p->token_raises = 0;
 	for (i = 0; i < p->token_raises; i++)
 		raise_ms *= TOKEN_RAISE_FACTOR;
 	if (p->token_raises < TOKEN_RAISES_MAX)
@@ -619,7 +615,7 @@
 }
 
 void ph_cluster_fenced(struct ph_cluster *cluster, uint64_t now_us,
-		       uint64_t unix_ms, const char *pool, bool accepted,
+		       uint64_t unix_ms, const char *pool,
 		       const struct ph_cluster_sink *sink, void *ctx)
 {
 	struct ph_pool_claim *p = claim_find(cluster, pool);
@@ -658,7 +654,7 @@
 		ph_claim_release(p, sink, ctx);
 		return;
 	}
-	raise_token(p, accepted);
+	raise_token(p);
 	acquire(cluster, p, unix_ms, sink, ctx);
 }
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -105,19 +105,6 @@
 	return pool->fenced;
 }
 
-bool ph_pool_token_accepted(const struct ph_pool *pool)
-{
-	const struct ph_executor *x;
-	uint32_t listed = 0;
-	uint32_t accepted = 0;
-
-	for (x = pool->executors; x; x = x->next) {
-		listed += x->listed;
-		accepted += x->listed && x->polled;
-	}
-	return accepted * 2 > listed;
-}
-
 const struct ph_pool_counters *ph_pool_counters(const struct ph_pool *pool)
 {
 	return &pool->counters;
@@ -538,6 +525,7 @@
 	 * of the executors since the last polls. */
 	for (x = pool->executors; x; x = x->next) {
 		x->polled = false;
+		x->rejected_us = 0;
 		x->poll_call = 0;
 		x->next_poll_us = now_us;
 	}
@@ -563,6 +551,7 @@
 		while (x->runs)
 			ph_run_drop(pool, x, x->runs);
 		x->polled = false;
+		x->rejected_us = 0;
 		x->poll_call = 0;
 		x->poll_failures = 0;
 		x->clock_ms = 0;
--- a/src/pool.h
+++ b/src/pool.h
@@ -77,14 +77,11 @@
 bool ph_pool_owned(const struct ph_pool *pool);
 uint64_t ph_pool_token(const struct ph_pool *pool);
 
-/** True if an executor has refused the token as too low. No task starts until
- * the owner acquires the pool again with a higher one. */
+/** True if executors have refused the token as too low, so that the pool may
+ * have another owner. No task starts until this one acquires the pool again
+ * with a higher token. */
 bool ph_pool_fenced(const struct ph_pool *pool);
 
-/** True if most executors have accepted the token that the owner last acquired
- * the pool with. One that has restarted accepts any. */
-bool ph_pool_token_accepted(const struct ph_pool *pool);
-
 /**
  * Replaces the list of the pool's executors. Returns true while executors that
  * have left the list are still tracked; the caller then repeats the update.
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -117,6 +117,8 @@
 	uint64_t started_ms;
 	/** A poll has been answered since this instance acquired the pool. */
 	bool polled;
+	/** Since when it refuses the owner's token; 0: it does not. */
+	uint64_t rejected_us;
 	/** Number of the last end that was processed. */
 	uint64_t ends_seen;
 	/** The executor's clock, read at clock_us; 0: unknown. */
@@ -270,9 +272,10 @@
 /** Sends a stop command; the run's batch, if any, waits for the end. */
 void ph_run_stop(struct ph_pool *pool, struct ph_executor *executor,
 		 struct ph_run *run, uint64_t now_us);
-/** Handles the refusal of the token by an executor. */
-void ph_pool_fenced_by(struct ph_pool *pool,
-		       const struct ph_executor *executor);
+/** Handles the refusal of the token by an executor. The pool is fenced once at
+ * least half of the listed executors refuse it, or one does for long. */
+void ph_pool_fenced_by(struct ph_pool *pool, struct ph_executor *executor,
+		       uint64_t now_us);
 /** Sends polls and stops that are due and drops runs whose lease expired. */
 void ph_lease_tick(struct ph_pool *pool, uint64_t now_us);
 /** Counts a failure; from the second in a row on the executor is avoided for a
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -32,6 +32,9 @@
  * timeout grows to its maximum if all answers are missing, and hardly grows if
  * few are. */
 #define UNANSWERED_DIVISOR 2U
+/* Time for which a few executors may refuse the token before the pool counts as
+ * fenced: longer than a new list of executors takes to arrive. */
+#define REJECTION_PERSISTS_US 1500000U
 /* Share of lost polls from which on too few calls are answered to tell the
  * usual time to an answer. */
 #define UNRELIABLE_LOST_PERMILLE 600U
@@ -303,11 +306,28 @@
 		ph_run_stop(pool, run->executor, run, now_us);
 }
 
-/* An executor that has left the pool may have another owner already; its
- * refusal doesn't show that this pool has one. */
-void ph_pool_fenced_by(struct ph_pool *pool, const struct ph_executor *x)
+/* The refusal by an executor that has left the pool doesn't show that the pool
+ * has another owner. Nor does that by a few of the listed ones: they may have
+ * left it by a newer list than this instance has. If one does not, its token
+ * has to be exceeded after a while. */
+void ph_pool_fenced_by(struct ph_pool *pool, struct ph_executor *x,
+		       uint64_t now_us)
 {
-	if (x->listed)
+	const struct ph_executor *other;
+	uint32_t listed = 0;
+	uint32_t rejecting = 0;
+
+	if (!x->listed)
+		return;
+	if (!x->rejected_us)
+		x->rejected_us = now_us;
+	x->polled = false;
+	for (other = pool->executors; other; other = other->next) {
+		listed += other->listed;
+		rejecting += other->listed && other->rejected_us;
+	}
+	if (rejecting * 2 >= listed ||
+	    now_us > x->rejected_us + REJECTION_PERSISTS_US)
 		pool->fenced = true;
 }
 
@@ -325,7 +345,7 @@
 			run->batch->tasks[run->index].next_run += OLD_RUN_STEP;
 		break;
 	case PH_CALL_FENCED:
-		ph_pool_fenced_by(pool, x);
+		ph_pool_fenced_by(pool, x, now_us);
 		break;
 	case PH_CALL_OTHER_INCARNATION:
 		x->next_poll_us = now_us;
@@ -411,7 +431,7 @@
 		run->acked_us = now_us;
 		x->next_poll_us = now_us;
 	} else if (reply->status == PH_CALL_FENCED) {
-		ph_pool_fenced_by(pool, x);
+		ph_pool_fenced_by(pool, x, now_us);
 	}
 }
 
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -115,7 +115,7 @@
 		wait_us = (uint64_t)POLL_RETRY_US
 			  << (x->poll_failures < 4 ? x->poll_failures - 1 : 3);
 	if (reply->status == PH_CALL_FENCED)
-		ph_pool_fenced_by(pool, x);
+		ph_pool_fenced_by(pool, x, now_us);
 	if (!x->poll_failures)
 		ph_event(
 			PART,
@@ -340,6 +340,7 @@
 	x->clock_us = now_us;
 	x->poll_ok_us = now_us;
 	x->polled = true;
+	x->rejected_us = 0;
 	for (i = 0; i < reply->ended_count; i++) {
 		if (reply->ended[i].end_number <= x->ends_seen)
 			continue;
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -710,6 +710,27 @@
 	EXPECT_EQ(w.starts, 2);
 }
 
+/* A few executors refuse the token: they have moved to another pool, whose
+ * owner has polled them, by a newer list than this owner has. The others go on.
+ * If the refusals last, the token has to be raised. */
+TEST(Pool, AFewRefusalsOfTheTokenDoNotStopThePool)
+{
+	World w(6, 16000);
+	Owner *a = ready_owner(&w);
+	uint64_t seq;
+
+	w.executors[0].token = 5000;
+	w.executors[1].token = 5000;
+	w.run_until(w.now_us + 300 * kMs);
+	EXPECT_FALSE(ph_pool_fenced(a->pool));
+	seq = w.submit(a, "a", 8, 60 * kMs, 60 * kMs, kTarget, kCallerTimeout);
+	w.run_until(w.now_us + 300 * kMs);
+	EXPECT_TRUE(w.ended(a, seq, PH_VERDICT_DONE));
+	EXPECT_EQ(w.starts, 8);
+	w.run_until(w.now_us + 2000 * kMs);
+	EXPECT_TRUE(ph_pool_fenced(a->pool));
+}
+
 TEST(Pool, BatchesOfALostSubmitterAreStopped)
 {
 	World w(2, 16000);
