Claim the first pools after 1.2 heartbeat intervals

Hypothesis: 200 ms from the start of an instance to its first claim is a fixed wait; one exchange of heartbeats is enough. Change: 1.2 heartbeat intervals, 120 ms by default.

--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -21,9 +21,10 @@
  * dead. */
 #define MINORITY_CLAIM_AFTER_US 3000000U
 /* Time from the start of an instance to its first claim of a pool of its own
- * domain: enough to read the list of the other instances and to exchange a
- * heartbeat with each. Instances that start later hear of the claim in time. */
-#define START_CLAIM_DELAY_US 200000U
+ * domain, in percent of the heartbeat interval: enough to read the list of the
+ * other instances and to exchange a heartbeat with each. Instances that start
+ * later hear of the claim in time. */
+#define START_CLAIM_PERCENT 120U
 /* An instance that may make its first claim within this time counts as ready to
  * claim: more than a tick and the exchange of a heartbeat. */
 #define START_CLAIM_MARGIN_US 60000U
@@ -271,25 +272,33 @@
 	return n;
 }
 
-static bool ready_to_claim(uint64_t start_us, uint64_t now_us)
+static uint64_t start_claim_delay_us(const struct ph_cluster *cluster)
 {
-	return now_us >=
-	       start_us + START_CLAIM_DELAY_US - START_CLAIM_MARGIN_US;
+	return cluster->opt.heartbeat_us * START_CLAIM_PERCENT / PERCENT;
+}
+
+static bool ready_to_claim(const struct ph_cluster *cluster, uint64_t start_us,
+			   uint64_t now_us)
+{
+	return now_us + START_CLAIM_MARGIN_US >=
+	       start_us + start_claim_delay_us(cluster);
 }
 
 static struct rank rank_self(const struct ph_cluster *cluster, uint64_t now_us)
 {
-	struct rank r = { ready_to_claim(cluster->opt.start_us, now_us),
-			  ph_claims_owned_count(cluster),
-			  cluster->opt.cpu_milli, cluster->opt.incarnation,
-			  cluster->opt.name };
+	struct rank r = {
+		ready_to_claim(cluster, cluster->opt.start_us, now_us),
+		ph_claims_owned_count(cluster), cluster->opt.cpu_milli,
+		cluster->opt.incarnation, cluster->opt.name
+	};
 
 	return r;
 }
 
-static struct rank rank_of(const struct ph_member *m, uint64_t now_us)
+static struct rank rank_of(const struct ph_cluster *cluster,
+			   const struct ph_member *m, uint64_t now_us)
 {
-	struct rank r = { ready_to_claim(m->first_heard_us, now_us),
+	struct rank r = { ready_to_claim(cluster, m->first_heard_us, now_us),
 			  m->claim_count, m->cpu_milli, m->incarnation,
 			  m->name };
 
@@ -335,7 +344,7 @@
 		if (!ph_member_alive(cluster, m, now_us) || m->leaving ||
 		    m->claim_count >= PH_CLAIMS_MAX)
 			continue;
-		list[n].rank = rank_of(m, now_us);
+		list[n].rank = rank_of(cluster, m, now_us);
 		list[n++].domain = m->domain;
 	}
 	return n;
@@ -509,8 +518,8 @@
 			 const struct ph_cluster_sink *sink, void *ctx)
 {
 	bool in_domain = ph_pool_shard_in(p->name, cluster->opt.domain);
-	uint64_t start_delay_us =
-		in_domain ? START_CLAIM_DELAY_US : START_TAKE_OVER_DELAY_US;
+	uint64_t start_delay_us = in_domain ? start_claim_delay_us(cluster)
+					    : START_TAKE_OVER_DELAY_US;
 
 	if (!minority)
 		p->yielded = false;
--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -304,9 +304,10 @@
  * don't delay the claim of the first one of a small domain. */
 TEST(Cluster, LaterInstancesDoNotDelayTheFirstClaimOfADomain)
 {
-	/* The first claim is due 200 ms after the start of an instance. Each of
-	 * the other two may claim in its place if it started within 60 ms. */
-	constexpr uint64_t kOwnedWithinUs = (200 + 2 * 60) * kMs + 2 * kTickUs;
+	/* The first claim is due 1.2 heartbeat intervals after the start of an
+	 * instance. Each of the other two may claim in its place if it started
+	 * within 60 ms. */
+	constexpr uint64_t kOwnedWithinUs = (120 + 2 * 60) * kMs + 2 * kTickUs;
 
 	for (uint64_t start_gap_ms : { 0, 40, 80, 150 }) {
 		SCOPED_TRACE(start_gap_ms);
