--- a/src/pool.c
+++ b/src/pool.c
@@ -122,29 +122,18 @@
 				   : PH_EXECUTOR_NONE;
 }
 
-static void batch_report(struct ph_pool *pool, struct ph_batch *b,
-			 enum ph_verdict verdict, uint64_t retry_after_us,
-			 const char *reason, uint64_t now_us)
+static void log_batch_end(const struct ph_batch *b, enum ph_verdict verdict,
+			  const char *reason, uint64_t now_us)
 {
-	struct ph_result result = { .verdict = verdict,
-				    .retry_after_us = retry_after_us,
-				    .reason = reason };
-	uint64_t waited_us =
-		(b->last_started_us ? b->last_started_us : now_us) -
-		b->received_us;
+	uint64_t started_us = b->last_started_us ? b->last_started_us : now_us;
 	uint32_t failed = 0;
 	uint32_t moved = 0;
 	uint32_t i;
 
 	for (i = 0; i < b->request->count; i++) {
-		if (b->tasks[i].state == PH_BATCH_TASK_DONE)
-			ph_bit_set(result.done, i);
 		failed += b->tasks[i].failures;
 		moved += b->tasks[i].moves;
 	}
-	for (i = 0; verdict == PH_VERDICT_MOVED && i < b->request->count; i++)
-		result.possible_executor[result.count++] =
-			task_possible_executor(b, i);
 	ph_event(PART,
 		 "event=batch_end job=%s verdict=%s reason=\"%s\" tasks=%u "
 		 "tasks_left=%u since_received_us=%llu waited_us=%llu "
@@ -152,9 +141,27 @@
 		 b->request->job, ph_verdict_name(verdict), reason,
 		 b->request->count, b->left,
 		 (unsigned long long)(now_us - b->received_us),
-		 (unsigned long long)waited_us, failed, moved,
-		 (unsigned long long)b->request->target_us,
+		 (unsigned long long)(started_us - b->received_us), failed,
+		 moved, (unsigned long long)b->request->target_us,
 		 (unsigned long long)b->request->estimate_us);
+}
+
+static void batch_report(struct ph_pool *pool, struct ph_batch *b,
+			 enum ph_verdict verdict, uint64_t retry_after_us,
+			 const char *reason, uint64_t now_us)
+{
+	struct ph_result result = { .verdict = verdict,
+				    .retry_after_us = retry_after_us,
+				    .reason = reason };
+	uint32_t i;
+
+	for (i = 0; i < b->request->count; i++)
+		if (b->tasks[i].state == PH_BATCH_TASK_DONE)
+			ph_bit_set(result.done, i);
+	for (i = 0; verdict == PH_VERDICT_MOVED && i < b->request->count; i++)
+		result.possible_executor[result.count++] =
+			task_possible_executor(b, i);
+	log_batch_end(b, verdict, reason, now_us);
 	pool->opt.sink->result(pool->opt.ctx, b->submitter, b->seq, &result);
 }
 
@@ -162,9 +169,10 @@
 {
 	struct ph_batch **at = &pool->batches;
 
-	while (*at != batch)
+	while (*at && *at != batch)
 		at = &(*at)->next;
-	*at = batch->next;
+	if (*at)
+		*at = batch->next;
 	batch_free(pool, batch);
 	pool->dirty = true;
 }
