--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -36,7 +36,6 @@
 /* An executor grants a lease of at most this many lease durations to a start
  * command whose lease end makes no sense on its clock. */
 #define RESTARTED_LEASES 2U
-#define PERCENT 100U
 #define PERMILLE 1000U
 
 /* Longest wait of a poll: until the progress of one of the executor's runs has
