Keep probing while a claim of another domain's pool waits

Found on reading: the answer to a probe counted for 0.5 s and the next probes were sent only after that, so that the wait before the claim began again each time. A pool of a domain that may be cut off, which is claimed after 2 s, was never taken over although its executors could be reached. Change: probes go on every 0.3 s, an answer counts for 0.8 s.

--- a/src/cluster.h
+++ b/src/cluster.h
@@ -128,8 +128,8 @@
 	/** This instance no longer owns the pool. */
 	void (*release)(void *ctx, const char *pool);
 	/** Whether an executor of a pool of another domain, which this instance
-	 * does not own, has answered it recently. If not, tries to reach some,
-	 * for the next tick. */
+	 * does not own, has answered it lately. Tries to reach some for as long
+	 * as it is called. */
 	bool (*reaches)(void *ctx, const char *pool);
 	/** A heartbeat is due; m is NULL for an address at which no member is
 	 * known yet. */
--- a/src/pool.h
+++ b/src/pool.h
@@ -109,7 +109,8 @@
 			    const char *submitter);
 
 /** Whether an executor of the pool, which this instance does not own, has
- * answered it within the last half second. If not, probes some executors. */
+ * answered it lately. Probes some executors at intervals for as long as it is
+ * called. */
 bool ph_pool_reached(struct ph_pool *pool, uint64_t now_us);
 
 /** The three functions below take the outcome of a call that the sink was given
--- a/src/pool_probe.c
+++ b/src/pool_probe.c
@@ -7,8 +7,9 @@
 #define PROBES 3U
 /* Shortest time between two rounds of probes. */
 #define PROBE_INTERVAL_US 300000U
-/* Time for which the answer of an executor counts. */
-#define REACHED_FOR_US 500000U
+/* Time for which the answer of an executor counts: until the answers to the
+ * second round of probes after it, as one round may get lost. */
+#define REACHED_FOR_US 800000U
 
 /* Finds the listed executor that follows x in the list, which is circular. */
 static struct ph_executor *next_listed(struct ph_pool *pool,
@@ -41,29 +42,31 @@
 	pool->opt.sink->poll(pool->opt.ctx, &poll);
 }
 
-bool ph_pool_reached(struct ph_pool *pool, uint64_t now_us)
+static void send_probes(struct ph_pool *pool)
 {
+	struct ph_executor *x = ph_executor_find(pool, pool->probed_last);
 	struct ph_executor *first = NULL;
-	struct ph_executor *x = NULL;
 	uint32_t i;
 
-	if (pool->reached_us && now_us < pool->reached_us + REACHED_FOR_US)
-		return true;
-	if (pool->probed_us && now_us < pool->probed_us + PROBE_INTERVAL_US)
-		return false;
-	pool->probed_us = now_us;
-	x = ph_executor_find(pool, pool->probed_last);
 	for (i = 0; i < PROBES; i++) {
 		x = next_listed(pool, x);
 		if (!x || x == first)
-			break;
+			return;
 		if (!first)
 			first = x;
 		send_probe(pool, x);
 		ph_strcopy(pool->probed_last, sizeof(pool->probed_last),
 			   x->info.id);
 	}
-	return false;
+}
+
+bool ph_pool_reached(struct ph_pool *pool, uint64_t now_us)
+{
+	if (!pool->probed_us || now_us >= pool->probed_us + PROBE_INTERVAL_US) {
+		pool->probed_us = now_us;
+		send_probes(pool);
+	}
+	return pool->reached_us && now_us < pool->reached_us + REACHED_FOR_US;
 }
 
 void ph_probe_done(struct ph_pool *pool, struct ph_executor *x,
