Log what tells the causes of a task that runs twice apart

Runs that a poll shows without this owner knowing them, runs that are dropped when a lease has expired and whether their last command was acknowledged, stops that had to be sent again, claims by resumed batches, and what a submitter knew of the old owner when it resumed a job.

--- a/src/pool.c
+++ b/src/pool.c
@@ -242,6 +242,9 @@
 	ph_capacity_sub(&x->used, &run->need);
 	run->need = b->request->need;
 	ph_capacity_add(&x->used, &run->need);
+	ph_event(PART, "event=run_claimed job=%s task=%u run=%llu executor=%s",
+		 run->job, run->index, (unsigned long long)run->run,
+		 x->info.id);
 	run->batch = b;
 	run->state = PH_RUN_RUNNING;
 	task->run = run;
@@ -479,8 +482,13 @@
 		batch_remove(pool, b);
 		return;
 	}
-	if (request->resumed)
-		ph_pool_claim_orphans(pool, now_us);
+	if (!request->resumed)
+		return;
+	ph_event(PART,
+		 "event=batch_resumed job=%s submitter=%s seq=%llu "
+		 "tasks_left=%u",
+		 request->job, submitter, (unsigned long long)seq, b->left);
+	ph_pool_claim_orphans(pool, now_us);
 }
 
 void ph_pool_cancel(struct ph_pool *pool, uint64_t now_us,
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -94,6 +94,10 @@
 	 * the start; 0: neither yet, or a claimed run. */
 	uint64_t acked_us;
 	uint64_t stop_sent_us;
+	/** When the first stop command was sent; 0: none was. */
+	uint64_t first_stop_us;
+	/** Stop commands sent. */
+	uint32_t stops;
 	bool stop_pending;
 	/** Progress as last reported. */
 	uint32_t percent;
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -293,6 +293,9 @@
 	run->state = PH_RUN_STOPPING;
 	run->acked_us = 0;
 	run->stop_sent_us = now_us;
+	if (!run->first_stop_us)
+		run->first_stop_us = now_us;
+	run->stops++;
 	run->stop_pending = true;
 	command_init(pool, x, run, &command);
 	command.call_id = call_new(pool, x, run, true, now_us)->id;
@@ -418,6 +421,19 @@
 	}
 }
 
+/* Logs the acknowledgement of a stop that had to be sent several times. */
+static void log_late_stop(const struct ph_executor *x, const struct ph_run *run,
+			  uint64_t now_us)
+{
+	if (run->stops < 2)
+		return;
+	ph_event(PART,
+		 "event=stop_acknowledged job=%s task=%u run=%llu executor=%s "
+		 "stops_sent=%u since_first_us=%llu",
+		 run->job, run->index, (unsigned long long)run->run, x->info.id,
+		 run->stops, (unsigned long long)(now_us - run->first_stop_us));
+}
+
 void ph_pool_stop_done(struct ph_pool *pool, uint64_t now_us, uint64_t call_id,
 		       const struct ph_run_command_reply *reply)
 {
@@ -430,6 +446,7 @@
 	if (reply->status == PH_CALL_OK) {
 		run->acked_us = now_us;
 		x->next_poll_us = now_us;
+		log_late_stop(x, run, now_us);
 	} else if (reply->status == PH_CALL_FENCED) {
 		ph_pool_fenced_by(pool, x, now_us);
 	}
@@ -437,6 +454,20 @@
 
 /* ## Timeouts */
 
+static void log_expired(const struct ph_executor *x, const struct ph_run *run,
+			uint64_t now_us)
+{
+	static const char *const states[] = { "starting", "running", "stopping",
+					      "orphaned" };
+
+	ph_event(PART,
+		 "event=lease_expired job=%s task=%u run=%llu executor=%s "
+		 "state=%s acknowledged=%d age_us=%llu",
+		 run->job, run->index, (unsigned long long)run->run, x->info.id,
+		 states[run->state], run->acked_us != 0,
+		 (unsigned long long)(now_us - run->created_us));
+}
+
 /* Drops all runs of an executor that doesn't answer polls once their leases
  * have expired. */
 static void expire_runs(struct ph_pool *pool, struct ph_executor *x,
@@ -444,8 +475,8 @@
 {
 	if (!x->runs || !x->poll_failures || now_us < lease_expiry_us(x))
 		return;
-	ph_event(PART, "event=lease_expired executor=%s", x->info.id);
 	while (x->runs) {
+		log_expired(x, x->runs, now_us);
 		pool->counters.expired_runs++;
 		ph_run_drop_requeue(pool, x, x->runs);
 	}
@@ -471,6 +502,11 @@
 		if (run->state == PH_RUN_ORPHANED &&
 		    now_us > run->created_us + CLAIM_US) {
 			pool->counters.orphans_stopped++;
+			ph_event(PART,
+				 "event=run_unclaimed job=%s task=%u run=%llu "
+				 "executor=%s action=stop",
+				 run->job, run->index,
+				 (unsigned long long)run->run, x->info.id);
 			ph_run_stop(pool, x, run, now_us);
 		} else if (run->state == PH_RUN_STOPPING && !run->acked_us &&
 			   !run->stop_pending) {
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -262,6 +262,11 @@
 		run = ph_run_add(pool, x, seen->job, seen->index, seen->run,
 				 &need, now_us);
 		run->state = PH_RUN_ORPHANED;
+		ph_event(PART,
+			 "event=run_found job=%s task=%u run=%llu executor=%s "
+			 "token=%llu",
+			 seen->job, seen->index, (unsigned long long)seen->run,
+			 x->info.id, (unsigned long long)pool->token);
 	}
 	if (run->state == PH_RUN_STARTING) {
 		run->state = PH_RUN_RUNNING;
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -669,8 +669,12 @@
 	    (o.token != j->owner.token || strcmp(o.name, j->owner.name) != 0)) {
 		ph_event(PART,
 			 "event=job_resumed job=%s pool=%s old_owner=%s "
-			 "new_owner=%s",
-			 j->batch->job, j->pool, j->owner.name, o.name);
+			 "old_token=%llu new_owner=%s new_token=%llu "
+			 "returned=%d lost_for_us=%llu",
+			 j->batch->job, j->pool, j->owner.name,
+			 (unsigned long long)j->owner.token, o.name,
+			 (unsigned long long)o.token, j->waiting_for_owner,
+			 (unsigned long long)(now_us - j->owner_lost_us));
 		if (!j->waiting_for_owner)
 			set_run_locations(j, NULL);
 		j->owner = o;
