An owner does not start a batch again that has ended

Cause: a submitter repeats a batch until it is accepted. The owner told such a duplicate from a new batch while the batch was open and until the submitter had acknowledged its result, and then forgot it. A copy that arrived later, out of a connection that a partition had held up, was a new batch to it.

Change: the list of cancelled batches, which answers the same question for cancellations, now holds every batch that has ended, for 2 s; a submission may be in transit for 350 ms.

Evidence: Pool.ABatchThatArrivesAgainAfterItsEndIsNotStarted failed in each of its three cases before (4 starts instead of 2).

--- a/src/pool.c
+++ b/src/pool.c
@@ -20,10 +20,10 @@
 /* Time for which an unlisted executor is still tracked: two of the longest
  * leases, plus the time between two reads of the list. */
 #define UNLISTED_US 3000000U
-/* Time for which a cancellation is remembered. A batch that arrives later is
- * refused for its time in transit; until then the submitter repeats the
+/* Time for which a closed batch is remembered. A submission that arrives later
+ * is refused for its time in transit; until then the submitter repeats a
  * cancellation. */
-#define CANCELLED_US 2000000U
+#define CLOSED_US 2000000U
 /* Longest time in transit of a batch: less than the time after which its
  * submitter abandons it and the caller may submit the job elsewhere. */
 #define TRANSIT_MAX_US 350000U
@@ -47,16 +47,15 @@
 	pool->mem->free(b);
 }
 
-/* Removes cancellations that are old enough. The list is sorted, latest first.
- */
-static void forget_cancelled(struct ph_pool *pool, uint64_t now_us)
+/* Forgets batches that were closed long ago. */
+static void forget_closed(struct ph_pool *pool, uint64_t now_us)
 {
-	struct ph_cancelled **at = &pool->cancelled;
+	struct ph_closed_batch **at = &pool->closed;
 
-	while (*at && now_us < (*at)->cancelled_us + CANCELLED_US)
+	while (*at && now_us < (*at)->closed_us + CLOSED_US)
 		at = &(*at)->next;
 	while (*at) {
-		struct ph_cancelled *c = *at;
+		struct ph_closed_batch *c = *at;
 
 		*at = c->next;
 		pool->mem->free(c);
@@ -79,7 +78,7 @@
 		pool->batches = b->next;
 		batch_free(pool, b);
 	}
-	forget_cancelled(pool, UINT64_MAX);
+	forget_closed(pool, UINT64_MAX);
 	pool->mem->free(pool->waiting);
 	while (pool->calls) {
 		struct ph_pending_command *c = pool->calls;
@@ -165,10 +164,38 @@
 	pool->opt.sink->result(pool->opt.ctx, b->submitter, b->seq, &result);
 }
 
-static void batch_remove(struct ph_pool *pool, struct ph_batch *batch)
+static bool was_closed(const struct ph_pool *pool, const char *submitter,
+		       uint64_t seq)
+{
+	const struct ph_closed_batch *c;
+
+	for (c = pool->closed; c; c = c->next)
+		if (c->seq == seq && !strcmp(c->submitter, submitter))
+			return true;
+	return false;
+}
+
+static void remember_closed(struct ph_pool *pool, uint64_t now_us,
+			    const char *submitter, uint64_t seq)
+{
+	struct ph_closed_batch *c;
+
+	if (was_closed(pool, submitter, seq))
+		return;
+	c = pool->mem->calloc(1, sizeof(*c));
+	c->closed_us = now_us;
+	c->next = pool->closed;
+	pool->closed = c;
+	ph_strcopy(c->submitter, sizeof(c->submitter), submitter);
+	c->seq = seq;
+}
+
+static void batch_remove(struct ph_pool *pool, struct ph_batch *batch,
+			 uint64_t now_us)
 {
 	struct ph_batch **at = &pool->batches;
 
+	remember_closed(pool, now_us, batch->submitter, batch->seq);
 	while (*at && *at != batch)
 		at = &(*at)->next;
 	if (*at)
@@ -185,7 +212,7 @@
 	for (i = 0; i < b->request->count; i++)
 		if (b->tasks[i].state == PH_BATCH_TASK_PLACED)
 			ph_run_abandon(pool, b->tasks[i].run, now_us);
-	batch_remove(pool, b);
+	batch_remove(pool, b, now_us);
 }
 
 void ph_batch_task_requeue(struct ph_pool *pool, struct ph_batch *b,
@@ -208,7 +235,7 @@
 	if (--b->left)
 		return;
 	batch_report(pool, b, PH_VERDICT_DONE, 0, "", now_us);
-	batch_remove(pool, b);
+	batch_remove(pool, b, now_us);
 }
 
 void ph_batch_task_failed(struct ph_pool *pool, struct ph_batch *b,
@@ -417,29 +444,6 @@
 	return b;
 }
 
-static void remember_cancelled(struct ph_pool *pool, uint64_t now_us,
-			       const char *submitter, uint64_t seq)
-{
-	struct ph_cancelled *c = pool->mem->calloc(1, sizeof(*c));
-
-	c->cancelled_us = now_us;
-	c->next = pool->cancelled;
-	pool->cancelled = c;
-	ph_strcopy(c->submitter, sizeof(c->submitter), submitter);
-	c->seq = seq;
-}
-
-static bool was_cancelled(const struct ph_pool *pool, const char *submitter,
-			  uint64_t seq)
-{
-	const struct ph_cancelled *c;
-
-	for (c = pool->cancelled; c; c = c->next)
-		if (c->seq == seq && !strcmp(c->submitter, submitter))
-			return true;
-	return false;
-}
-
 /* True if the submitter has abandoned the batch by now, or is about to. */
 static bool delayed_in_transit(const struct ph_batch_request *request,
 			       uint64_t now_us)
@@ -454,7 +458,7 @@
 	struct ph_batch *b;
 
 	if (batch_find(pool, submitter, seq) ||
-	    was_cancelled(pool, submitter, seq)) {
+	    was_closed(pool, submitter, seq)) {
 		ph_batch_request_free(pool->mem, request);
 		return;
 	}
@@ -464,13 +468,13 @@
 	pool->dirty = true;
 	if (!b->left) {
 		batch_report(pool, b, PH_VERDICT_DONE, 0, "", now_us);
-		batch_remove(pool, b);
+		batch_remove(pool, b, now_us);
 		return;
 	}
 	if (!pool->owned) {
 		batch_report(pool, b, PH_VERDICT_MOVED, 0, "not the owner",
 			     now_us);
-		batch_remove(pool, b);
+		batch_remove(pool, b, now_us);
 		return;
 	}
 	if (delayed_in_transit(request, now_us)) {
@@ -479,7 +483,7 @@
 					      : PH_VERDICT_NOT_RUN,
 			     retry_after_us(pool, now_us), "long on its way",
 			     now_us);
-		batch_remove(pool, b);
+		batch_remove(pool, b, now_us);
 		return;
 	}
 	if (!request->resumed)
@@ -496,8 +500,8 @@
 {
 	struct ph_batch *b = batch_find(pool, submitter, seq);
 
-	if (pool->owned && !was_cancelled(pool, submitter, seq))
-		remember_cancelled(pool, now_us, submitter, seq);
+	if (pool->owned)
+		remember_closed(pool, now_us, submitter, seq);
 	if (!b)
 		return;
 	ph_event(PART, "event=batch_cancelled job=%s tasks_left=%u",
@@ -561,7 +565,7 @@
 
 		batch_report(pool, b, PH_VERDICT_MOVED, 0, "another owner",
 			     now_us);
-		batch_remove(pool, b);
+		batch_remove(pool, b, now_us);
 	}
 	for (x = pool->executors; x; x = x->next) {
 		while (x->runs)
@@ -637,10 +641,10 @@
 {
 	struct ph_batch *b = pool->batches;
 
+	forget_closed(pool, now_us);
 	if (!pool->owned)
 		return;
 	ph_lease_tick(pool, now_us);
-	forget_cancelled(pool, now_us);
 	while (b) {
 		struct ph_batch *next = b->next;
 
--- a/src/pool.h
+++ b/src/pool.h
@@ -91,7 +91,8 @@
 
 /**
  * Submits a batch and takes ownership of request. (submitter, seq) identifies
- * it; a duplicate or a cancelled batch is ignored. A batch that was in transit
+ * it; a duplicate, also of a batch that has ended, and a cancelled batch are
+ * ignored. A batch that was in transit
  * for too long is refused, as its submitter no longer waits for it.
  */
 void ph_pool_submit(struct ph_pool *pool, uint64_t now_us,
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -175,11 +175,11 @@
 
 #define PH_ORPHANED_ENDS 512U
 
-/** A cancelled batch; kept because its submission may arrive after the
- * cancellation. */
-struct ph_cancelled {
-	struct ph_cancelled *next;
-	uint64_t cancelled_us;
+/** A batch that was cancelled or has ended; kept because its submission may
+ * arrive, or arrive once more, afterwards. */
+struct ph_closed_batch {
+	struct ph_closed_batch *next;
+	uint64_t closed_us;
 	char submitter[PH_NAME_BYTES];
 	uint64_t seq;
 };
@@ -204,7 +204,8 @@
 	/** Number of ends stored so far; the next one's index, modulo the size.
 	 */
 	uint32_t orphaned_end_next;
-	struct ph_cancelled *cancelled;
+	/** Latest first. */
+	struct ph_closed_batch *closed;
 	struct ph_pool_counters counters;
 	/** Smoothed time from a run command to its answer; a missing answer
 	 * counts with part of the timeout. */
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -189,6 +189,68 @@
 	}
 }
 
+struct RepeatCase {
+	const char *what;
+	/** Cores of each task in thousandths; an executor has 16000. */
+	uint32_t cpu_milli;
+	uint64_t caller_timeout_us;
+	/** The submitter is lost before the batch ends by itself. */
+	bool submitter_lost;
+	ph_verdict verdict;
+};
+
+/* A submitter sends a batch again until it is accepted, and a message that a
+ * partition has delayed may arrive after the batch has ended and its result was
+ * acknowledged. Its tasks must not run again: the submitter may have sent them
+ * to another pool, or told the caller that they did not run. */
+TEST(Pool, ABatchThatArrivesAgainAfterItsEndIsNotStarted)
+{
+	const RepeatCase cases[] = {
+		{ "done", 8000, 1500 * kMs, false, PH_VERDICT_DONE },
+		{ "refused for lack of room", 17000, 200 * kMs, false,
+		  PH_VERDICT_NOT_RUN },
+		{ "its submitter was lost", 8000, 1500 * kMs, true,
+		  PH_VERDICT_BROKEN },
+	};
+
+	for (const RepeatCase &c : cases) {
+		SCOPED_TRACE(c.what);
+		World w(4, 16000);
+		Owner *o = ready_owner(&w);
+		ph_batch_request request = {};
+		int starts;
+
+		snprintf(request.job, sizeof(request.job), "a");
+		snprintf(request.service, sizeof(request.service), "desk");
+		request.count = 2;
+		request.need = { c.cpu_milli, 1, 0 };
+		request.estimate_us = 60 * kMs;
+		request.caller_timeout_us = c.caller_timeout_us;
+		request.max_attempts = 1;
+		request.sent_us = w.now_us;
+		w.duration_us["a"] = 60 * kMs;
+		w.cpu_of["a"] = 8000;
+		ph_pool_submit(
+			o->pool, w.now_us, "submitter", 1,
+			ph_batch_request_copy(ph_mem_default(), &request));
+		w.run_until(w.now_us + 20 * kMs);
+		if (c.submitter_lost)
+			ph_pool_submitter_lost(o->pool, w.now_us, "submitter");
+		w.run_until(w.now_us + 130 * kMs);
+		ASSERT_TRUE(w.ended(o, 1, c.verdict));
+		starts = w.starts;
+
+		/* The batch would fit now. */
+		request.need.cpu_milli = 8000;
+		ph_pool_submit(
+			o->pool, w.now_us, "submitter", 1,
+			ph_batch_request_copy(ph_mem_default(), &request));
+		w.run_until(w.now_us + 300 * kMs);
+		EXPECT_EQ(w.starts, starts);
+		EXPECT_TRUE(w.ended(o, 1, c.verdict));
+	}
+}
+
 /* An executor restarts with the same id while start commands are under way: the
  * new incarnation carries them out before a poll shows that it restarted. */
 TEST(Pool, AStartThatReachesARestartedExecutorIsKept)
