A claimed run is restarted when its executor restarts

Cause: claim_run() left acked_us 0, so drop_absent() took the claimed run's start for one that is still under way and kept the run although no poll reported it any more.

Evidence: Pool.TasksOfClaimedRunsStartAgainWhenTheirExecutorRestarts failed before: the batch had no result 1.5 s after the restart.

Why it works: an orphaned run is known from a poll's answer, so its start counts as confirmed at that time; a poll that was sent later and does not report the run shows that it is gone.

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -91,7 +91,7 @@
 	/** When its start was sent, or when a poll first reported it. */
 	uint64_t created_us;
 	/** When the latest command was acknowledged, or a poll first reported
-	 * the start; 0: neither yet, or a claimed run. */
+	 * the start; 0: neither yet, or an orphaned run. */
 	uint64_t acked_us;
 	uint64_t stop_sent_us;
 	/** When the first stop command was sent; 0: none was. */
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -153,7 +153,7 @@
 		uint64_t until = command->lease_until_ms;
 		uint64_t id = command->call_id;
 
-		auto carry_out = [=](Executor *x) {
+		auto carry_out = [=](Executor *x, uint64_t limit) {
 			Run r = run;
 
 			r.begin_us = w->now_us;
@@ -163,7 +163,7 @@
 			r.fails = x->fails_all;
 			if (r.fails)
 				r.end_us = w->now_us + 5 * kMs;
-			return start(w, x, r, token, until);
+			return start(w, x, r, token, limit);
 		};
 		auto unknown = [=] {
 			if (!o->frozen)
@@ -176,12 +176,19 @@
 				std::string xid = x->id;
 
 				if (x->start_delay_us) {
+					uint64_t limit = x->accepts_on_arrival
+								 ? 0
+								 : until;
+
 					w->at(w->now_us + x->start_delay_us,
-					      [=] { carry_out(w->find(xid)); });
+					      [=] {
+						      carry_out(w->find(xid),
+								limit);
+					      });
 					w->at(w->now_us + 200 * kMs, unknown);
 					return;
 				}
-				ph_call_status s = carry_out(x);
+				ph_call_status s = carry_out(x, until);
 
 				if (x->loses_start_answers)
 					w->at(w->now_us + 200 * kMs, unknown);
@@ -194,18 +201,26 @@
 	static void on_stop(void *ctx, const ph_run_command *command)
 	{
 		Owner *o = static_cast<Owner *>(ctx);
+		World *w = o->world;
 		std::string key = key_of(command->job, command->index);
 		uint64_t run = command->run;
 		uint64_t token = command->token;
 		uint64_t id = command->call_id;
+		uint64_t timeout = command->timeout_us;
+		auto unknown = [=] {
+			command_reply(o, id, true, PH_CALL_UNKNOWN);
+		};
 
 		deliver(
 			o, command->executor, command->timeout_us,
 			[=](Executor *x) {
-				command_reply(o, id, true,
-					      stop(x, key, run, token));
+				if (x->loses_stops)
+					w->at(w->now_us + timeout, unknown);
+				else
+					command_reply(o, id, true,
+						      stop(x, key, run, token));
 			},
-			[=] { command_reply(o, id, true, PH_CALL_UNKNOWN); });
+			unknown);
 	}
 
 	static void poll_reply(Owner *o, Executor *x, uint64_t id,
@@ -385,6 +400,16 @@
 	ph_pool_update(owner->pool, now_us, infos.data(), infos.size());
 }
 
+void World::restart(Executor *x)
+{
+	x->started_ms++;
+	x->running.clear();
+	x->ends.clear();
+	x->next_end = 1;
+	x->highest_run.clear();
+	x->token = 0;
+}
+
 void World::at(uint64_t us, std::function<void()> what)
 {
 	events.emplace(us, what);
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -73,6 +73,11 @@
 	/** Start commands are carried out this much later, and not answered; 0:
 	 * none. */
 	uint64_t start_delay_us = 0;
+	/** A delayed start is accepted when it arrives: it is carried out even
+	 * if the end of its lease has passed by then. */
+	bool accepts_on_arrival = false;
+	/** Stop commands don't arrive, all other calls do. */
+	bool loses_stops = false;
 	/** Factor on the run times. */
 	double slow = 1.0;
 };
@@ -133,6 +138,8 @@
 	bool ended(const Owner *owner, uint64_t seq, ph_verdict verdict) const;
 
 	Executor *find(const std::string &id);
+	/** The executor restarts with the same id and has forgotten all. */
+	static void restart(Executor *x);
 
       private:
 	uint64_t last_seq = 0;
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -61,15 +61,7 @@
 	  "expires",
 	  [](World *, Executor *x) { x->unreachable_from = { 0 }; }, true },
 	{ "an executor that restarts with the same id",
-	  [](World *, Executor *x) {
-		  x->started_ms++;
-		  x->running.clear();
-		  x->ends.clear();
-		  x->next_end = 1;
-		  x->highest_run.clear();
-		  x->token = 0;
-	  },
-	  true },
+	  [](World *, Executor *x) { World::restart(x); }, true },
 	{ "an executor that fails all its runs",
 	  [](World *, Executor *x) { x->fails_all = true; }, true },
 	{ "starts that are carried out without an answer",
@@ -679,6 +671,29 @@
 	EXPECT_EQ(ph_pool_counters(b->pool)->claimed_runs, 8U);
 }
 
+/* An executor restarts after its runs were claimed: their tasks start again
+ * and the batch does not hang until its caller's deadline. */
+TEST(Pool, TasksOfClaimedRunsStartAgainWhenTheirExecutorRestarts)
+{
+	World w(2, 16000);
+	Owner *a = ready_owner(&w);
+	Owner *b = w.add_owner();
+	uint64_t seq = w.submit(a, "a", 4, 400 * kMs, 400 * kMs, 900 * kMs,
+				5000 * kMs);
+
+	w.run_until(w.now_us + 100 * kMs);
+	ph_pool_acquire(b->pool, w.now_us, 2000);
+	w.run_until(w.now_us + 20 * kMs);
+	ph_pool_release(a->pool, w.now_us);
+	w.resubmit(a, b, seq);
+	w.run_until(w.now_us + 50 * kMs);
+	ASSERT_EQ(ph_pool_counters(b->pool)->claimed_runs, 4U);
+	World::restart(&w.executors[0]);
+	w.run_until(w.now_us + 1500 * kMs);
+	EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
+	EXPECT_EQ(w.concurrent_runs, 0);
+}
+
 TEST(Pool, UnclaimedRunsAreStoppedBeforeTheCallerRetries)
 {
 	World w(2, 16000);
