Renew no lease where a stop has long been unacknowledged

A caller that lost its connection sends the job again 1.3 s later, and nothing but time keeps the runs of the two submissions apart.

Cause: a stop that gets lost is sent again, but meanwhile the polls of its executor renew the lease of everything there, the run to be stopped among it. If stops get lost while polls pass, nothing bounds that run.

Evidence: Pool.RunsWhoseStopsGetLostEndBeforeTheCallerRetries failed before, for a silent submitter, a cancellation and a caller's deadline: the runs were alive 900 ms after their owner had ended the batch, 1.3 s after the caller's loss. Pool.LostStopsOfOneBatchDelayOtherTasksOnceAtMost shows the cost: other tasks of the executor go on through 500 ms of lost stops; through 3 s of them they start again once.

Why it works: 100 ms after the first stop its executor gets polls that renew no lease, and no starts, which would renew it too, until the stop is acknowledged or the run's end reported. A silent submitter is noticed after 350 ms; with 100 ms, two ticks, and a lease of 714 ms on a clock that is 2% slow the run ends within 1.22 s. When the lease has run out, tasks of other runs there start elsewhere, as if the executor could not be reached. Short losses cost nothing: an acknowledged stop resumes the renewal while the lease still lasts.

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -140,6 +140,9 @@
 	uint64_t next_poll_us;
 	/** Consecutive polls without success. */
 	uint32_t poll_failures;
+	/** A stop has gone unacknowledged for so long that no lease is renewed
+	 * here and nothing starts. */
+	bool stops_overdue;
 	/** Runs that failed or were too slow, and start commands that it
 	 * refused. */
 	struct ph_backoff faults;
@@ -292,7 +295,7 @@
 /* ## pool_poll.c */
 
 /** Polls an executor, which renews the lease of its runs unless the poll
- * before failed. */
+ * before failed or a stop is overdue there. */
 void ph_poll_send(struct ph_pool *pool, struct ph_executor *executor,
 		  uint64_t now_us);
 
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -11,6 +11,11 @@
 /* Time for which orphaned runs wait for the batches of a dead owner to be
  * submitted again: two heartbeats and a round trip. Then they are stopped. */
 #define CLAIM_US 350000U
+/* Time without an acknowledgement after which a stop is overdue. With the time
+ * until a lost submitter is noticed, and the lease that was renewed last on a
+ * slow clock, it has to end before the caller retries; a stop that got lost is
+ * sent once more within it. */
+#define STOP_OVERDUE_US 100000U
 /* The platform's bound on how much slower an executor's clock may run. */
 #define CLOCK_SLOW_PERCENT 2U
 /* Time added to a computed lease expiry. */
@@ -468,12 +473,13 @@
 		 (unsigned long long)(now_us - run->created_us));
 }
 
-/* Drops all runs of an executor that doesn't answer polls once their leases
+/* Drops all runs of an executor whose leases are no longer renewed once these
  * have expired. */
 static void expire_runs(struct ph_pool *pool, struct ph_executor *x,
 			uint64_t now_us)
 {
-	if (!x->runs || !x->poll_failures || now_us < lease_expiry_us(x))
+	if (!x->runs || !(x->poll_failures || x->stops_overdue) ||
+	    now_us < lease_expiry_us(x))
 		return;
 	while (x->runs) {
 		log_expired(x, x->runs, now_us);
@@ -491,6 +497,20 @@
 	       now_us > run->acked_us + pool->opt.stop_us + STOP_MARGIN_US;
 }
 
+static void update_stops_overdue(struct ph_executor *x, uint64_t now_us)
+{
+	const struct ph_run *run;
+	bool overdue = false;
+
+	for (run = x->runs; run && !overdue; run = run->next)
+		overdue = run->state == PH_RUN_STOPPING && !run->acked_us &&
+			  now_us > run->first_stop_us + STOP_OVERDUE_US;
+	if (overdue != x->stops_overdue)
+		ph_event(PART, "event=lease_renewal_%s executor=%s",
+			 overdue ? "paused" : "resumed", x->info.id);
+	x->stops_overdue = overdue;
+}
+
 static void runs_tick(struct ph_pool *pool, struct ph_executor *x,
 		      uint64_t now_us)
 {
@@ -523,6 +543,7 @@
 	struct ph_executor *x;
 
 	for (x = pool->executors; x; x = x->next) {
+		update_stops_overdue(x, now_us);
 		expire_runs(pool, x, now_us);
 		if (!x->poll_call && now_us >= x->next_poll_us)
 			ph_poll_send(pool, x, now_us);
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -128,7 +128,7 @@
 bool ph_executor_usable(const struct ph_pool *pool, const struct ph_executor *x,
 			uint64_t now_us)
 {
-	return reachable(pool, x, now_us) &&
+	return reachable(pool, x, now_us) && !x->stops_overdue &&
 	       (now_us >= x->faults.until_us ||
 		!ph_mechanism_on(pool->opt.off, PH_MECHANISM_AVOID_FAILING)) &&
 	       (now_us >= x->unanswered.until_us || pool->widespread_loss ||
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -93,6 +93,98 @@
 	}
 }
 
+/** How a batch ends whose runs have to be stopped. */
+struct EarlyEndCase {
+	const char *what;
+	void (*end)(Owner *, uint64_t seq, uint64_t now_us);
+	/** The caller's timeout. */
+	uint64_t timeout;
+};
+
+/* The owner learns of a lost submitter, or of a cancellation, at most this long
+ * after the caller has lost its job. */
+constexpr uint64_t kNoticedUs = 400 * kMs;
+/* A caller that has lost its job submits it again after this time, and nothing
+ * connects the two submissions. */
+constexpr uint64_t kCallerRetryUs = 1300 * kMs;
+
+const EarlyEndCase early_end_cases[] = {
+	{ "the submitter is silent",
+	  [](Owner *o, uint64_t, uint64_t now_us) {
+		  ph_pool_submitter_lost(o->pool, now_us, "submitter");
+	  },
+	  20000 * kMs },
+	{ "the batch is cancelled",
+	  [](Owner *o, uint64_t seq, uint64_t now_us) {
+		  ph_pool_cancel(o->pool, now_us, "submitter", seq);
+	  },
+	  20000 * kMs },
+	{ "its caller's deadline passes", [](Owner *, uint64_t, uint64_t) {},
+	  100 * kMs },
+};
+
+/* An executor answers polls, but stops sent to it get lost: a run that outlives
+ * its batch must not outlast the time after which its caller retries. */
+TEST(Pool, RunsWhoseStopsGetLostEndBeforeTheCallerRetries)
+{
+	for (const EarlyEndCase &c : early_end_cases) {
+		SCOPED_TRACE(c.what);
+		World w(1, 16000);
+		Owner *o = ready_owner(&w);
+		uint64_t t0 = w.now_us;
+		uint64_t seq = w.submit(o, "a", 2, 9000 * kMs, 1 * kMs, kTarget,
+					c.timeout);
+
+		w.executors[0].loses_stops = true;
+		w.run_until(t0 + 100 * kMs);
+		ASSERT_EQ(w.executors[0].running.size(), 2U);
+		c.end(o, seq, w.now_us);
+		w.run_until(t0 + 100 * kMs + kCallerRetryUs - kNoticedUs);
+		EXPECT_TRUE(w.executors[0].running.empty());
+	}
+}
+
+struct LostStopsCase {
+	const char *what;
+	uint64_t lost_for;
+	/** Starts of the two tasks. */
+	int starts;
+};
+
+/* Tasks of other batches on the executor go on through a short loss of stops.
+ * Through a long one they restart elsewhere, and the executor is used again
+ * when it has acknowledged the stop. */
+TEST(Pool, LostStopsOfOneBatchDelayOtherTasksOnceAtMost)
+{
+	const LostStopsCase cases[] = {
+		{ "none lost", 0, 2 },
+		{ "for a short time", 500 * kMs, 2 },
+		{ "for long", 3000 * kMs, 3 },
+	};
+
+	for (const LostStopsCase &c : cases) {
+		SCOPED_TRACE(c.what);
+		World w(1, 16000);
+		Owner *o = ready_owner(&w);
+		Executor *x = &w.executors[0];
+		uint64_t t0 = w.now_us;
+		uint64_t ended = w.submit(o, "ended", 1, 9000 * kMs, 9000 * kMs,
+					  9000 * kMs, 20000 * kMs);
+		uint64_t other = w.submit(o, "other", 1, 2000 * kMs, 2000 * kMs,
+					  9000 * kMs, 20000 * kMs);
+
+		x->loses_stops = true;
+		w.at(t0 + 100 * kMs + c.lost_for,
+		     [&] { w.executors[0].loses_stops = false; });
+		w.run_until(t0 + 100 * kMs);
+		ph_pool_cancel(o->pool, w.now_us, "submitter", ended);
+		w.run_until(t0 + 6000 * kMs);
+		EXPECT_TRUE(w.ended(o, other, PH_VERDICT_DONE));
+		EXPECT_EQ(w.starts, c.starts);
+		EXPECT_EQ(w.concurrent_runs, 0);
+	}
+}
+
 struct TransitCase {
 	const char *what;
 	uint64_t transit_us;
