--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -91,7 +91,7 @@
 	/** When its start was sent, or when a poll first reported it. */
 	uint64_t created_us;
 	/** When the latest command was acknowledged, or a poll first reported
-	 * the start; 0: neither yet, or a claimed run. */
+	 * the start; 0: neither yet, or an orphaned run. */
 	uint64_t acked_us;
 	uint64_t stop_sent_us;
 	/** When the first stop command was sent; 0: none was. */
@@ -140,6 +140,9 @@
 	uint64_t next_poll_us;
 	/** Consecutive polls without success. */
 	uint32_t poll_failures;
+	/** A stop has gone unacknowledged for so long that no lease is renewed
+	 * here and nothing starts. */
+	bool stops_overdue;
 	/** Runs that failed or were too slow, and start commands that it
 	 * refused. */
 	struct ph_backoff faults;
@@ -293,7 +296,7 @@
 /* ## pool_poll.c */
 
 /** Polls an executor, which renews the lease of its runs unless the poll
- * before failed. */
+ * before failed or a stop is overdue there. */
 void ph_poll_send(struct ph_pool *pool, struct ph_executor *executor,
 		  uint64_t now_us);
 
