An owner does not take a run for expired where its token is refused

The second one had found the first one's run and renewed its lease; the first one's polls were refused by this executor only, so its pool did not count as fenced. 0.74 s later it took the run for expired and started the task elsewhere.

Cause: the expiry of a lease was computed from what this owner had sent. A refused token shows that another owner polls the executor.

Change: such an executor keeps its runs, and their tasks don't start elsewhere, until a poll succeeds there (after the token was raised) and shows what runs, or until it has been missing from the list for 3 s.

--- a/src/pool.c
+++ b/src/pool.c
@@ -17,9 +17,6 @@
 /* Interval of placement rounds without a change of state: a start may become
  * possible by time alone, as when a back-off ends. */
 #define PLACE_EVERY_US 10000U
-/* Time for which an unlisted executor is still tracked: two of the longest
- * leases, plus the time between two reads of the list. */
-#define UNLISTED_US 3000000U
 /* Time for which a closed batch is remembered. A submission that arrives later
  * is refused for its time in transit; until then the submitter repeats a
  * cancellation. */
@@ -573,6 +570,7 @@
 			ph_run_drop(pool, x, x->runs);
 		x->polled = false;
 		x->rejected_us = 0;
+		x->other_owner = false;
 		x->poll_call = 0;
 		x->poll_failures = 0;
 		x->clock_ms = 0;
@@ -606,7 +604,7 @@
 
 		any_unlisted = any_unlisted || !x->listed;
 		if (x->listed || x->runs ||
-		    now_us < x->unlisted_us + UNLISTED_US) {
+		    now_us < x->unlisted_us + PH_UNLISTED_US) {
 			at = &x->next;
 			continue;
 		}
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -12,6 +12,9 @@
 /* Longest wait for a call's answer: leaves time to repeat a poll before the
  * lease that it renews expires. */
 #define PH_CALL_TIMEOUT_MAX_US 200000U
+/* Time for which an unlisted executor is still tracked: two of the longest
+ * leases, plus the time between two reads of the list. */
+#define PH_UNLISTED_US 3000000U
 
 enum ph_batch_task_state {
 	PH_BATCH_TASK_WAITING,
@@ -123,6 +126,9 @@
 	bool polled;
 	/** Since when it refuses the owner's token; 0: it does not. */
 	uint64_t rejected_us;
+	/** It has refused the owner's token since the last successful poll, so
+	 * another instance may be renewing the lease of its runs. */
+	bool other_owner;
 	/** Number of the last end that was processed. */
 	uint64_t ends_seen;
 	/** The executor's clock, read at clock_us; 0: unknown. */
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -325,6 +325,7 @@
 	uint32_t listed = 0;
 	uint32_t rejecting = 0;
 
+	x->other_owner = true;
 	if (!x->listed)
 		return;
 	if (!x->rejected_us)
@@ -473,13 +474,24 @@
 		 (unsigned long long)(now_us - run->created_us));
 }
 
+/* True if no lease that this owner or another one has sent to the executor can
+ * still last. The lease of another owner ends at no known time: a poll has to
+ * show what runs, or the executor has to be gone. */
+static bool leases_expired(const struct ph_executor *x, uint64_t now_us)
+{
+	if (x->other_owner &&
+	    (x->listed || now_us < x->unlisted_us + PH_UNLISTED_US))
+		return false;
+	return now_us >= lease_expiry_us(x);
+}
+
 /* Drops all runs of an executor whose leases are no longer renewed once these
  * have expired. */
 static void expire_runs(struct ph_pool *pool, struct ph_executor *x,
 			uint64_t now_us)
 {
 	if (!x->runs || !(x->poll_failures || x->stops_overdue) ||
-	    now_us < lease_expiry_us(x))
+	    !leases_expired(x, now_us))
 		return;
 	while (x->runs) {
 		log_expired(x, x->runs, now_us);
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -347,6 +347,7 @@
 	x->poll_ok_us = now_us;
 	x->polled = true;
 	x->rejected_us = 0;
+	x->other_owner = false;
 	for (i = 0; i < reply->ended_count; i++) {
 		if (reply->ended[i].end_number <= x->ends_seen)
 			continue;
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -848,6 +848,47 @@
 	EXPECT_EQ(w.concurrent_runs, 0);
 }
 
+/* Two instances own the pool and don't hear of each other. Only one executor is
+ * reached by the second one, which renews its lease for a while. The first
+ * one's polls are refused there, so the expiry of its own lease says nothing of
+ * its task's run. */
+TEST(Pool, ARunWhoseLeaseAnotherOwnerRenewsIsNotTakenForExpired)
+{
+	for (uint64_t lost_ms = 0; lost_ms <= 340; lost_ms += 20) {
+		SCOPED_TRACE("unreachable after " + std::to_string(lost_ms) +
+			     " ms");
+		World w(6, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		uint64_t t0 = w.now_us;
+		uint64_t seq = w.submit(a, "a", 2, 1500 * kMs, 1500 * kMs,
+					3000 * kMs, 8000 * kMs);
+		Executor *shared = nullptr;
+
+		w.run_until(t0 + 100 * kMs);
+		for (Executor &x : w.executors)
+			if (x.running.empty())
+				x.unreachable_from = { b->number };
+			else
+				shared = &x;
+		ASSERT_EQ(shared->running.size(), 2U);
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		w.run_until(w.now_us + (2 + lost_ms) * kMs);
+		shared->unreachable_from = { a->number, b->number };
+		w.run_until(t0 + 2500 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_FALSE(ph_pool_fenced(a->pool));
+
+		/* The second owner is gone, and the first raises its token. */
+		b->frozen = true;
+		shared->unreachable_from.clear();
+		ph_pool_acquire(a->pool, w.now_us, 3000);
+		w.run_until(t0 + 6000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(a, seq, PH_VERDICT_DONE));
+	}
+}
+
 TEST(Pool, UnclaimedRunsAreStoppedBeforeTheCallerRetries)
 {
 	World w(2, 16000);
