An owner does not rely on its own leases after it has raised its token

An owner whose pool another instance had held for 190 ms took the pool back, knew a run of the other one from a long poll, and took that run for expired when its own last lease had ended. The other one's lease lasted for longer, and the task started elsewhere beside it.

Change: after each acquisition nothing expires on an executor before it was polled under the new token; that poll ends the other owner's renewals, and its last lease counts as renewed at that time.

Evidence: Pool.ARunOfAnEarlierOwnerIsNotTakenForExpiredByTheOwnLease failed before (two tasks at once).

--- a/src/pool.c
+++ b/src/pool.c
@@ -544,6 +544,7 @@
 	for (x = pool->executors; x; x = x->next) {
 		x->polled = false;
 		x->rejected_us = 0;
+		x->other_owner = true;
 		x->poll_call = 0;
 		x->next_poll_us = now_us;
 	}
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -126,8 +126,8 @@
 	bool polled;
 	/** Since when it refuses the owner's token; 0: it does not. */
 	uint64_t rejected_us;
-	/** It has refused the owner's token since the last successful poll, so
-	 * another instance may be renewing the lease of its runs. */
+	/** Another instance may be renewing the lease of its runs: it has not
+	 * been polled under the present token, or has refused it since. */
 	bool other_owner;
 	/** Number of the last end that was processed. */
 	uint64_t ends_seen;
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -144,6 +144,17 @@
 	memset(&x->unanswered, 0, sizeof(x->unanswered));
 }
 
+/* The token of this poll ends renewals by another owner. The lease that it sent
+ * last may still be in force. */
+static void take_over_lease(const struct ph_pool *pool, struct ph_executor *x)
+{
+	uint64_t end_ms = x->clock_ms + pool->opt.lease_us / PH_US_PER_MS;
+
+	if (end_ms > x->lease_ms)
+		x->lease_ms = end_ms;
+	x->other_owner = false;
+}
+
 static void remember_orphaned_end(struct ph_pool *pool,
 				  const struct ph_run_report *seen,
 				  uint64_t now_us)
@@ -347,7 +358,8 @@
 	x->poll_ok_us = now_us;
 	x->polled = true;
 	x->rejected_us = 0;
-	x->other_owner = false;
+	if (x->other_owner)
+		take_over_lease(pool, x);
 	for (i = 0; i < reply->ended_count; i++) {
 		if (reply->ended[i].end_number <= x->ends_seen)
 			continue;
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -889,6 +889,45 @@
 	}
 }
 
+/* An owner that another one had replaced for a while takes the pool back. It
+ * knows a run that the other one started from a long poll that was under way,
+ * but not how long the other one's lease lasts. */
+TEST(Pool, ARunOfAnEarlierOwnerIsNotTakenForExpiredByTheOwnLease)
+{
+	for (uint64_t held_ms = 180; held_ms <= 400; held_ms += 20) {
+		SCOPED_TRACE("held for " + std::to_string(held_ms) + " ms");
+		World w(6, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		uint64_t t0 = w.now_us;
+		Executor *used = nullptr;
+		uint64_t seq;
+
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		w.run_until(t0 + 20 * kMs);
+		seq = w.submit(b, "a", 2, 1500 * kMs, 1500 * kMs, 3000 * kMs,
+			       8000 * kMs);
+		w.run_until(t0 + 40 * kMs);
+		for (Executor &x : w.executors)
+			if (!x.running.empty())
+				used = &x;
+		ASSERT_NE(used, nullptr);
+		ASSERT_EQ(used->running.size(), 2U);
+		used->unreachable_from = { a->number };
+		w.run_until(t0 + held_ms * kMs);
+		ph_pool_release(b->pool, w.now_us);
+		ph_pool_acquire(a->pool, w.now_us, 3000);
+		w.resubmit(b, a, seq);
+		w.run_until(t0 + 2000 * kMs);
+		EXPECT_EQ(ph_pool_counters(a->pool)->claimed_runs, 2U);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		used->unreachable_from.clear();
+		w.run_until(t0 + 6000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(a, seq, PH_VERDICT_DONE));
+	}
+}
+
 TEST(Pool, UnclaimedRunsAreStoppedBeforeTheCallerRetries)
 {
 	World w(2, 16000);
