Stop forgotten starts before their executor gets a lease again

The protocol leaves open whether a start that was accepted on arrival is refused.

Cause: when the lease of an unreachable executor had expired its owner dropped all runs there, also those whose start was never answered and whose stop was not acknowledged, and started their tasks elsewhere. When the executor was reached again its lease was renewed, under which such a start could still begin. The same when only stops got lost and the lease ran out for that.

Evidence: Pool.AForgottenStartThatIsCarriedOutLateIsNoSecondRun, with simulated executors that accept a start on arrival and carry it out 1.4 s or 3 s later, showed a concurrent run before.

Why it works: such a run is kept, without its batch, and its stop is sent again once the executor answers. Until that is acknowledged the stop is overdue: no lease is renewed and nothing starts there, so a late start would have no lease, and after that the executor refuses the run's number. The task waits for nothing, and an executor that never returns is dropped 20 s after it left the list (Pool.AForgottenStartOnALostExecutorBlocksNothing).

--- a/src/pool.c
+++ b/src/pool.c
@@ -20,6 +20,10 @@
 /* Time for which an unlisted executor is still tracked: two of the longest
  * leases, plus the time between two reads of the list. */
 #define UNLISTED_US 3000000U
+/* Longest time after which a start that was not answered counts as one that may
+ * still be carried out on an unlisted executor: the platform's bound is
+ * "seconds". */
+#define LATE_START_US 20000000U
 /* Time for which a cancellation is remembered. A batch that arrives later is
  * refused for its time in transit; until then the submitter repeats the
  * cancellation. */
@@ -589,6 +593,20 @@
 	return x;
 }
 
+/* Whether an unlisted executor may still have runs, or carry out the start of
+ * one. */
+static bool may_run(const struct ph_executor *x, uint64_t now_us)
+{
+	const struct ph_run *run;
+
+	if (now_us < x->unlisted_us + UNLISTED_US)
+		return true;
+	for (run = x->runs; run; run = run->next)
+		if (!run->forgotten || now_us < x->unlisted_us + LATE_START_US)
+			return true;
+	return false;
+}
+
 /* Frees unlisted executors once no lease can last there. Until then they are
  * still polled, as they may have runs that another owner started. Returns
  * whether there were unlisted ones. */
@@ -601,8 +619,7 @@
 		struct ph_executor *x = *at;
 
 		any_unlisted = any_unlisted || !x->listed;
-		if (x->listed || x->runs ||
-		    now_us < x->unlisted_us + UNLISTED_US) {
+		if (x->listed || may_run(x, now_us)) {
 			at = &x->next;
 			continue;
 		}
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -70,7 +70,7 @@
 	PH_RUN_STARTING,
 	PH_RUN_RUNNING,
 	/** Being stopped; keeps its capacity reserved until its end is
-	 * reported or certain. */
+	 * reported or certain, and the executor refuses its start. */
 	PH_RUN_STOPPING,
 	/** Reported by a poll, but not started by this owner; a resumed batch
 	 * may claim it. */
@@ -99,6 +99,11 @@
 	/** Stop commands sent. */
 	uint32_t stops;
 	bool stop_pending;
+	/** The executor is known to have carried out the start. */
+	bool begun;
+	/** Stopping, and its task no longer waits for it: its lease has expired
+	 * but its start may still be carried out. */
+	bool forgotten;
 	/** Progress as last reported. */
 	uint32_t percent;
 };
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -403,6 +403,7 @@
 		return;
 	switch (reply->status) {
 	case PH_CALL_OK:
+		run->begun = true;
 		if (run->state == PH_RUN_STARTING) {
 			run->state = PH_RUN_RUNNING;
 			run->acked_us = now_us;
@@ -473,18 +474,53 @@
 		 (unsigned long long)(now_us - run->created_us));
 }
 
+/* An executor that is reached again may carry out a start that was never
+ * confirmed. Until it acknowledges the stop, which makes it refuse the start,
+ * the stop is overdue, so no lease is renewed there. The task itself need not
+ * wait. */
+static void run_forget(struct ph_pool *pool, struct ph_run *run,
+		       uint64_t now_us)
+{
+	struct ph_batch *batch = run->batch;
+
+	run->forgotten = true;
+	run->batch = NULL;
+	run->state = PH_RUN_STOPPING;
+	if (!run->first_stop_us)
+		run->first_stop_us = now_us;
+	if (batch)
+		ph_batch_task_requeue(pool, batch, run->index);
+}
+
+/* True if the start may be carried out after the run's lease has expired. */
+static bool may_begin(const struct ph_run *run)
+{
+	return !run->begun && !run->acked_us &&
+	       (run->state == PH_RUN_STARTING || run->state == PH_RUN_STOPPING);
+}
+
 /* Drops all runs of an executor whose leases are no longer renewed once these
- * have expired. */
+ * have expired, or forgets those that may still begin. */
 static void expire_runs(struct ph_pool *pool, struct ph_executor *x,
 			uint64_t now_us)
 {
-	if (!x->runs || !(x->poll_failures || x->stops_overdue) ||
+	struct ph_run *run = x->runs;
+
+	if (!run || !(x->poll_failures || x->stops_overdue) ||
 	    now_us < lease_expiry_us(x))
 		return;
-	while (x->runs) {
-		log_expired(x, x->runs, now_us);
-		pool->counters.expired_runs++;
-		ph_run_drop_requeue(pool, x, x->runs);
+	while (run) {
+		struct ph_run *next = run->next;
+
+		if (!run->forgotten) {
+			log_expired(x, run, now_us);
+			pool->counters.expired_runs++;
+			if (may_begin(run))
+				run_forget(pool, run, now_us);
+			else
+				ph_run_drop_requeue(pool, x, run);
+		}
+		run = next;
 	}
 }
 
@@ -497,6 +533,14 @@
 	       now_us > run->acked_us + pool->opt.stop_us + STOP_MARGIN_US;
 }
 
+/* True if a stop has to be sent again. Those of forgotten runs wait until the
+ * executor is reached. */
+static bool stop_due(const struct ph_executor *x, const struct ph_run *run)
+{
+	return run->state == PH_RUN_STOPPING && !run->acked_us &&
+	       !run->stop_pending && !(run->forgotten && x->poll_failures);
+}
+
 static void update_stops_overdue(struct ph_executor *x, uint64_t now_us)
 {
 	const struct ph_run *run;
@@ -504,7 +548,8 @@
 
 	for (run = x->runs; run && !overdue; run = run->next)
 		overdue = run->state == PH_RUN_STOPPING && !run->acked_us &&
-			  now_us > run->first_stop_us + STOP_OVERDUE_US;
+			  (run->forgotten ||
+			   now_us > run->first_stop_us + STOP_OVERDUE_US);
 	if (overdue != x->stops_overdue)
 		ph_event(PART, "event=lease_renewal_%s executor=%s",
 			 overdue ? "paused" : "resumed", x->info.id);
@@ -528,8 +573,7 @@
 				 run->job, run->index,
 				 (unsigned long long)run->run, x->info.id);
 			ph_run_stop(pool, x, run, now_us);
-		} else if (run->state == PH_RUN_STOPPING && !run->acked_us &&
-			   !run->stop_pending) {
+		} else if (stop_due(x, run)) {
 			ph_run_stop(pool, x, run, now_us);
 		} else if (stop_completed(pool, run, now_us)) {
 			ph_run_drop_requeue(pool, x, run);
@@ -543,8 +587,8 @@
 	struct ph_executor *x;
 
 	for (x = pool->executors; x; x = x->next) {
-		update_stops_overdue(x, now_us);
 		expire_runs(pool, x, now_us);
+		update_stops_overdue(x, now_us);
 		if (!x->poll_call && now_us >= x->next_poll_us)
 			ph_poll_send(pool, x, now_us);
 		runs_tick(pool, x, now_us);
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -274,6 +274,8 @@
 		run->state = PH_RUN_RUNNING;
 		run->acked_us = now_us;
 	}
+	run->begun = true;
+	run->forgotten = false;
 	run->percent = seen->percent;
 	move_if_slow(pool, x, run, now_us);
 }
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -49,6 +49,8 @@
 	if (until_ms && until_ms < clock_ms(w))
 		return PH_CALL_LATE;
 	x->lease_until_us = std::max(x->lease_until_us, until_ms * kMs);
+	if (x->lease_until_us < w->now_us)
+		return PH_CALL_LATE;
 	if (x->highest_run[run.key] >= run.run)
 		return PH_CALL_OLD_RUN;
 	if (used(x) + run.cpu > x->cpu)
@@ -383,7 +385,7 @@
 	return o;
 }
 
-void World::list(Owner *owner)
+bool World::list(Owner *owner)
 {
 	std::vector<ph_executor_info> infos;
 
@@ -397,7 +399,7 @@
 		info.capacity = { x.cpu, 65536, 0 };
 		infos.push_back(info);
 	}
-	ph_pool_update(owner->pool, now_us, infos.data(), infos.size());
+	return ph_pool_update(owner->pool, now_us, infos.data(), infos.size());
 }
 
 void World::restart(Executor *x)
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -117,8 +117,9 @@
 
 	Owner *
 	add_owner(const ph_scheduling_policy *policy = &ph_scheduling_slack);
-	/** Sends the list of all executors to an owner. */
-	void list(Owner *owner);
+	/** Sends the list of all executors to an owner. Returns whether it
+	 * still tracks others. */
+	bool list(Owner *owner);
 	/** Schedules what for the simulated time us. */
 	void at(uint64_t us, std::function<void()> what);
 	/** Advances the simulated time. */
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -185,6 +185,95 @@
 	}
 }
 
+/** A start that no answer confirms and that is carried out seconds later, when
+ * the run was given up and its executor is reachable again. */
+struct ForgottenStartCase {
+	const char *what;
+	/** Time after the start from which its executor is unreachable, and for
+	 * how long. */
+	uint64_t cut_after;
+	uint64_t cut_for;
+	/** Stops get lost for this time after the start. */
+	uint64_t stops_lost_for;
+	uint64_t delay;
+	/** Time after the start at which the executor restarts; 0: it does
+	 * not. */
+	uint64_t restart_after;
+};
+
+const ForgottenStartCase forgotten_start_cases[] = {
+	{ "cut off before the stop", 10 * kMs, 1200 * kMs, 0, 3000 * kMs, 0 },
+	{ "cut off until after the start", 10 * kMs, 3500 * kMs, 0, 3000 * kMs,
+	  0 },
+	{ "carried out as soon as it is reachable", 10 * kMs, 1200 * kMs, 0,
+	  1400 * kMs, 0 },
+	{ "stops lost for longer than polls", 10 * kMs, 1200 * kMs, 2500 * kMs,
+	  3000 * kMs, 0 },
+	{ "the executor restarts meanwhile", 10 * kMs, 1200 * kMs, 0,
+	  3000 * kMs, 600 * kMs },
+	{ "stops lost while polls pass", 0, 0, 2500 * kMs, 3000 * kMs, 0 },
+};
+
+TEST(Pool, AForgottenStartThatIsCarriedOutLateIsNoSecondRun)
+{
+	for (const ForgottenStartCase &c : forgotten_start_cases) {
+		SCOPED_TRACE(c.what);
+		World w(2, 16000);
+		Owner *o = ready_owner(&w);
+		/* Placement fills this executor first. */
+		Executor *x = &w.executors.back();
+		uint64_t t0 = w.now_us;
+		uint64_t seq;
+
+		x->start_delay_us = c.delay;
+		x->accepts_on_arrival = true;
+		x->loses_stops = c.stops_lost_for;
+		seq = w.submit(o, "a", 1, 6000 * kMs, 6000 * kMs, 9000 * kMs,
+			       20000 * kMs);
+		w.at(t0 + 5 * kMs, [=] { x->start_delay_us = 0; });
+		if (c.cut_for)
+			w.at(t0 + c.cut_after,
+			     [=] { x->unreachable_from = { 0 }; });
+		w.at(t0 + c.cut_after + c.cut_for,
+		     [=] { x->unreachable_from.clear(); });
+		w.at(t0 + c.stops_lost_for, [=] { x->loses_stops = false; });
+		if (c.restart_after)
+			w.at(t0 + c.restart_after, [=] { World::restart(x); });
+		w.run_until(t0 + 9000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_EQ(w.starts, 1);
+		EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+		/* The executor serves again. */
+		for (int i = 0; i < 2; i++)
+			w.submit(o, "b" + std::to_string(i), 2, 60 * kMs,
+				 60 * kMs, kTarget, kCallerTimeout);
+		w.run_until(w.now_us + 100 * kMs);
+		EXPECT_EQ(w.starts, 5);
+	}
+}
+
+/* The executor of a forgotten start never returns: the task is not blocked, and
+ * the executor is not tracked for ever. */
+TEST(Pool, AForgottenStartOnALostExecutorBlocksNothing)
+{
+	World w(2, 16000);
+	Owner *o = ready_owner(&w);
+	Executor *x = &w.executors.back();
+	uint64_t t0 = w.now_us;
+	uint64_t seq;
+
+	x->unreachable_from = { 0 };
+	seq = w.submit(o, "a", 1, 500 * kMs, 500 * kMs, 2000 * kMs,
+		       20000 * kMs);
+	w.run_until(t0 + 2000 * kMs);
+	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+	w.executors.pop_back();
+	w.list(o);
+	w.run_until(w.now_us + 30000 * kMs);
+	w.list(o);
+	EXPECT_FALSE(w.list(o));
+}
+
 struct TransitCase {
 	const char *what;
 	uint64_t transit_us;
