Stop a run at once that appears on an executor polled before

What callers saw: a task that ran twice for up to 0.5 s.

Cause: every run that its owner did not know was kept for 350 ms, for a batch of an earlier owner to claim it.

Evidence: Pool.AnUnknownRunOnAnExecutorThatWasPolledIsStoppedAtOnce failed before: the run was alive after the poll that reported it and two ticks.

Why it works: an owner's first poll shows all runs of earlier owners, whose tokens the executor refuses from then on. What appears later is a late start, and is stopped at the next tick, unless a resumed batch that waits for this task claims it.

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -90,6 +90,8 @@
 	struct ph_batch *batch;
 	/** When its start was sent, or when a poll first reported it. */
 	uint64_t created_us;
+	/** Orphaned runs only: until when a batch may claim it. */
+	uint64_t claim_until_us;
 	/** When the latest command was acknowledged, or a poll first reported
 	 * the start; 0: neither yet, or an orphaned run. */
 	uint64_t acked_us;
@@ -277,6 +279,9 @@
 		      uint64_t now_us);
 struct ph_run *ph_run_find(struct ph_executor *executor, const char *job,
 			   uint32_t index, uint64_t run);
+/** Time, from the first report, for which a batch may claim a run that this
+ * owner has not started. */
+uint64_t ph_run_claim_us(const struct ph_executor *executor);
 /** Frees a run that ended without success or never began; its task waits
  * again. */
 void ph_run_drop_requeue(struct ph_pool *pool, struct ph_executor *executor,
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -9,7 +9,9 @@
 /* Margin added to the longest duration of a stop. */
 #define STOP_MARGIN_US 10000U
 /* Time for which orphaned runs wait for the batches of a dead owner to be
- * submitted again: two heartbeats and a round trip. Then they are stopped. */
+ * submitted again: two heartbeats and a round trip. Then they are stopped. The
+ * first poll shows all runs of earlier owners, as their tokens are refused from
+ * then on; a run that appears later waits for nothing. */
 #define CLAIM_US 350000U
 /* Time without an acknowledgement after which a stop is overdue. With the time
  * until a lost submitter is noticed, and the lease that was renewed last on a
@@ -140,6 +142,11 @@
 		ph_batch_task_requeue(pool, batch, index);
 }
 
+uint64_t ph_run_claim_us(const struct ph_executor *x)
+{
+	return x->polled ? 0 : CLAIM_US;
+}
+
 void ph_executor_free(struct ph_pool *pool, struct ph_executor *x)
 {
 	while (x->runs)
@@ -565,7 +572,7 @@
 		struct ph_run *next = run->next;
 
 		if (run->state == PH_RUN_ORPHANED &&
-		    now_us > run->created_us + CLAIM_US) {
+		    now_us > run->claim_until_us) {
 			pool->counters.orphans_stopped++;
 			ph_event(PART,
 				 "event=run_unclaimed job=%s task=%u run=%llu "
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -264,6 +264,7 @@
 		run = ph_run_add(pool, x, seen->job, seen->index, seen->run,
 				 &need, now_us);
 		run->state = PH_RUN_ORPHANED;
+		run->claim_until_us = now_us + ph_run_claim_us(x);
 		ph_event(PART,
 			 "event=run_found job=%s task=%u run=%llu executor=%s "
 			 "token=%llu",
@@ -347,7 +348,6 @@
 	x->clock_ms = reply->clock_ms;
 	x->clock_us = now_us;
 	x->poll_ok_us = now_us;
-	x->polled = true;
 	x->rejected_us = 0;
 	for (i = 0; i < reply->ended_count; i++) {
 		if (reply->ended[i].end_number <= x->ends_seen)
@@ -357,6 +357,7 @@
 	}
 	for (i = 0; i < reply->running_count; i++)
 		run_reported(pool, x, &reply->running[i], now_us);
+	x->polled = true;
 	drop_absent(pool, x, reply);
 	ph_pool_claim_orphans(pool, now_us);
 	pool->dirty = true;
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -875,6 +875,23 @@
 	EXPECT_EQ(w.concurrent_runs, 0);
 }
 
+/* After an executor's first poll no earlier owner's run can appear there. A run
+ * that appears all the same, as a start that reached the executor late, is
+ * stopped at once: its task may run elsewhere. */
+TEST(Pool, AnUnknownRunOnAnExecutorThatWasPolledIsStoppedAtOnce)
+{
+	World w(1, 16000);
+	Owner *o = ready_owner(&w);
+	Executor *x = &w.executors[0];
+
+	x->running.push_back({ "a.0", "a", 0, 7, 1000, w.now_us,
+			       w.now_us + 9000 * kMs, false });
+	/* The long poll under way returns, and the stop follows. */
+	w.run_until(w.now_us + kLeaseUs / 4 + 2 * kTickUs);
+	EXPECT_TRUE(x->running.empty());
+	EXPECT_EQ(ph_pool_counters(o->pool)->orphans_stopped, 1U);
+}
+
 TEST(Pool, UnclaimedRunsAreStoppedBeforeTheCallerRetries)
 {
 	World w(2, 16000);
