A fenced owner renews no leases

What callers saw: a task that ran twice (rule TWICE) after a change of a pool's owner in a partition.

Cause: an owner whose token is refused waits up to 300 ms for the claim of another, and went on renewing leases at the executors that had not refused it: those that the new owner cannot poll. The new owner takes runs there to have lapsed 300 ms and one lease after it was given the batch.

Evidence: Pool.AFencedOwnerKeepsNoRunsAliveThatTheNewOwnerStartsAgain failed before, with up to two concurrent runs, at those phases of the polls in which the cut-off executor's lease was renewed shortly before the release.

Why it works: the leases run from the first refusal on. One that raises its token in time resumes the renewal before any lease has run out: Pool.AnOwnerThatRaisesItsTokenInTimeInterruptsNoRuns passes before and after.

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -277,6 +277,11 @@
  */
 uint64_t ph_lease_end(struct ph_pool *pool, struct ph_executor *executor,
 		      uint64_t now_us);
+/** False while leases there must run out: a run that can't be stopped has to
+ * end with its lease, and so have the runs of a pool that may have another
+ * owner, which may not reach this executor. */
+bool ph_lease_renewed(const struct ph_pool *pool,
+		      const struct ph_executor *executor);
 struct ph_run *ph_run_find(struct ph_executor *executor, const char *job,
 			   uint32_t index, uint64_t run);
 /** Time, from the first report, for which a batch may claim a run that this
@@ -305,7 +310,7 @@
 /* ## pool_poll.c */
 
 /** Polls an executor, which renews the lease of its runs unless the poll
- * before failed or a stop is overdue there. */
+ * before failed or ph_lease_renewed() is false. */
 void ph_poll_send(struct ph_pool *pool, struct ph_executor *executor,
 		  uint64_t now_us);
 
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -243,6 +243,11 @@
 	return end;
 }
 
+bool ph_lease_renewed(const struct ph_pool *pool, const struct ph_executor *x)
+{
+	return !x->stops_overdue && !pool->fenced;
+}
+
 /* Local time at which every lease sent to the executor has expired; 0 if its
  * clock is unknown. */
 static uint64_t lease_expiry_us(const struct ph_executor *x)
@@ -513,7 +518,7 @@
 {
 	struct ph_run *run = x->runs;
 
-	if (!run || !(x->poll_failures || x->stops_overdue) ||
+	if (!run || (!x->poll_failures && ph_lease_renewed(pool, x)) ||
 	    now_us < lease_expiry_us(x))
 		return;
 	while (run) {
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -64,8 +64,7 @@
 
 /* A poll after a failed one doesn't renew the lease: it might arrive and its
  * answer be lost, but the time at which the runs' leases expire has to be
- * certain. Nor does a poll while a stop is overdue: a run that can't be stopped
- * has to end with its lease. */
+ * certain. */
 void ph_poll_send(struct ph_pool *pool, struct ph_executor *x, uint64_t now_us)
 {
 	struct ph_poll poll = { 0 };
@@ -81,7 +80,7 @@
 				  ? PH_CALL_TIMEOUT_MAX_US
 				  : ph_pool_timeout_us(pool);
 	if (x->polled && !x->poll_failures) {
-		if (!x->stops_overdue)
+		if (ph_lease_renewed(pool, x))
 			poll.lease_until_ms = ph_lease_end(pool, x, now_us);
 		poll.wait_us = wait_us(pool, x, now_us);
 	}
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -909,6 +909,66 @@
 		EXPECT_TRUE(x.running.empty());
 }
 
+/* Longest time for which an owner whose token is refused waits for the claim of
+ * another before it releases the pool. */
+constexpr uint64_t kFencedWaitUs = 300 * kMs;
+
+/* The new owner reaches most executors, the earlier one all. The earlier one
+ * must not renew the leases of those that the new one cannot poll for as long
+ * as it finds out whether there is a new owner. */
+TEST(Pool, AFencedOwnerKeepsNoRunsAliveThatTheNewOwnerStartsAgain)
+{
+	for (uint64_t step = 0; step < 100; step++) {
+		SCOPED_TRACE("at step " + std::to_string(step));
+		World w(3, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		/* Placement fills it first; there is room on another. */
+		Executor *cut = &w.executors[2];
+		uint64_t seq;
+
+		/* Its polls are out of step with those of the others. */
+		cut->poll_delay_us = step / 20 * 20 * kMs;
+		cut->unreachable_from = { b->number };
+		w.run_until(w.now_us + 2 * kLeaseUs / 4);
+		cut->poll_delay_us = 0;
+		seq = w.submit(a, "a", 4, 3000 * kMs, 3000 * kMs, 4000 * kMs,
+			       9000 * kMs);
+		w.run_until(w.now_us + step % 20 * kTickUs);
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		w.run_until(w.now_us + kTickUs);
+		w.resubmit(a, b, seq);
+		while (!ph_pool_fenced(a->pool))
+			w.run_until(w.now_us + kTickUs);
+		w.run_until(w.now_us + kFencedWaitUs);
+		ph_pool_release(a->pool, w.now_us);
+		w.run_until(w.now_us + 8000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
+	}
+}
+
+/* The token of the only owner is refused for a while and raised: no run is
+ * interrupted. */
+TEST(Pool, AnOwnerThatRaisesItsTokenInTimeInterruptsNoRuns)
+{
+	World w(3, 16000);
+	Owner *o = ready_owner(&w);
+	uint64_t seq = w.submit(o, "a", 6, 3000 * kMs, 3000 * kMs, 4000 * kMs,
+				9000 * kMs);
+
+	w.run_until(w.now_us + 100 * kMs);
+	for (Executor &x : w.executors)
+		x.token = 5000;
+	while (!ph_pool_fenced(o->pool))
+		w.run_until(w.now_us + kTickUs);
+	w.run_until(w.now_us + kFencedWaitUs);
+	ph_pool_acquire(o->pool, w.now_us, 6000);
+	w.run_until(w.now_us + 4000 * kMs);
+	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+	EXPECT_EQ(w.starts, 6);
+}
+
 TEST(Pool, NoTaskStartsAfterARefusedToken)
 {
 	World w(2, 16000);
