--- a/src/pool.c
+++ b/src/pool.c
@@ -17,6 +17,10 @@
 /* Interval of placement rounds without a change of state: a start may become
  * possible by time alone, as when a back-off ends. */
 #define PLACE_EVERY_US 10000U
+/* Longest time after which a start that was not answered counts as one that may
+ * still be carried out on an unlisted executor: the platform's bound is
+ * "seconds". */
+#define LATE_START_US 20000000U
 /* Time for which a closed batch is remembered. A submission that arrives later
  * is refused for its time in transit; until then the submitter repeats a
  * cancellation. */
@@ -592,6 +596,20 @@
 	return x;
 }
 
+/* Whether an unlisted executor may still have runs, or carry out the start of
+ * one. */
+static bool may_run(const struct ph_executor *x, uint64_t now_us)
+{
+	const struct ph_run *run;
+
+	if (now_us < x->unlisted_us + PH_UNLISTED_US)
+		return true;
+	for (run = x->runs; run; run = run->next)
+		if (!run->forgotten || now_us < x->unlisted_us + LATE_START_US)
+			return true;
+	return false;
+}
+
 /* Frees unlisted executors once no lease can last there. Until then they are
  * still polled, as they may have runs that another owner started. Returns
  * whether there were unlisted ones. */
@@ -604,8 +622,7 @@
 		struct ph_executor *x = *at;
 
 		any_unlisted = any_unlisted || !x->listed;
-		if (x->listed || x->runs ||
-		    now_us < x->unlisted_us + PH_UNLISTED_US) {
+		if (x->listed || may_run(x, now_us)) {
 			at = &x->next;
 			continue;
 		}
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -73,7 +73,7 @@
 	PH_RUN_STARTING,
 	PH_RUN_RUNNING,
 	/** Being stopped; keeps its capacity reserved until its end is
-	 * reported or certain. */
+	 * reported or certain, and the executor refuses its start. */
 	PH_RUN_STOPPING,
 	/** Reported by a poll, but not started by this owner; a resumed batch
 	 * may claim it. */
@@ -93,6 +93,8 @@
 	struct ph_batch *batch;
 	/** When its start was sent, or when a poll first reported it. */
 	uint64_t created_us;
+	/** Orphaned runs only: until when a batch may claim it. */
+	uint64_t claim_until_us;
 	/** When the latest command was acknowledged, or a poll first reported
 	 * the start; 0: neither yet, or an orphaned run. */
 	uint64_t acked_us;
@@ -102,6 +104,11 @@
 	/** Stop commands sent. */
 	uint32_t stops;
 	bool stop_pending;
+	/** The executor is known to have carried out the start. */
+	bool begun;
+	/** Stopping, and its task no longer waits for it: its lease has expired
+	 * but its start may still be carried out. */
+	bool forgotten;
 	/** Progress as last reported. */
 	uint32_t percent;
 };
@@ -277,8 +284,16 @@
  */
 uint64_t ph_lease_end(struct ph_pool *pool, struct ph_executor *executor,
 		      uint64_t now_us);
+/** False while leases there must run out: a run that can't be stopped has to
+ * end with its lease, and so have the runs of a pool that may have another
+ * owner, which may not reach this executor. */
+bool ph_lease_renewed(const struct ph_pool *pool,
+		      const struct ph_executor *executor);
 struct ph_run *ph_run_find(struct ph_executor *executor, const char *job,
 			   uint32_t index, uint64_t run);
+/** Time, from the first report, for which a batch may claim a run that this
+ * owner has not started. */
+uint64_t ph_run_claim_us(const struct ph_executor *executor);
 /** Frees a run that ended without success or never began; its task waits
  * again. */
 void ph_run_drop_requeue(struct ph_pool *pool, struct ph_executor *executor,
@@ -302,7 +317,7 @@
 /* ## pool_poll.c */
 
 /** Polls an executor, which renews the lease of its runs unless the poll
- * before failed or a stop is overdue there. */
+ * before failed or ph_lease_renewed() is false. */
 void ph_poll_send(struct ph_pool *pool, struct ph_executor *executor,
 		  uint64_t now_us);
 
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -9,7 +9,9 @@
 /* Margin added to the longest duration of a stop. */
 #define STOP_MARGIN_US 10000U
 /* Time for which orphaned runs wait for the batches of a dead owner to be
- * submitted again: two heartbeats and a round trip. Then they are stopped. */
+ * submitted again: two heartbeats and a round trip. Then they are stopped. The
+ * first poll shows all runs of earlier owners, as their tokens are refused from
+ * then on; a run that appears later waits for nothing. */
 #define CLAIM_US 350000U
 /* Time without an acknowledgement after which a stop is overdue. With the time
  * until a lost submitter is noticed, and the lease that was renewed last on a
@@ -140,6 +142,11 @@
 		ph_batch_task_requeue(pool, batch, index);
 }
 
+uint64_t ph_run_claim_us(const struct ph_executor *x)
+{
+	return x->polled ? 0 : CLAIM_US;
+}
+
 void ph_executor_free(struct ph_pool *pool, struct ph_executor *x)
 {
 	while (x->runs)
@@ -236,6 +243,11 @@
 	return end;
 }
 
+bool ph_lease_renewed(const struct ph_pool *pool, const struct ph_executor *x)
+{
+	return !x->stops_overdue && !pool->fenced;
+}
+
 /* Local time at which every lease sent to the executor has expired; 0 if its
  * clock is unknown. */
 static uint64_t lease_expiry_us(const struct ph_executor *x)
@@ -404,6 +416,7 @@
 		return;
 	switch (reply->status) {
 	case PH_CALL_OK:
+		run->begun = true;
 		if (run->state == PH_RUN_STARTING) {
 			run->state = PH_RUN_RUNNING;
 			run->acked_us = now_us;
@@ -477,26 +490,62 @@
 /* True if no lease that this owner or another one has sent to the executor can
  * still last. The lease of another owner ends at no known time: a poll has to
  * show what runs, or the executor has to be gone. */
-static bool leases_expired(const struct ph_executor *x, uint64_t now_us)
+static bool leases_expired(const struct ph_pool *pool,
+			   const struct ph_executor *x, uint64_t now_us)
 {
-	if (x->other_owner &&
+	if ((x->other_owner || pool->fenced) &&
 	    (x->listed || now_us < x->unlisted_us + PH_UNLISTED_US))
 		return false;
 	return now_us >= lease_expiry_us(x);
 }
 
+/* An executor that is reached again may carry out a start that was never
+ * confirmed. Until it acknowledges the stop, which makes it refuse the start,
+ * the stop is overdue, so no lease is renewed there. The task itself need not
+ * wait. */
+static void run_forget(struct ph_pool *pool, struct ph_run *run,
+		       uint64_t now_us)
+{
+	struct ph_batch *batch = run->batch;
+
+	run->forgotten = true;
+	run->batch = NULL;
+	run->state = PH_RUN_STOPPING;
+	if (!run->first_stop_us)
+		run->first_stop_us = now_us;
+	if (batch)
+		ph_batch_task_requeue(pool, batch, run->index);
+}
+
+/* True if the start may be carried out after the run's lease has expired. */
+static bool may_begin(const struct ph_run *run)
+{
+	return !run->begun && !run->acked_us &&
+	       (run->state == PH_RUN_STARTING || run->state == PH_RUN_STOPPING);
+}
+
 /* Drops all runs of an executor whose leases are no longer renewed once these
- * have expired. */
+ * have expired, or forgets those that may still begin. */
 static void expire_runs(struct ph_pool *pool, struct ph_executor *x,
 			uint64_t now_us)
 {
-	if (!x->runs || !(x->poll_failures || x->stops_overdue) ||
-	    !leases_expired(x, now_us))
+	struct ph_run *run = x->runs;
+
+	if (!run || (!x->poll_failures && ph_lease_renewed(pool, x)) ||
+	    !leases_expired(pool, x, now_us))
 		return;
-	while (x->runs) {
-		log_expired(x, x->runs, now_us);
-		pool->counters.expired_runs++;
-		ph_run_drop_requeue(pool, x, x->runs);
+	while (run) {
+		struct ph_run *next = run->next;
+
+		if (!run->forgotten) {
+			log_expired(x, run, now_us);
+			pool->counters.expired_runs++;
+			if (may_begin(run))
+				run_forget(pool, run, now_us);
+			else
+				ph_run_drop_requeue(pool, x, run);
+		}
+		run = next;
 	}
 }
 
@@ -509,6 +558,14 @@
 	       now_us > run->acked_us + pool->opt.stop_us + STOP_MARGIN_US;
 }
 
+/* True if a stop has to be sent again. Those of forgotten runs wait until the
+ * executor is reached. */
+static bool stop_due(const struct ph_executor *x, const struct ph_run *run)
+{
+	return run->state == PH_RUN_STOPPING && !run->acked_us &&
+	       !run->stop_pending && !(run->forgotten && x->poll_failures);
+}
+
 static void update_stops_overdue(struct ph_executor *x, uint64_t now_us)
 {
 	const struct ph_run *run;
@@ -516,7 +573,8 @@
 
 	for (run = x->runs; run && !overdue; run = run->next)
 		overdue = run->state == PH_RUN_STOPPING && !run->acked_us &&
-			  now_us > run->first_stop_us + STOP_OVERDUE_US;
+			  (run->forgotten ||
+			   now_us > run->first_stop_us + STOP_OVERDUE_US);
 	if (overdue != x->stops_overdue)
 		ph_event(PART, "event=lease_renewal_%s executor=%s",
 			 overdue ? "paused" : "resumed", x->info.id);
@@ -532,7 +590,7 @@
 		struct ph_run *next = run->next;
 
 		if (run->state == PH_RUN_ORPHANED &&
-		    now_us > run->created_us + CLAIM_US) {
+		    now_us > run->claim_until_us) {
 			pool->counters.orphans_stopped++;
 			ph_event(PART,
 				 "event=run_unclaimed job=%s task=%u run=%llu "
@@ -540,8 +598,7 @@
 				 run->job, run->index,
 				 (unsigned long long)run->run, x->info.id);
 			ph_run_stop(pool, x, run, now_us);
-		} else if (run->state == PH_RUN_STOPPING && !run->acked_us &&
-			   !run->stop_pending) {
+		} else if (stop_due(x, run)) {
 			ph_run_stop(pool, x, run, now_us);
 		} else if (stop_completed(pool, run, now_us)) {
 			ph_run_drop_requeue(pool, x, run);
@@ -555,8 +612,8 @@
 	struct ph_executor *x;
 
 	for (x = pool->executors; x; x = x->next) {
-		update_stops_overdue(x, now_us);
 		expire_runs(pool, x, now_us);
+		update_stops_overdue(x, now_us);
 		if (!x->poll_call && now_us >= x->next_poll_us)
 			ph_poll_send(pool, x, now_us);
 		runs_tick(pool, x, now_us);
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -64,8 +64,7 @@
 
 /* A poll after a failed one doesn't renew the lease: it might arrive and its
  * answer be lost, but the time at which the runs' leases expire has to be
- * certain. Nor does a poll while a stop is overdue: a run that can't be stopped
- * has to end with its lease. */
+ * certain. */
 void ph_poll_send(struct ph_pool *pool, struct ph_executor *x, uint64_t now_us)
 {
 	struct ph_poll poll = { 0 };
@@ -81,7 +80,7 @@
 				  ? PH_CALL_TIMEOUT_MAX_US
 				  : ph_pool_timeout_us(pool);
 	if (x->polled && !x->poll_failures) {
-		if (!x->stops_overdue)
+		if (ph_lease_renewed(pool, x))
 			poll.lease_until_ms = ph_lease_end(pool, x, now_us);
 		poll.wait_us = wait_us(pool, x, now_us);
 	}
@@ -275,6 +274,7 @@
 		run = ph_run_add(pool, x, seen->job, seen->index, seen->run,
 				 &need, now_us);
 		run->state = PH_RUN_ORPHANED;
+		run->claim_until_us = now_us + ph_run_claim_us(x);
 		ph_event(PART,
 			 "event=run_found job=%s task=%u run=%llu executor=%s "
 			 "token=%llu",
@@ -285,6 +285,8 @@
 		run->state = PH_RUN_RUNNING;
 		run->acked_us = now_us;
 	}
+	run->begun = true;
+	run->forgotten = false;
 	run->percent = seen->percent;
 	move_if_slow(pool, x, run, now_us);
 }
@@ -356,7 +358,6 @@
 	x->clock_ms = reply->clock_ms;
 	x->clock_us = now_us;
 	x->poll_ok_us = now_us;
-	x->polled = true;
 	x->rejected_us = 0;
 	if (x->other_owner)
 		take_over_lease(pool, x);
@@ -368,6 +369,7 @@
 	}
 	for (i = 0; i < reply->running_count; i++)
 		run_reported(pool, x, &reply->running[i], now_us);
+	x->polled = true;
 	drop_absent(pool, x, reply);
 	ph_pool_claim_orphans(pool, now_us);
 	pool->dirty = true;
