Cancel a resumed batch at the owner before

Callers saw: a task that runs twice at the same time, for seconds, after partitions that differ from pair to pair.

Cause: a submitter that no longer hears the owner of a pool sends the batch to the next owner and tells the first one nothing. If the first one still hears the submitter it keeps the batch; if it does not hear the new owner either it keeps the pool, and renews the leases of runs on executors that the new owner cannot poll. The new owner waits for 1.085 s, supposing that they have expired by then, and starts the tasks.

An owner that hears heartbeats of the submitter gets the cancellation on the same connection and stops the runs; one that does not ends the batch for the submitter's silence. An owner that has returned the batch or has restarted does not have it and gets no cancellation.

--- a/src/submitter.c
+++ b/src/submitter.c
@@ -658,8 +658,17 @@
 
 /* ## Time */
 
+/* Whether the owner that the batch was sent to may still have it: it has not
+ * returned it, and has not restarted. Messages to an owner that is not heard
+ * may still arrive there. */
+static bool may_keep_batch(const struct job *j, const struct ph_owner *next)
+{
+	return !j->waiting_for_owner && strcmp(next->name, j->owner.name) != 0;
+}
+
 /* Resumes a batch at the pool's new owner, which claims the orphaned runs of
- * the job. Answers "unknown" if there is no new owner in time. */
+ * the job. The earlier owner would go on renewing their leases, so the batch is
+ * cancelled there. Answers "unknown" if there is no new owner in time. */
 static void resume_at_new_owner(struct ph_submitter *s, struct job *j,
 				uint64_t now_us)
 {
@@ -675,6 +684,8 @@
 			 (unsigned long long)j->owner.token, o.name,
 			 (unsigned long long)o.token, j->waiting_for_owner,
 			 (unsigned long long)(now_us - j->owner_lost_us));
+		if (may_keep_batch(j, &o))
+			cancel(s, j, now_us);
 		if (!j->waiting_for_owner)
 			set_run_locations(j, NULL);
 		j->owner = o;
@@ -683,7 +694,6 @@
 	}
 	if (now_us <= j->owner_lost_us + NEW_OWNER_TIMEOUT_US)
 		return;
-	/* Messages to an owner that is not heard may still arrive there. */
 	if (!j->waiting_for_owner)
 		cancel(s, j, now_us);
 	answer(s, j, PH_JOB_UNKNOWN, 0, "pool owner lost, no new owner in time",
--- a/test/test_submitter.cc
+++ b/test/test_submitter.cc
@@ -433,6 +433,51 @@
 	}
 }
 
+/* An owner that is not heard goes on with the batch while the next one starts
+ * its tasks; one that has returned it, or has restarted, does not have it. */
+TEST(Submitter, AResumedBatchIsCancelledAtAnOwnerThatMayStillHaveIt)
+{
+	const struct {
+		const char *what;
+		bool moved_result;
+		const char *next;
+		uint64_t incarnation;
+		bool cancelled;
+	} cases[] = {
+		{ "not heard", false, "n3", 1, true },
+		{ "returned the batch", true, "n3", 1, false },
+		{ "restarted", false, "n2", 2, false },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.what);
+		Fixture f;
+		size_t cancels = 0;
+		uint64_t seq;
+
+		f.receive_heartbeat("n2", "north", 5, 64000);
+		f.submit(1);
+		seq = f.sent.back().seq;
+		ph_submitter_accepted(f.submitter, seq);
+		if (c.moved_result)
+			f.result(PH_VERDICT_MOVED);
+		f.advance(400 * kMs);
+		f.receive_heartbeat(c.next, "north", 6, 64000, 0,
+				    c.incarnation);
+		f.advance(20 * kMs);
+		ASSERT_EQ(f.sent.back().type, PH_POOLMSG_SUBMIT);
+		EXPECT_EQ(f.sent.back().to, c.next);
+		for (const Sent &s : f.sent) {
+			if (s.type != PH_POOLMSG_CANCEL)
+				continue;
+			cancels++;
+			EXPECT_EQ(s.to, "n2");
+			EXPECT_EQ(s.seq, seq);
+		}
+		EXPECT_EQ(cancels, c.cancelled ? 1U : 0U);
+	}
+}
+
 /* An owner that was killed and has restarted does not know the batch, but its
  * earlier incarnation may have started tasks of it: the batch is resumed. */
 TEST(Submitter, ARestartedOwnerCountsAsANewOwner)
