Accept batches only of instances that are heard

Callers saw: a task that runs twice at the same time, after an instance was killed while its network loses packets.

Cause: the system of a killed process still delivers what it had sent; after a lost packet that takes 200 ms or more. A submission that arrives when the owner has reported the loss of the submitter, or after the first heartbeat of its next incarnation, was accepted. Nothing ended that batch: the loss is reported once. It ran until its caller's timeout, while the caller, whose connection broke with the kill, submits the job elsewhere 1.3 s later.

Why the fix works: an owner ignores a submission unless heartbeats of that incarnation arrive and the loss of the one before has been reported, so that each batch that it has is ended when its submitter falls silent. This also spares batches of a restarted instance from the report of its loss.

Resubmission.NoTaskRunsTwiceAtOnceOnRandomDays plays overlapping cuts, kills, pauses, broken callers and steps of the clock on six instances.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -109,6 +109,17 @@
 	       ph_member_alive(cluster, m, now_us);
 }
 
+bool ph_cluster_hears(const struct ph_cluster *cluster, uint64_t now_us,
+		      const char *name, uint64_t incarnation)
+{
+	const struct ph_member *m = ph_member_find(cluster, name);
+
+	if (!strcmp(name, cluster->opt.name))
+		return incarnation == cluster->opt.incarnation;
+	return m && m->incarnation == incarnation && !m->restarted &&
+	       ph_member_alive(cluster, m, now_us);
+}
+
 bool ph_cluster_minority(const struct ph_cluster *cluster, uint64_t now_us)
 {
 	const struct ph_member *m;
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -221,6 +221,13 @@
 bool ph_cluster_owner_alive(const struct ph_cluster *cluster, uint64_t now_us,
 			    const struct ph_owner *owner);
 
+/**
+ * Whether heartbeats of this incarnation of an instance arrive, or it is this
+ * instance: only then the sink's member_lost() follows when they cease.
+ */
+bool ph_cluster_hears(const struct ph_cluster *cluster, uint64_t now_us,
+		      const char *name, uint64_t incarnation);
+
 /** Name of the pool at an index; NULL past the end. */
 const char *ph_cluster_pool_name(const struct ph_cluster *cluster, size_t i);
 
--- a/src/dispatcher_peers.c
+++ b/src/dispatcher_peers.c
@@ -222,6 +222,17 @@
 
 	msg->batch_request = NULL;
 	ph_cluster_add_contact(d->cluster, msg->addr);
+	/* Nothing would end the batch if its submitter fails. One that is alive
+	 * sends it again, after its heartbeat. */
+	if (!ph_cluster_hears(d->cluster, now_us, msg->name,
+			      msg->incarnation)) {
+		ph_event(PART,
+			 "event=batch_ignored job=%s submitter=%s seq=%llu "
+			 "reason=submitter_not_heard",
+			 batch->job, msg->name, (unsigned long long)msg->seq);
+		ph_batch_request_free(d->mem, batch);
+		return;
+	}
 	ph_dispatcher_send(d, msg->addr, &reply);
 	if (find_result(d, msg->name, msg->seq)) {
 		ph_batch_request_free(d->mem, batch);
--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -773,6 +773,40 @@
 	return len;
 }
 
+/* An owner accepts batches only of instances whose loss would be reported: not
+ * before the first heartbeat of a process, nor after its loss. */
+TEST(Cluster, AnInstanceIsHeardOnlyWhileItsLossWouldBeReported)
+{
+	Network net;
+	Instance *n1;
+	uint64_t incarnation;
+
+	net.pools = { "north" };
+	for (const char *name : { "n1", "n2" })
+		net.add(name, "north");
+	net.start_all();
+	n1 = net.find("n1");
+	incarnation = kUnixMs + net.now_us / 1000;
+	EXPECT_TRUE(
+		ph_cluster_hears(n1->cluster, net.now_us, "n1", incarnation));
+	EXPECT_FALSE(
+		ph_cluster_hears(n1->cluster, net.now_us, "n2", incarnation));
+	net.run_until(net.now_us + 1000 * kMs);
+	EXPECT_TRUE(
+		ph_cluster_hears(n1->cluster, net.now_us, "n2", incarnation));
+	EXPECT_FALSE(ph_cluster_hears(n1->cluster, net.now_us, "n2",
+				      incarnation + 1));
+	net.find("n2")->running = false;
+	net.run_until(net.now_us + 500 * kMs);
+	EXPECT_FALSE(
+		ph_cluster_hears(n1->cluster, net.now_us, "n2", incarnation));
+	net.start(net.find("n2"));
+	incarnation = kUnixMs + net.now_us / 1000;
+	net.run_until(net.now_us + 500 * kMs);
+	EXPECT_TRUE(
+		ph_cluster_hears(n1->cluster, net.now_us, "n2", incarnation));
+}
+
 /* Heartbeats of an instance that owns no pool, in a cluster of 150 instances,
  * stay within the limit for control traffic per dispatcher. */
 TEST(Cluster, AnInstanceWithoutPoolsSendsFewHeartbeatsInALargeCluster)
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -5,7 +5,9 @@
 
 #include <cstring>
 #include <list>
+#include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -33,7 +35,13 @@
 constexpr uint64_t kResultForUs = 3000 * kMs;
 /* Time after which a caller that got no answer submits its job again. */
 constexpr uint64_t kResendUs = 1300 * kMs;
-const char *const kPool = "north";
+/* Gap between two wake-ups after which a process gives up its state. */
+constexpr uint64_t kPauseUs = kLeaseUs;
+/* Bits of a sequence number below the number of its instance. */
+constexpr unsigned kSeqShift = 40;
+/* Bits of a request's token below its number: the caller. */
+constexpr unsigned kRequestShift = 32;
+constexpr uint64_t kCallerMask = (1ULL << kRequestShift) - 1;
 
 struct Group;
 
@@ -45,24 +53,40 @@
 	uint64_t sent_us;
 };
 
-struct Answer {
-	ph_job_outcome outcome;
-	uint64_t at_us;
+/* The caller of a job, which submits it again until it gets an outcome. */
+struct Caller {
+	std::string job;
+	uint32_t count;
+	uint64_t duration_us;
+	uint64_t timeout_us;
+	/** The instance that has its request; empty: none. */
+	std::string at;
+	uint64_t gives_up_us = 0;
+	uint64_t resends_us = 0;
+	/** Number of its latest request; answers to others are not received. */
+	uint64_t request = 0;
+	std::vector<ph_job_outcome> answers;
 };
 
-/* One instance. */
+/* One process of an instance. */
 struct Instance {
 	Group *group;
+	size_t number;
 	std::string name;
 	std::string domain;
 	uint64_t incarnation = 0;
+	/** How far its time of day is off. */
+	int64_t step_ms = 0;
 	ph_cluster *cluster = nullptr;
 	ph_submitter *submitter = nullptr;
-	Owner *owner = nullptr;
+	/** By the name of the pool. */
+	std::map<std::string, Owner *> pools;
 	bool killed = false;
 	bool leaving = false;
+	uint64_t frozen_since_us = 0;
+	/** What has arrived while the process was frozen. */
+	std::list<std::function<void(Instance *)>> inbox;
 	std::list<Unacked> unacked;
-	std::vector<Answer> answers;
 
 	~Instance()
 	{
@@ -75,11 +99,35 @@
 struct Group {
 	World w;
 	std::vector<std::unique_ptr<Instance>> instances;
+	std::vector<std::string> pools;
+	/** Ids of the executors of each pool. */
+	std::map<std::string, std::vector<std::string>> executors_of;
+	std::vector<Caller> callers;
 	/** (from, to): messages in this direction are lost. */
 	std::set<std::pair<std::string, std::string>> cut;
+	/** Added to the latency of messages, by (from, to): a lost packet that
+	 * the sender's system sends again, even after the process was killed.
+	 */
+	std::map<std::pair<std::string, std::string>, uint64_t> delay_us;
+	/** Instances that have lost power: their addresses refuse nothing. */
+	std::set<std::string> dark;
+	/** (instance, executor): calls in this direction are lost. */
+	std::set<std::pair<std::string, std::string>> unreachable;
+	std::mt19937 rng;
+
+	Group(const std::vector<std::string> &pool_names, size_t executors,
+	      unsigned seed = 1)
+	    : w(pool_names.size() * executors, 16000), pools(pool_names),
+	      rng(seed)
+	{
+		for (size_t i = 0; i < w.executors.size(); i++)
+			executors_of[pools[i / executors]].push_back(
+				w.executors[i].id);
+	}
 
-	explicit Group(size_t executors) : w(executors, 16000)
+	size_t random(size_t n)
 	{
+		return std::uniform_int_distribution<size_t>(0, n - 1)(rng);
 	}
 
 	Instance *find(const std::string &name)
@@ -97,41 +145,73 @@
 		cut.insert({ b, a });
 	}
 
+	/* Hands what has arrived to an instance, when it is awake. */
+	static void receive(Instance *i, std::function<void(Instance *)> what)
+	{
+		if (i->frozen_since_us)
+			i->inbox.push_back(what);
+		else
+			what(i);
+	}
+
 	/* Delivers a message after the latency, if its way is not cut then. */
 	void deliver(Instance *from, const std::string &to,
 		     std::function<void(Instance *)> what)
 	{
 		std::string sender = from->name;
 
-		w.at(w.now_us + kPeerLatencyUs, [=] {
+		w.at(w.now_us + kPeerLatencyUs + delay_us[{ sender, to }], [=] {
 			Instance *i = find(to);
 
 			if (i && !cut.count({ sender, to }))
-				what(i);
+				receive(i, what);
+		});
+	}
+
+	/* Reports a refused connection if the process of a peer is gone and
+	 * nothing is cut. */
+	void refuse_if_gone(const std::string &from, const std::string &to)
+	{
+		if (find(to) || dark.count(to) || cut.count({ from, to }) ||
+		    cut.count({ to, from }))
+			return;
+		w.at(w.now_us + kPeerLatencyUs, [=] {
+			Instance *i = find(from);
+
+			if (i)
+				receive(i, [=](Instance *at) {
+					ph_cluster_connection_refused(
+						at->cluster, w.now_us,
+						to.c_str());
+				});
 		});
 	}
 
 	/* ## Callbacks of the cluster */
 
-	static void on_acquire(void *ctx, const char *, uint64_t token)
+	static void on_acquire(void *ctx, const char *pool, uint64_t token)
 	{
 		Instance *i = static_cast<Instance *>(ctx);
 
-		ph_pool_acquire(i->owner->pool, i->group->w.now_us, token);
+		ph_pool_acquire(i->pools[pool]->pool, i->group->w.now_us,
+				token);
 		ph_cluster_heartbeat_soon(i->cluster, PH_HEARTBEAT_ALL);
 	}
 
-	static void on_release(void *ctx, const char *)
+	static void on_release(void *ctx, const char *pool)
 	{
 		Instance *i = static_cast<Instance *>(ctx);
 
-		ph_pool_release(i->owner->pool, i->group->w.now_us);
+		ph_pool_release(i->pools[pool]->pool, i->group->w.now_us);
 		ph_cluster_heartbeat_soon(i->cluster, PH_HEARTBEAT_ALL);
 	}
 
-	static bool on_reaches(void *, const char *)
+	static bool on_reaches(void *ctx, const char *pool)
 	{
-		return true;
+		Instance *i = static_cast<Instance *>(ctx);
+
+		return ph_pool_reached(i->pools[pool]->pool,
+				       i->group->w.now_us);
 	}
 
 	static void on_heartbeat(void *ctx, const char *addr,
@@ -154,14 +234,20 @@
 		msg->cpu_milli = 250;
 		msg->heard_ago_us = m && m->heard_us ? g->w.now_us - m->heard_us
 						     : UINT64_MAX;
-		if (ph_pool_owned(i->owner->pool)) {
-			ph_claim *c = &msg->claims[msg->claim_count++];
+		for (const auto &p : i->pools) {
+			ph_claim *c = &msg->claims[msg->claim_count];
 
+			if (!ph_pool_owned(p.second->pool))
+				continue;
+			msg->claim_count++;
 			snprintf(c->pool_name, sizeof(c->pool_name), "%s",
-				 kPool);
-			c->token = ph_pool_token(i->owner->pool);
-			ph_pool_measure(i->owner->pool, g->w.now_us, &c->load);
+				 p.first.c_str());
+			c->token = ph_pool_token(p.second->pool);
+			c->offered = ph_cluster_pool_offered(
+				i->cluster, g->w.now_us, p.first.c_str());
+			ph_pool_measure(p.second->pool, g->w.now_us, &c->load);
 		}
+		g->refuse_if_gone(i->name, addr);
 		g->deliver(i, addr, [=](Instance *to) {
 			ph_cluster_heartbeat_received(to->cluster, g->w.now_us,
 						      msg.get());
@@ -176,8 +262,9 @@
 	{
 		Instance *i = static_cast<Instance *>(ctx);
 
-		ph_pool_submitter_lost(i->owner->pool, i->group->w.now_us,
-				       name);
+		for (const auto &p : i->pools)
+			ph_pool_submitter_lost(p.second->pool,
+					       i->group->w.now_us, name);
 	}
 
 	/* ## Callbacks of the submitter */
@@ -188,8 +275,10 @@
 		Instance *i = static_cast<Instance *>(ctx);
 		Group *g = i->group;
 		std::string from = i->name;
+		std::string pool = msg->pool;
 		uint64_t seq = msg->seq;
-		uint64_t incarnation = msg->owner_incarnation;
+		uint64_t incarnation = i->incarnation;
+		uint64_t owner_incarnation = msg->owner_incarnation;
 		std::shared_ptr<ph_batch_request> batch;
 
 		if (msg->type == PH_POOLMSG_CANCEL) {
@@ -204,63 +293,92 @@
 				    ph_batch_request_free(ph_mem_default(), b);
 			    });
 		g->deliver(i, owner->name, [=](Instance *to) {
-			g->handle_submit(to, from, seq, incarnation, *batch);
+			g->handle_submit(to, from, incarnation, pool, seq,
+					 owner_incarnation, batch.get());
 		});
 	}
 
-	static void on_own_load(void *ctx, const char *, ph_pool_load *load)
+	static void on_own_load(void *ctx, const char *pool, ph_pool_load *load)
 	{
 		Instance *i = static_cast<Instance *>(ctx);
 
-		ph_pool_measure(i->owner->pool, i->group->w.now_us, load);
+		ph_pool_measure(i->pools[pool]->pool, i->group->w.now_us, load);
 	}
 
-	static void on_answer(void *ctx, uint64_t, ph_job_outcome outcome,
+	static void on_answer(void *ctx, uint64_t token, ph_job_outcome outcome,
 			      uint64_t, uint64_t)
 	{
-		Instance *i = static_cast<Instance *>(ctx);
+		Group *g = static_cast<Instance *>(ctx)->group;
+		Caller *c = &g->callers[token & kCallerMask];
 
-		i->answers.push_back({ outcome, i->group->w.now_us });
+		if (c->at.empty() || c->request != token >> kRequestShift)
+			return;
+		c->answers.push_back(outcome);
+		c->at.clear();
+		if (outcome == PH_JOB_UNKNOWN)
+			c->resends_us = g->w.now_us + kResendUs;
 	}
 
 	/* ## Received messages, handled as the dispatcher does */
 
 	void handle_cancel(Instance *to, const std::string &from, uint64_t seq)
 	{
-		ph_pool_cancel(to->owner->pool, w.now_us, from.c_str(), seq);
+		for (const auto &p : to->pools)
+			ph_pool_cancel(p.second->pool, w.now_us, from.c_str(),
+				       seq);
 		deliver(to, from, [=](Instance *i) {
 			ph_submitter_cancelled(i->submitter, seq);
 		});
 	}
 
-	void handle_submit(Instance *to, const std::string &from, uint64_t seq,
-			   uint64_t incarnation, const ph_batch_request &batch)
+	void handle_submit(Instance *to, const std::string &from,
+			   uint64_t incarnation, const std::string &pool,
+			   uint64_t seq, uint64_t owner_incarnation,
+			   const ph_batch_request *batch)
 	{
+		if (!ph_cluster_hears(to->cluster, w.now_us, from.c_str(),
+				      incarnation))
+			return;
 		deliver(to, from, [=](Instance *i) {
 			ph_submitter_accepted(i->submitter, seq);
 		});
 		for (const Unacked &u : to->unacked)
 			if (u.seq == seq)
 				return;
-		ASSERT_EQ(incarnation, to->incarnation);
-		ph_pool_submit(to->owner->pool, w.now_us, from.c_str(), seq,
-			       ph_batch_request_copy(ph_mem_default(), &batch));
-		ph_pool_handle_changes(to->owner->pool, w.now_us);
+		if (owner_incarnation != to->incarnation) {
+			ph_result moved = {};
+
+			moved.verdict = PH_VERDICT_MOVED;
+			moved.reason = "meant for an earlier incarnation";
+			memcpy(moved.done, batch->done, sizeof(moved.done));
+			moved.count = batch->count;
+			for (uint32_t i = 0; i < batch->count; i++)
+				moved.possible_executor[i] =
+					PH_EXECUTOR_UNKNOWN;
+			to->unacked.push_back({ seq, moved, w.now_us, 0 });
+			return;
+		}
+		ph_pool_submit(to->pools[pool]->pool, w.now_us, from.c_str(),
+			       seq,
+			       ph_batch_request_copy(ph_mem_default(), batch));
+		ph_pool_handle_changes(to->pools[pool]->pool, w.now_us);
 	}
 
 	/* Sends results to the submitters, which are told apart by the upper
 	 * bits of the sequence numbers. */
 	void send_results(Instance *o)
 	{
-		for (const auto &r : o->owner->results)
-			o->unacked.push_back(
-				{ r.first, r.second, w.now_us, 0 });
-		o->owner->results.clear();
+		for (const auto &p : o->pools) {
+			for (const auto &r : p.second->results)
+				o->unacked.push_back(
+					{ r.first, r.second, w.now_us, 0 });
+			p.second->results.clear();
+		}
 		o->unacked.remove_if([this](const Unacked &u) {
 			return w.now_us > u.created_us + kResultForUs;
 		});
 		for (Unacked &u : o->unacked) {
-			std::string to = instances[(u.seq >> 40) - 1]->name;
+			std::string to = instances[u.seq >> kSeqShift]->name;
 			std::string from = o->name;
 			ph_result result = u.result;
 			uint64_t seq = u.seq;
@@ -281,24 +399,48 @@
 		}
 	}
 
-	/* ## Course of a test */
+	/* ## Instances */
 
-	Instance *add(const std::string &name, const std::string &domain)
+	uint64_t unix_ms(const Instance *i) const
+	{
+		return (uint64_t)((int64_t)(kUnixMs + w.now_us / kMs) +
+				  i->step_ms);
+	}
+
+	/* Creates a pool whose list has only its own executors. */
+	Owner *add_pool(const std::string &pool)
+	{
+		std::vector<Executor> all = w.executors;
+		Owner *o;
+
+		w.executors.clear();
+		for (const Executor &x : all)
+			for (const std::string &id : executors_of[pool])
+				if (x.id == id)
+					w.executors.push_back(x);
+		o = w.add_owner();
+		w.executors = all;
+		return o;
+	}
+
+	/* Starts a process; step_ms is how far its time of day is off. */
+	Instance *add(const std::string &name, const std::string &domain,
+		      int64_t step_ms = 0)
 	{
 		static const ph_submitter_sink sink = { on_send, on_own_load,
 							on_answer };
 		ph_cluster_options c = {};
 		ph_submitter_options s = {};
-		char pool[1][PH_NAME_BYTES] = {};
 		Instance *i;
 
 		instances.emplace_back(new Instance);
 		i = instances.back().get();
 		i->group = this;
+		i->number = instances.size() - 1;
 		i->name = name;
 		i->domain = domain;
-		i->incarnation = kUnixMs + w.now_us / kMs;
-		i->owner = w.add_owner();
+		i->step_ms = step_ms;
+		i->incarnation = unix_ms(i);
 		c.mem = ph_mem_default();
 		c.name = i->name.c_str();
 		c.domain = i->domain.c_str();
@@ -309,8 +451,13 @@
 		c.start_us = w.now_us;
 		c.cpu_milli = 250;
 		i->cluster = ph_cluster_new(&c);
-		snprintf(pool[0], sizeof(pool[0]), "%s", kPool);
-		ph_cluster_add_pools(i->cluster, pool, 1);
+		for (const std::string &p : pools) {
+			char list[1][PH_NAME_BYTES] = {};
+
+			snprintf(list[0], sizeof(list[0]), "%s", p.c_str());
+			ph_cluster_add_pools(i->cluster, list, 1);
+			i->pools[p] = add_pool(p);
+		}
 		for (auto &other : instances) {
 			ph_cluster_add_contact(i->cluster, other->name.c_str());
 			ph_cluster_add_contact(other->cluster, i->name.c_str());
@@ -318,19 +465,51 @@
 		s.mem = ph_mem_default();
 		s.name = c.name;
 		s.domain = c.domain;
-		s.policy = &ph_pool_choice_wait;
+		s.policy = &ph_pool_choice_spread;
 		s.cluster = i->cluster;
-		s.first_seq = (uint64_t)instances.size() << 40;
+		s.first_seq = (uint64_t)i->number << kSeqShift;
 		s.sink = &sink;
 		s.ctx = i;
 		i->submitter = ph_submitter_new(&s);
 		return i;
 	}
 
+	/* Callers of the process see a broken connection. */
 	void kill(Instance *i)
 	{
 		i->killed = true;
-		i->owner->frozen = true;
+		for (const auto &p : i->pools)
+			p.second->frozen = true;
+		for (Caller &c : callers) {
+			if (c.at != i->name)
+				continue;
+			c.at.clear();
+			c.resends_us = w.now_us + kResendUs;
+		}
+	}
+
+	void freeze(Instance *i)
+	{
+		i->frozen_since_us = w.now_us;
+		for (const auto &p : i->pools)
+			p.second->frozen = true;
+	}
+
+	void wake(Instance *i)
+	{
+		bool paused = w.now_us > i->frozen_since_us + kPauseUs;
+
+		i->frozen_since_us = 0;
+		for (const auto &p : i->pools)
+			p.second->frozen = false;
+		if (paused) {
+			ph_cluster_paused(i->cluster, w.now_us, cluster_sink(),
+					  i);
+			ph_submitter_paused(i->submitter, w.now_us);
+		}
+		for (const auto &what : i->inbox)
+			what(i);
+		i->inbox.clear();
 	}
 
 	void leave(Instance *i)
@@ -340,58 +519,139 @@
 		ph_cluster_heartbeat_soon(i->cluster, PH_HEARTBEAT_ALL);
 	}
 
-	void tick(Instance *i)
+	/* ## Time */
+
+	static const ph_cluster_sink *cluster_sink()
 	{
 		static const ph_cluster_sink sink = {
 			on_acquire,   on_release, on_reaches,
 			on_heartbeat, on_reset,	  on_member_lost
 		};
-		uint64_t unix_ms = kUnixMs + w.now_us / kMs;
 
-		ph_cluster_tick(i->cluster, w.now_us, unix_ms, &sink, i);
-		if (ph_pool_owned(i->owner->pool) &&
-		    ph_pool_fenced(i->owner->pool))
-			ph_cluster_fenced(i->cluster, w.now_us, unix_ms, kPool,
-					  &sink, i);
+		return &sink;
+	}
+
+	void tick(Instance *i)
+	{
+		ph_cluster_tick(i->cluster, w.now_us, unix_ms(i),
+				cluster_sink(), i);
+		for (const auto &p : i->pools)
+			if (ph_pool_owned(p.second->pool) &&
+			    ph_pool_fenced(p.second->pool))
+				ph_cluster_fenced(i->cluster, w.now_us,
+						  unix_ms(i), p.first.c_str(),
+						  cluster_sink(), i);
 		ph_submitter_tick(i->submitter, w.now_us);
 		send_results(i);
 	}
 
+	/* Applies the set of unreachable executors to the pools in use. */
+	void update_reach()
+	{
+		for (Executor &x : w.executors) {
+			x.unreachable_from.clear();
+			for (auto &i : instances)
+				if (unreachable.count({ i->name, x.id }))
+					for (const auto &p : i->pools)
+						x.unreachable_from.insert(
+							p.second->number);
+		}
+	}
+
 	void run_for(uint64_t us)
 	{
 		uint64_t until = w.now_us + us;
 
 		while (w.now_us < until) {
+			update_reach();
 			w.run_until(w.now_us + kTickUs);
+			for (size_t i = 0; i < callers.size(); i++)
+				caller_tick(i);
 			for (auto &i : instances)
-				if (!i->killed)
+				if (!i->killed && !i->frozen_since_us)
 					tick(i.get());
 		}
 	}
 
-	/* Submits a job whose tasks run for duration at an instance. */
-	void submit(Instance *at, const std::string &job, uint32_t count,
-		    uint64_t duration)
+	/* ## Callers */
+
+	/* The caller's connection breaks: it was reset, or the caller gives up.
+	 */
+	void disconnect(size_t caller)
 	{
+		Caller *c = &callers[caller];
+		Instance *i = find(c->at);
+		uint64_t token = caller | c->request << kRequestShift;
+
+		c->at.clear();
+		c->resends_us = w.now_us + kResendUs;
+		receive(i, [=](Instance *at) {
+			ph_submitter_caller_disconnected(at->submitter,
+							 w.now_us, token);
+		});
+	}
+
+	void caller_tick(size_t caller)
+	{
+		Caller *c = &callers[caller];
+
+		if (!c->at.empty() && w.now_us >= c->gives_up_us)
+			disconnect(caller);
+		if (c->resends_us && w.now_us >= c->resends_us) {
+			std::vector<std::string> live;
+
+			for (auto &i : instances)
+				if (!i->killed && !i->leaving)
+					live.push_back(i->name);
+			c->resends_us = 0;
+			send(caller, find(live[random(live.size())]));
+		}
+	}
+
+	void send(size_t caller, Instance *at)
+	{
+		Caller *c = &callers[caller];
+		uint64_t token = caller | ++c->request << kRequestShift;
 		ph_batch_request *b = static_cast<ph_batch_request *>(
 			ph_mem_default()->calloc(1, sizeof(*b)));
 
-		snprintf(b->job, sizeof(b->job), "%s", job.c_str());
+		snprintf(b->job, sizeof(b->job), "%s", c->job.c_str());
 		snprintf(b->service, sizeof(b->service), "desk");
-		b->count = count;
+		b->count = c->count;
 		b->need = { 6800, 64, 0 };
-		b->estimate_us = duration;
-		b->target_us = 2 * duration;
-		b->caller_timeout_us = 4 * duration;
+		b->estimate_us = c->duration_us;
+		b->target_us = 2 * c->duration_us;
+		b->caller_timeout_us = c->timeout_us;
 		b->max_attempts = 3;
-		b->first_run = w.now_us / 1000000;
 		b->spec = ph_memdup(ph_mem_default(), "x", 1);
 		b->spec_len = 1;
-		w.duration_us[job] = duration;
-		w.cpu_of[job] = b->need.cpu_milli;
-		ph_submitter_submit(at->submitter, w.now_us, 1, b);
+		w.duration_us[c->job] = c->duration_us;
+		w.cpu_of[c->job] = b->need.cpu_milli;
+		c->at = at->name;
+		c->gives_up_us = w.now_us + c->timeout_us;
+		receive(at, [=](Instance *i) {
+			b->first_run = unix_ms(i) / 1000;
+			ph_submitter_submit(i->submitter, w.now_us, token, b);
+		});
 	}
 
+	/* Submits a job whose tasks run for duration; returns its caller. */
+	size_t submit(Instance *at, uint32_t count, uint64_t duration,
+		      uint64_t timeout)
+	{
+		size_t caller = callers.size();
+
+		callers.emplace_back();
+		callers[caller].job = "job" + std::to_string(caller);
+		callers[caller].count = count;
+		callers[caller].duration_us = duration;
+		callers[caller].timeout_us = timeout;
+		send(caller, at);
+		return caller;
+	}
+
+	/* ## State */
+
 	size_t running() const
 	{
 		size_t n = 0;
@@ -401,10 +661,10 @@
 		return n;
 	}
 
-	Instance *owner_of_pool()
+	Instance *owner_of(const std::string &pool)
 	{
 		for (auto &i : instances)
-			if (!i->killed && ph_pool_owned(i->owner->pool))
+			if (!i->killed && ph_pool_owned(i->pools[pool]->pool))
 				return i.get();
 		return nullptr;
 	}
@@ -416,13 +676,13 @@
 	Instance *next;
 	Instance *submitter;
 
-	Trio() : Group(4)
+	Trio() : Group({ "north" }, 4)
 	{
 		add("n1", "north");
 		add("n2", "north");
 		submitter = add("s1", "south");
 		run_for(1500 * kMs);
-		first = owner_of_pool();
+		first = owner_of("north");
 		next = first == instances[0].get() ? instances[1].get()
 						   : instances[0].get();
 	}
@@ -449,14 +709,14 @@
 		Trio t;
 
 		ASSERT_NE(t.first, nullptr);
-		t.submit(t.submitter, "a", 4, 3000 * kMs);
+		t.submit(t.submitter, 4, 3000 * kMs, 12000 * kMs);
 		t.run_for(200 * kMs);
 		ASSERT_EQ(t.running(), 4U);
 		t.separate(t.first->name, t.next->name);
 		t.cut.insert({ t.first->name, t.submitter->name });
 		for (int x : c.unreachable)
-			t.w.executors[x].unreachable_from.insert(
-				t.next->owner->number);
+			t.unreachable.insert(
+				{ t.next->name, t.w.executors[x].id });
 		t.run_for(6000 * kMs);
 		EXPECT_EQ(t.w.concurrent_runs, 0);
 	}
@@ -468,19 +728,217 @@
 TEST(Resubmission, ACancellationAfterAHandOverInterruptsNoRuns)
 {
 	Trio t;
+	size_t caller;
 
 	ASSERT_NE(t.first, nullptr);
-	t.submit(t.submitter, "a", 4, 2000 * kMs);
+	caller = t.submit(t.submitter, 4, 2000 * kMs, 8000 * kMs);
 	t.run_for(200 * kMs);
 	ASSERT_EQ(t.running(), 4U);
 	t.cut.insert({ t.first->name, t.submitter->name });
 	t.run_for(330 * kMs);
 	t.leave(t.first);
 	t.run_for(2000 * kMs);
-	EXPECT_EQ(t.owner_of_pool(), t.next);
-	ASSERT_EQ(t.submitter->answers.size(), 1U);
-	EXPECT_EQ(t.submitter->answers[0].outcome, PH_JOB_COMPLETED);
+	EXPECT_EQ(t.owner_of("north"), t.next);
+	ASSERT_EQ(t.callers[caller].answers.size(), 1U);
+	EXPECT_EQ(t.callers[caller].answers[0], PH_JOB_COMPLETED);
 	EXPECT_EQ(t.w.starts, 4);
 }
 
+/* The submission of an instance that was killed arrives late, after the owner
+ * has reported its loss. Nothing would end the batch when the caller submits
+ * the job elsewhere. */
+TEST(Resubmission, ABatchOfALostInstanceDoesNotRun)
+{
+	for (bool restarts : { false, true }) {
+		SCOPED_TRACE(restarts);
+		Trio t;
+
+		ASSERT_NE(t.first, nullptr);
+		t.delay_us[{ t.submitter->name, t.first->name }] = 200 * kMs;
+		t.submit(t.submitter, 4, 3000 * kMs, 12000 * kMs);
+		t.delay_us.clear();
+		t.kill(t.submitter);
+		if (restarts) {
+			t.run_for(20 * kMs);
+			t.add(t.submitter->name, t.submitter->domain);
+		}
+		t.run_for(kResendUs - 50 * kMs);
+		EXPECT_EQ(t.running(), 0U);
+		t.run_for(6000 * kMs);
+		EXPECT_EQ(t.w.concurrent_runs, 0);
+	}
+}
+
+/* ## Random disruptions */
+
+enum Kind {
+	CUT_ONE_WAY,
+	CUT_BOTH_WAYS,
+	CUT_EXECUTOR,
+	KILL,
+	FREEZE,
+	BREAK_CALLERS,
+	STEP_CLOCK,
+	KINDS,
+};
+
+/* Two domains of three instances each, with a pool each, and a few random
+ * disruptions that overlap while callers submit jobs. */
+struct Day : Group {
+	std::string log;
+
+	explicit Day(unsigned seed) : Group({ "north", "south" }, 4, seed)
+	{
+		for (int i = 0; i < 3; i++) {
+			add("n" + std::to_string(i), "north");
+			add("s" + std::to_string(i), "south");
+		}
+		run_for(1500 * kMs);
+	}
+
+	std::string any_instance()
+	{
+		std::vector<std::string> live;
+
+		for (auto &i : instances)
+			if (!i->killed)
+				live.push_back(i->name);
+		return live[random(live.size())];
+	}
+
+	void note(const std::string &what)
+	{
+		log += std::to_string(w.now_us / kMs) + " " + what + "\n";
+	}
+
+	void disrupt()
+	{
+		uint64_t for_us = (100 + random(1500)) * kMs;
+		std::string a = any_instance();
+		std::string b = any_instance();
+		std::string x = w.executors[random(w.executors.size())].id;
+		auto kind = (Kind)random(KINDS);
+		std::vector<std::pair<std::string, std::string>> ways;
+
+		switch (kind) {
+		case CUT_BOTH_WAYS:
+			ways.push_back({ b, a });
+			/* fall through */
+		case CUT_ONE_WAY:
+			if (a == b)
+				break;
+			ways.push_back({ a, b });
+			note("cut " + a + " " + b + " ways " +
+			     std::to_string(ways.size()) + " for " +
+			     std::to_string(for_us / kMs));
+			for (const auto &way : ways)
+				cut.insert(way);
+			w.at(w.now_us + for_us, [=] {
+				for (const auto &way : ways)
+					cut.erase(way);
+			});
+			break;
+		case CUT_EXECUTOR:
+			note("executor " + a + " " + x + " for " +
+			     std::to_string(for_us / kMs));
+			unreachable.insert({ a, x });
+			w.at(w.now_us + for_us, [=] {
+				unreachable.erase({ a, x });
+			});
+			break;
+		case KILL: {
+			Instance *i = find(a);
+			std::string domain = i->domain;
+
+			if (i->frozen_since_us)
+				break;
+			if (random(2))
+				dark.insert(a);
+			note("kill " + a + " for " +
+			     std::to_string(for_us / kMs) + " dark " +
+			     std::to_string(dark.count(a)));
+			kill(i);
+			w.at(w.now_us + for_us, [=] {
+				dark.erase(a);
+				add(a, domain);
+			});
+			break;
+		}
+		case FREEZE: {
+			Instance *i = find(a);
+
+			if (i->frozen_since_us)
+				break;
+			note("freeze " + a + " for " +
+			     std::to_string(for_us / kMs));
+			freeze(i);
+			w.at(w.now_us + for_us, [=] {
+				if (!i->killed)
+					wake(i);
+			});
+			break;
+		}
+		case BREAK_CALLERS:
+			note("break " + a);
+			for (size_t c = 0; c < callers.size(); c++)
+				if (callers[c].at == a)
+					disconnect(c);
+			break;
+		case STEP_CLOCK: {
+			Instance *i = find(a);
+
+			note("step " + a);
+			i->step_ms = i->step_ms ? 0 : random(2) ? 2000 : -2000;
+			break;
+		}
+		case KINDS:
+			break;
+		}
+	}
+
+	void play()
+	{
+		uint64_t end_us = w.now_us + 5000 * kMs;
+		size_t disruptions = 3 + random(4);
+
+		while (w.now_us < end_us) {
+			if (w.now_us + 2000 * kMs < end_us)
+				submit(find(any_instance()),
+				       1 + (uint32_t)random(3),
+				       (100 + random(1500)) * kMs, 1500 * kMs);
+			if (w.now_us + 2500 * kMs < end_us && disruptions &&
+			    !random(3)) {
+				disruptions--;
+				disrupt();
+			}
+			run_for(100 * kMs);
+		}
+		cut.clear();
+		unreachable.clear();
+		for (auto &i : instances)
+			if (i->frozen_since_us && !i->killed)
+				wake(i.get());
+		run_for(4000 * kMs);
+	}
+};
+
+/* Whatever is cut, frozen or killed, two submissions of a job never run at the
+ * same time. DAYS_FROM and DAYS_TO set another range of seeds. */
+TEST(Resubmission, NoTaskRunsTwiceAtOnceOnRandomDays)
+{
+	constexpr unsigned kDays = 40;
+	const char *from = getenv("DAYS_FROM");
+	const char *to = getenv("DAYS_TO");
+	unsigned first = from ? (unsigned)strtoul(from, nullptr, 10) : 1;
+	unsigned last = to ? (unsigned)strtoul(to, nullptr, 10) : kDays;
+
+	for (unsigned seed = first; seed <= last; seed++) {
+		Day day(seed);
+
+		day.play();
+		EXPECT_EQ(day.w.concurrent_runs, 0) << "seed " << seed << "\n"
+						    << day.log;
+	}
+}
+
 } // namespace
