An owner renews no lease where it has only found runs

An instance owned a pool for 62 ms, found the runs of the owner before it and renewed their leases. That owner was alive, could not reach one of the executors and learned of nothing. It took its lease for expired and started the task elsewhere beside the first run.

Cause: a lease that another instance sends makes the time at which the first owner expects its runs to be over wrong, and it has no means to learn of it.

Change: while an executor has runs that this owner has found, and none that belongs to a batch here, its polls renew no lease and no task starts there. A batch that claims its runs changes that; its submitter cancels it at the owner before. What nobody claims is stopped after 350 ms as before, or ends with the lease of its first owner.

Evidence: Pool.ARunThatAnUnknownOwnerFindsEndsBeforeItsTaskStartsElsewhere failed without the rule in 10 of its 36 cases, those in which the runs are found 400 to 580 ms after the executor was cut off.

Not covered: a found run beside one that a batch has claimed on the same executor; there the lease is renewed for both.

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -286,7 +286,9 @@
 		      uint64_t now_us);
 /** False while leases there must run out: a run that can't be stopped has to
  * end with its lease, and so have the runs of a pool that may have another
- * owner, which may not reach this executor. */
+ * owner, which may not reach this executor. Runs that this owner has found, and
+ * that no batch has claimed, may belong to an owner that is alive but can't
+ * reach the executor, and that computes their end from the lease it sent. */
 bool ph_lease_renewed(const struct ph_pool *pool,
 		      const struct ph_executor *executor);
 struct ph_run *ph_run_find(struct ph_executor *executor, const char *job,
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -243,9 +243,24 @@
 	return end;
 }
 
+/* True if an executor runs tasks that earlier owners started, and none that
+ * belongs to a batch. */
+static bool has_only_orphans(const struct ph_executor *x)
+{
+	const struct ph_run *run;
+	bool orphaned = false;
+
+	for (run = x->runs; run; run = run->next) {
+		if (run->batch)
+			return false;
+		orphaned = orphaned || run->state == PH_RUN_ORPHANED;
+	}
+	return orphaned;
+}
+
 bool ph_lease_renewed(const struct ph_pool *pool, const struct ph_executor *x)
 {
-	return !x->stops_overdue && !pool->fenced;
+	return !x->stops_overdue && !pool->fenced && !has_only_orphans(x);
 }
 
 /* Local time at which every lease sent to the executor has expired; 0 if its
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -216,6 +216,7 @@
 	for (x = pool->executors; x; x = x->next) {
 		if (strcmp(x->info.service, w->service) != 0 ||
 		    !ph_executor_usable(pool, x, now_us) ||
+		    !ph_lease_renewed(pool, x) ||
 		    !ph_capacity_fits(&x->info.capacity, &x->used, &w->need) ||
 		    !label_ok(x, w->label))
 			continue;
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -1033,6 +1033,32 @@
 	EXPECT_EQ(ph_pool_counters(o->pool)->orphans_stopped, 1U);
 }
 
+/* An owner can't reach an executor, and does not learn that another instance
+ * has taken the pool over and has found its runs there. It starts their tasks
+ * elsewhere when the lease that it sent has expired. */
+TEST(Pool, ARunThatAnUnknownOwnerFindsEndsBeforeItsTaskStartsElsewhere)
+{
+	for (uint64_t found_ms = 0; found_ms <= 700; found_ms += 20) {
+		SCOPED_TRACE("found after " + std::to_string(found_ms) + " ms");
+		World w(6, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		uint64_t t0 = w.now_us;
+		uint64_t seq = w.submit(a, "a", 2, 2500 * kMs, 2500 * kMs,
+					3000 * kMs, 8000 * kMs);
+
+		w.run_until(t0 + 100 * kMs);
+		for (Executor &x : w.executors)
+			x.unreachable_from = { x.running.empty() ? b->number
+								 : a->number };
+		w.run_until(w.now_us + found_ms * kMs);
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		w.run_until(t0 + 5000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(a, seq, PH_VERDICT_DONE));
+	}
+}
+
 TEST(Pool, UnclaimedRunsAreStoppedBeforeTheCallerRetries)
 {
 	World w(2, 16000);
