A resumed task waits for runs whose stops the earlier owner loses

What callers saw: a task that ran twice (rule TWICE) after a change of a pool's owner in a partition.

Cause: a new owner took runs on executors that it cannot poll to have lapsed 300 ms and one lease after it was given the batch. An earlier owner that the submitter cannot reach counts it as dead after 350 ms only, and renews the lease until its stop, if that gets lost, is overdue.

Evidence: Pool.AResumedTaskWaitsForRunsWhoseStopsTheEarlierOwnerLoses failed before, with two concurrent runs.

Why it works: 500 ms cover the silence of 350 ms, the 100 ms after which a stop is overdue, and ticks. A resumed task starts 200 ms later than before if the executor that may be running it cannot be polled, else as before.

--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -18,10 +18,11 @@
 /* An executor gets no new tasks if its last successful poll is longer ago than
  * this part of the lease; a long poll waits for at most a quarter of it. */
 #define SILENT_DIVISOR 2U
-/* An owner that is cut off from a submitter, or whose token is refused, ends
- * the submitter's batches at most this long after the submitter has abandoned
- * that owner. */
-#define SUBMITTER_LOSS_US 300000U
+/* An owner that is cut off from a submitter, or whose token is refused, renews
+ * the leases of the submitter's runs for at most this long after the submitter
+ * has abandoned that owner: until it counts the silent submitter as dead, and
+ * then until a stop that gets lost is overdue. */
+#define SUBMITTER_LOSS_US 500000U
 /* If more than this share of the executors that answer polls have left run
  * commands unanswered, the network is taken to lose calls, and no executor is
  * avoided for unanswered commands. */
@@ -231,9 +232,10 @@
 }
 
 /* Time by which the leases of all runs that an earlier owner started for a
- * batch have expired. An owner that is cut off renews them until an executor
- * refuses its token or it ends the batch, which it does at about the time at
- * which the batch is submitted here. A tenth of the lease is the margin. */
+ * batch have expired. An owner that is cut off renews them until executors
+ * refuse its token, or until it has ended the batch and a stop is overdue,
+ * counted from about the time at which the batch is submitted here. A tenth of
+ * the lease is the margin. */
 static uint64_t orphans_expired_us(const struct ph_pool *pool,
 				   const struct ph_batch *b)
 {
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -969,6 +969,43 @@
 	EXPECT_EQ(w.starts, 6);
 }
 
+/* Longest time until an owner notices that a submitter is silent: the silence
+ * after which an instance counts as dead, and two ticks. */
+constexpr uint64_t kSilenceNoticedUs = 350 * kMs + 2 * kTickUs;
+
+/* A partition separates the earlier owner from the submitter, which resumes its
+ * batch at a new owner, and the new owner from an executor. The earlier one
+ * notices that late, and its stops get lost: the task must not start elsewhere
+ * before its run there has ended all the same. */
+TEST(Pool, AResumedTaskWaitsForRunsWhoseStopsTheEarlierOwnerLoses)
+{
+	for (uint64_t step = 0; step < 20; step++) {
+		SCOPED_TRACE("at step " + std::to_string(step));
+		World w(2, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		/* Placement fills it first; there is room on the other. */
+		Executor *cut = &w.executors[1];
+		uint64_t seq;
+		uint64_t t0;
+
+		cut->unreachable_from = { b->number };
+		w.executors[0].unreachable_from = { a->number };
+		cut->loses_stops = true;
+		seq = w.submit(a, "a", 2, 3000 * kMs, 3000 * kMs, 4000 * kMs,
+			       9000 * kMs);
+		w.run_until(w.now_us + step * kTickUs);
+		t0 = w.now_us;
+		ph_pool_acquire(b->pool, t0, 2000);
+		w.resubmit(a, b, seq);
+		w.run_until(t0 + kSilenceNoticedUs);
+		ph_pool_submitter_lost(a->pool, w.now_us, "submitter");
+		w.run_until(t0 + 8000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
+	}
+}
+
 TEST(Pool, NoTaskStartsAfterARefusedToken)
 {
 	World w(2, 16000);
