A poll's answer without the executor's clock counts as none

What callers saw: nothing so far; found while looking for runs that start twice.

Cause: an answer without a clock made the owner forget the clock, and with it the end of the lease: when the executor could not be reached next its runs were taken to have lapsed at once.

Evidence: Pool.RunsLastForALeaseAlsoIfAnExecutorHidesItsClock failed before, with one concurrent run.

Why it works: such an answer counts as a failed poll, so no lease is renewed and the end that was known still holds.

--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -329,7 +329,8 @@
 	}
 	x->poll_call = 0;
 	record_poll(pool, reply->status == PH_CALL_UNKNOWN);
-	if (reply->status != PH_CALL_OK) {
+	/* Without the executor's clock the end of its lease is unknown. */
+	if (reply->status != PH_CALL_OK || !reply->clock_ms) {
 		poll_failed(pool, x, reply, now_us);
 		return;
 	}
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -230,7 +230,7 @@
 	{
 		std::vector<ph_run_report> running;
 		std::vector<ph_run_report> ended;
-		uint64_t clock = clock_ms(o->world);
+		uint64_t clock = x->hides_clock ? 0 : clock_ms(o->world);
 		uint64_t started = x->started_ms;
 
 		for (const Run &r : x->running) {
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -274,6 +274,24 @@
 	EXPECT_FALSE(w.list(o));
 }
 
+/* An executor's answers lack its clock, by which its lease's end is known, and
+ * then it can't be reached: its runs are alive for a lease all the same. */
+TEST(Pool, RunsLastForALeaseAlsoIfAnExecutorHidesItsClock)
+{
+	World w(2, 16000);
+	Owner *o = ready_owner(&w);
+	Executor *x = &w.executors.back();
+	uint64_t seq = w.submit(o, "a", 1, 3000 * kMs, 3000 * kMs, 4000 * kMs,
+				20000 * kMs);
+
+	w.run_until(w.now_us + 100 * kMs);
+	x->hides_clock = true;
+	w.at(w.now_us + 200 * kMs, [=] { x->unreachable_from = { 0 }; });
+	w.run_until(w.now_us + 6000 * kMs);
+	EXPECT_EQ(w.concurrent_runs, 0);
+	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+}
+
 struct TransitCase {
 	const char *what;
 	uint64_t transit_us;
