Renew leases of unlisted executors for as long as others know them

Cause: an owner kept an unlisted executor, and renewed its lease, for as long as it had runs; all other instances forgot it after 3 s. An instance that took the pool over later took a task for one without runs as soon as it had polled all the executors that it knew.

Evidence: Pool.RunsOnALongUnlistedExecutorAreNotStartedAgainWhenTheOwnerDies failed before, for a death 3.5 s and 5 s after the executor left the list.

Why it works: the lease is renewed for 3 s after that, and the executor is known for one lease and the time by which two lists may differ longer, so no run outlasts what a new owner knows. A new owner that renews no lease itself takes the earlier owner's lease to last from its first poll on. Runs that go on for over 3 s on an unlisted executor lapse and start again.

--- a/src/pool.c
+++ b/src/pool.c
@@ -17,9 +17,10 @@
 /* Interval of placement rounds without a change of state: a start may become
  * possible by time alone, as when a back-off ends. */
 #define PLACE_EVERY_US 10000U
-/* Time for which an unlisted executor is still tracked: two of the longest
- * leases, plus the time between two reads of the list. */
-#define UNLISTED_US 3000000U
+/* Time for which an unlisted executor is still tracked: while another owner may
+ * have renewed a lease there, plus the longest lease, plus the time by which
+ * two instances may differ in their lists. */
+#define UNLISTED_US (PH_UNLISTED_RENEWED_US + 1000000U + 1500000U)
 /* Longest time after which a start that was not answered counts as one that may
  * still be carried out on an unlisted executor: the platform's bound is
  * "seconds". */
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -12,6 +12,9 @@
 /* Longest wait for a call's answer: leaves time to repeat a poll before the
  * lease that it renews expires. */
 #define PH_CALL_TIMEOUT_MAX_US 200000U
+/* Time for which the lease of an unlisted executor is still renewed: its entry
+ * may be back soon. */
+#define PH_UNLISTED_RENEWED_US 3000000U
 
 enum ph_batch_task_state {
 	PH_BATCH_TASK_WAITING,
@@ -136,7 +139,8 @@
 	uint64_t clock_ms;
 	/** The local time at which clock_ms was received. */
 	uint64_t clock_us;
-	/** Latest lease end sent, on the executor's clock. */
+	/** Latest lease end that was sent, by an earlier owner too, on the
+	 * executor's clock. */
 	uint64_t lease_ms;
 	/** Id of the poll under way; 0: none. */
 	uint64_t poll_call;
@@ -278,10 +282,10 @@
 uint64_t ph_lease_end(struct ph_pool *pool, struct ph_executor *executor,
 		      uint64_t now_us);
 /** False while leases there must run out: a run that can't be stopped has to
- * end with its lease, and so have the runs of a pool that may have another
- * owner, which may not reach this executor. */
+ * end with its lease, and so have runs that another owner may not find, on an
+ * executor that it may not reach or have forgotten. */
 bool ph_lease_renewed(const struct ph_pool *pool,
-		      const struct ph_executor *executor);
+		      const struct ph_executor *executor, uint64_t now_us);
 struct ph_run *ph_run_find(struct ph_executor *executor, const char *job,
 			   uint32_t index, uint64_t run);
 /** Time, from the first report, for which a batch may claim a run that this
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -243,9 +243,11 @@
 	return end;
 }
 
-bool ph_lease_renewed(const struct ph_pool *pool, const struct ph_executor *x)
+bool ph_lease_renewed(const struct ph_pool *pool, const struct ph_executor *x,
+		      uint64_t now_us)
 {
-	return !x->stops_overdue && !pool->fenced;
+	return !x->stops_overdue && !pool->fenced &&
+	       (x->listed || now_us < x->unlisted_us + PH_UNLISTED_RENEWED_US);
 }
 
 /* Local time at which every lease sent to the executor has expired; 0 if its
@@ -518,7 +520,7 @@
 {
 	struct ph_run *run = x->runs;
 
-	if (!run || (!x->poll_failures && ph_lease_renewed(pool, x)) ||
+	if (!run || (!x->poll_failures && ph_lease_renewed(pool, x, now_us)) ||
 	    now_us < lease_expiry_us(x))
 		return;
 	while (run) {
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -80,7 +80,7 @@
 				  ? PH_CALL_TIMEOUT_MAX_US
 				  : ph_pool_timeout_us(pool);
 	if (x->polled && !x->poll_failures) {
-		if (ph_lease_renewed(pool, x))
+		if (ph_lease_renewed(pool, x, now_us))
 			poll.lease_until_ms = ph_lease_end(pool, x, now_us);
 		poll.wait_us = wait_us(pool, x, now_us);
 	}
@@ -143,6 +143,16 @@
 	memset(&x->unanswered, 0, sizeof(x->unanswered));
 }
 
+/* An earlier owner may have renewed the lease until its token was refused. */
+static void expect_earlier_lease(const struct ph_pool *pool,
+				 struct ph_executor *x)
+{
+	uint64_t end = x->clock_ms + pool->opt.lease_us / PH_US_PER_MS;
+
+	if (end > x->lease_ms)
+		x->lease_ms = end;
+}
+
 static void remember_orphaned_end(struct ph_pool *pool,
 				  const struct ph_run_report *seen,
 				  uint64_t now_us)
@@ -357,6 +367,8 @@
 	}
 	for (i = 0; i < reply->running_count; i++)
 		run_reported(pool, x, &reply->running[i], now_us);
+	if (!x->polled)
+		expect_earlier_lease(pool, x);
 	x->polled = true;
 	drop_absent(pool, x, reply);
 	ph_pool_claim_orphans(pool, now_us);
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -392,6 +392,8 @@
 	for (const Executor &x : executors) {
 		ph_executor_info info = {};
 
+		if (x.unlisted)
+			continue;
 		snprintf(info.id, sizeof(info.id), "%s", x.id.c_str());
 		snprintf(info.addr, sizeof(info.addr), "%s", x.id.c_str());
 		snprintf(info.domain, sizeof(info.domain), "north");
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -76,6 +76,8 @@
 	/** A delayed start is accepted when it arrives: it is carried out even
 	 * if the end of its lease has passed by then. */
 	bool accepts_on_arrival = false;
+	/** It is missing from the platform's list. */
+	bool unlisted = false;
 	/** Its answers don't tell its clock. */
 	bool hides_clock = false;
 	/** Stop commands don't arrive, all other calls do. */
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -1024,6 +1024,41 @@
 	}
 }
 
+/* An executor is missing from the list for seconds, as after a partition from
+ * the platform's store, while its runs go on. Then the owner dies. The next one
+ * must know the executor for as long as its runs may be alive. */
+TEST(Pool, RunsOnALongUnlistedExecutorAreNotStartedAgainWhenTheOwnerDies)
+{
+	for (uint64_t died_ms : { 1000, 2900, 3500, 5000 }) {
+		SCOPED_TRACE(died_ms);
+		World w(2, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		uint64_t seq = w.submit(a, "a", 1, 9000 * kMs, 9000 * kMs,
+					12000 * kMs, 20000 * kMs);
+		uint64_t t0;
+
+		w.run_until(w.now_us + 50 * kMs);
+		t0 = w.now_us;
+		/* Placement has filled it first. */
+		w.executors[1].unlisted = true;
+		w.list(a);
+		/* Instances read the list at different times. */
+		w.run_until(t0 + 300 * kMs);
+		while (w.now_us < t0 + died_ms * kMs) {
+			w.list(b);
+			w.run_until(w.now_us + 100 * kMs);
+			w.list(a);
+		}
+		a->frozen = true;
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		w.resubmit(a, b, seq);
+		w.run_until(w.now_us + 12000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
+	}
+}
+
 TEST(Pool, NoTaskStartsAfterARefusedToken)
 {
 	World w(2, 16000);
