Poll no executor for a forgotten start alone

It is kept without polls once no run of another owner can be left there, and lost polls of unlisted executors, which have most likely left, no longer count as losses of the network.

Pool.AForgottenStartOnALostExecutorBlocksNothing now counts the polls too.

--- a/src/pool.c
+++ b/src/pool.c
@@ -17,10 +17,6 @@
 /* Interval of placement rounds without a change of state: a start may become
  * possible by time alone, as when a back-off ends. */
 #define PLACE_EVERY_US 10000U
-/* Time for which an unlisted executor is still tracked: while another owner may
- * have renewed a lease there, plus the longest lease, plus the time by which
- * two instances may differ in their lists. */
-#define UNLISTED_US (PH_UNLISTED_RENEWED_US + 1000000U + 1500000U)
 /* Longest time after which a start that was not answered counts as one that may
  * still be carried out on an unlisted executor: the platform's bound is
  * "seconds". */
@@ -594,13 +590,12 @@
 	return x;
 }
 
-/* Whether an unlisted executor may still have runs, or carry out the start of
- * one. */
+/* Whether an executor may have runs, or still carry out the start of one. */
 static bool may_run(const struct ph_executor *x, uint64_t now_us)
 {
 	const struct ph_run *run;
 
-	if (now_us < x->unlisted_us + UNLISTED_US)
+	if (ph_executor_followed(x, now_us))
 		return true;
 	for (run = x->runs; run; run = run->next)
 		if (!run->forgotten || now_us < x->unlisted_us + LATE_START_US)
@@ -608,9 +603,9 @@
 	return false;
 }
 
-/* Frees unlisted executors once no lease can last there. Until then they are
- * still polled, as they may have runs that another owner started. Returns
- * whether there were unlisted ones. */
+/* Frees unlisted executors once no lease can last there, and no late start be
+ * carried out. Until then they are polled, at first, as they may have runs that
+ * another owner started. Returns whether there were unlisted ones. */
 static bool drop_unlisted(struct ph_pool *pool, uint64_t now_us)
 {
 	struct ph_executor **at = &pool->executors;
@@ -620,7 +615,7 @@
 		struct ph_executor *x = *at;
 
 		any_unlisted = any_unlisted || !x->listed;
-		if (x->listed || may_run(x, now_us)) {
+		if (may_run(x, now_us)) {
 			at = &x->next;
 			continue;
 		}
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -12,9 +12,6 @@
 /* Longest wait for a call's answer: leaves time to repeat a poll before the
  * lease that it renews expires. */
 #define PH_CALL_TIMEOUT_MAX_US 200000U
-/* Time for which the lease of an unlisted executor is still renewed: its entry
- * may be back soon. */
-#define PH_UNLISTED_RENEWED_US 3000000U
 
 enum ph_batch_task_state {
 	PH_BATCH_TASK_WAITING,
@@ -281,6 +278,9 @@
  */
 uint64_t ph_lease_end(struct ph_pool *pool, struct ph_executor *executor,
 		      uint64_t now_us);
+/** True if it is listed, or was so lately that there may be runs of another
+ * owner: it is polled. */
+bool ph_executor_followed(const struct ph_executor *executor, uint64_t now_us);
 /** False while leases there must run out: a run that can't be stopped has to
  * end with its lease, and so have runs that another owner may not find, on an
  * executor that it may not reach or have forgotten. */
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -48,6 +48,14 @@
 /* The time of one call has a weight of 1/16 in the smoothed one. */
 #define CALL_TIME_WEIGHT 16U
 
+/* Time for which the lease of an unlisted executor is still renewed: its entry
+ * may be back soon. */
+#define UNLISTED_RENEWED_US 3000000U
+/* Time for which an unlisted executor is still polled: while another owner may
+ * have renewed a lease there, plus the longest lease, plus the time by which
+ * two instances may differ in their lists. */
+#define UNLISTED_US (UNLISTED_RENEWED_US + 1000000U + 1500000U)
+
 struct ph_executor *ph_executor_find(struct ph_pool *pool, const char *id)
 {
 	struct ph_executor *x;
@@ -243,11 +251,16 @@
 	return end;
 }
 
+bool ph_executor_followed(const struct ph_executor *x, uint64_t now_us)
+{
+	return x->listed || now_us < x->unlisted_us + UNLISTED_US;
+}
+
 bool ph_lease_renewed(const struct ph_pool *pool, const struct ph_executor *x,
 		      uint64_t now_us)
 {
 	return !x->stops_overdue && !pool->fenced &&
-	       (x->listed || now_us < x->unlisted_us + PH_UNLISTED_RENEWED_US);
+	       (x->listed || now_us < x->unlisted_us + UNLISTED_RENEWED_US);
 }
 
 /* Local time at which every lease sent to the executor has expired; 0 if its
@@ -603,7 +616,8 @@
 	for (x = pool->executors; x; x = x->next) {
 		expire_runs(pool, x, now_us);
 		update_stops_overdue(x, now_us);
-		if (!x->poll_call && now_us >= x->next_poll_us)
+		if (!x->poll_call && now_us >= x->next_poll_us &&
+		    ph_executor_followed(x, now_us))
 			ph_poll_send(pool, x, now_us);
 		runs_tick(pool, x, now_us);
 	}
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -243,12 +243,12 @@
 	       pool->opt.lease_us / 10;
 }
 
-static bool all_polled(const struct ph_pool *pool)
+static bool all_polled(const struct ph_pool *pool, uint64_t now_us)
 {
 	const struct ph_executor *x;
 
 	for (x = pool->executors; x; x = x->next)
-		if (!x->polled)
+		if (!x->polled && ph_executor_followed(x, now_us))
 			return false;
 	return true;
 }
@@ -275,7 +275,7 @@
 	    now_us >= orphans_expired_us(pool, b))
 		return true;
 	return executor == PH_EXECUTOR_UNKNOWN
-		       ? all_polled(pool)
+		       ? all_polled(pool, now_us)
 		       : executor_polled(pool, executor);
 }
 
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -338,7 +338,10 @@
 		return;
 	}
 	x->poll_call = 0;
-	record_poll(pool, reply->status == PH_CALL_UNKNOWN);
+	/* An unlisted executor has most likely left: it says nothing of the
+	 * network. */
+	if (x->listed)
+		record_poll(pool, reply->status == PH_CALL_UNKNOWN);
 	/* Without the executor's clock the end of its lease is unknown. */
 	if (reply->status != PH_CALL_OK || !reply->clock_ms) {
 		poll_failed(pool, x, reply, now_us);
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -253,23 +253,29 @@
 }
 
 /* The executor of a forgotten start never returns: the task is not blocked, and
- * the executor is not tracked for ever. */
+ * the executor is neither polled nor kept for ever. */
 TEST(Pool, AForgottenStartOnALostExecutorBlocksNothing)
 {
 	World w(2, 16000);
 	Owner *o = ready_owner(&w);
-	Executor *x = &w.executors.back();
 	uint64_t t0 = w.now_us;
+	uint64_t polls;
 	uint64_t seq;
 
-	x->unreachable_from = { 0 };
+	w.executors.back().unreachable_from = { 0 };
 	seq = w.submit(o, "a", 1, 500 * kMs, 500 * kMs, 2000 * kMs,
 		       20000 * kMs);
 	w.run_until(t0 + 2000 * kMs);
 	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
 	w.executors.pop_back();
 	w.list(o);
-	w.run_until(w.now_us + 30000 * kMs);
+	w.run_until(w.now_us + 6000 * kMs);
+	polls = ph_pool_counters(o->pool)->polls;
+	w.run_until(w.now_us + 10000 * kMs);
+	/* Long polls of the other. */
+	EXPECT_LE(ph_pool_counters(o->pool)->polls - polls,
+		  10000 * kMs / (kLeaseUs / 4) + 1);
+	w.run_until(w.now_us + 10000 * kMs);
 	w.list(o);
 	EXPECT_FALSE(w.list(o));
 }
