--- a/src/pool.c
+++ b/src/pool.c
@@ -596,13 +596,12 @@
 	return x;
 }
 
-/* Whether an unlisted executor may still have runs, or carry out the start of
- * one. */
+/* Whether an executor may have runs, or still carry out the start of one. */
 static bool may_run(const struct ph_executor *x, uint64_t now_us)
 {
 	const struct ph_run *run;
 
-	if (now_us < x->unlisted_us + PH_UNLISTED_US)
+	if (ph_executor_followed(x, now_us))
 		return true;
 	for (run = x->runs; run; run = run->next)
 		if (!run->forgotten || now_us < x->unlisted_us + LATE_START_US)
@@ -610,9 +609,9 @@
 	return false;
 }
 
-/* Frees unlisted executors once no lease can last there. Until then they are
- * still polled, as they may have runs that another owner started. Returns
- * whether there were unlisted ones. */
+/* Frees unlisted executors once no lease can last there, and no late start be
+ * carried out. Until then they are polled, at first, as they may have runs that
+ * another owner started. Returns whether there were unlisted ones. */
 static bool drop_unlisted(struct ph_pool *pool, uint64_t now_us)
 {
 	struct ph_executor **at = &pool->executors;
@@ -622,7 +621,7 @@
 		struct ph_executor *x = *at;
 
 		any_unlisted = any_unlisted || !x->listed;
-		if (x->listed || may_run(x, now_us)) {
+		if (may_run(x, now_us)) {
 			at = &x->next;
 			continue;
 		}
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -12,9 +12,6 @@
 /* Longest wait for a call's answer: leaves time to repeat a poll before the
  * lease that it renews expires. */
 #define PH_CALL_TIMEOUT_MAX_US 200000U
-/* Time for which an unlisted executor is still tracked: two of the longest
- * leases, plus the time between two reads of the list. */
-#define PH_UNLISTED_US 3000000U
 
 enum ph_batch_task_state {
 	PH_BATCH_TASK_WAITING,
@@ -142,7 +139,8 @@
 	uint64_t clock_ms;
 	/** The local time at which clock_ms was received. */
 	uint64_t clock_us;
-	/** Latest lease end sent, on the executor's clock. */
+	/** Latest lease end that was sent, by an earlier owner too, on the
+	 * executor's clock. */
 	uint64_t lease_ms;
 	/** Id of the poll under way; 0: none. */
 	uint64_t poll_call;
@@ -284,13 +282,18 @@
  */
 uint64_t ph_lease_end(struct ph_pool *pool, struct ph_executor *executor,
 		      uint64_t now_us);
+/** True if it is listed, or was so lately that there may be runs of another
+ * owner: it is polled. */
+bool ph_executor_followed(const struct ph_executor *executor, uint64_t now_us);
 /** False while leases there must run out: a run that can't be stopped has to
- * end with its lease, and so have the runs of a pool that may have another
- * owner, which may not reach this executor. Runs that this owner has found, and
- * that no batch has claimed, may belong to an owner that is alive but can't
- * reach the executor, and that computes their end from the lease it sent. */
+ * end with its lease, and so have runs that another owner may not find, on an
+ * executor that it may not reach or have forgotten. Runs that this owner has
+ * found, and that no batch has claimed, may belong to an owner that is alive
+ * but can't reach the executor, and that computes their end from the lease it
+ * sent.
+ */
 bool ph_lease_renewed(const struct ph_pool *pool,
-		      const struct ph_executor *executor);
+		      const struct ph_executor *executor, uint64_t now_us);
 struct ph_run *ph_run_find(struct ph_executor *executor, const char *job,
 			   uint32_t index, uint64_t run);
 /** Time, from the first report, for which a batch may claim a run that this
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -80,7 +80,7 @@
 				  ? PH_CALL_TIMEOUT_MAX_US
 				  : ph_pool_timeout_us(pool);
 	if (x->polled && !x->poll_failures) {
-		if (ph_lease_renewed(pool, x))
+		if (ph_lease_renewed(pool, x, now_us))
 			poll.lease_until_ms = ph_lease_end(pool, x, now_us);
 		poll.wait_us = wait_us(pool, x, now_us);
 	}
@@ -143,15 +143,14 @@
 	memset(&x->unanswered, 0, sizeof(x->unanswered));
 }
 
-/* The token of this poll ends renewals by another owner. The lease that it sent
- * last may still be in force. */
-static void take_over_lease(const struct ph_pool *pool, struct ph_executor *x)
+/* An earlier owner may have renewed the lease until its token was refused. */
+static void expect_earlier_lease(const struct ph_pool *pool,
+				 struct ph_executor *x)
 {
-	uint64_t end_ms = x->clock_ms + pool->opt.lease_us / PH_US_PER_MS;
+	uint64_t end = x->clock_ms + pool->opt.lease_us / PH_US_PER_MS;
 
-	if (end_ms > x->lease_ms)
-		x->lease_ms = end_ms;
-	x->other_owner = false;
+	if (end > x->lease_ms)
+		x->lease_ms = end;
 }
 
 static void remember_orphaned_end(struct ph_pool *pool,
@@ -339,8 +338,12 @@
 		return;
 	}
 	x->poll_call = 0;
-	record_poll(pool, reply->status == PH_CALL_UNKNOWN);
-	if (reply->status != PH_CALL_OK) {
+	/* An unlisted executor has most likely left: it says nothing of the
+	 * network. */
+	if (x->listed)
+		record_poll(pool, reply->status == PH_CALL_UNKNOWN);
+	/* Without the executor's clock the end of its lease is unknown. */
+	if (reply->status != PH_CALL_OK || !reply->clock_ms) {
 		poll_failed(pool, x, reply, now_us);
 		return;
 	}
@@ -359,8 +362,7 @@
 	x->clock_us = now_us;
 	x->poll_ok_us = now_us;
 	x->rejected_us = 0;
-	if (x->other_owner)
-		take_over_lease(pool, x);
+	x->other_owner = false;
 	for (i = 0; i < reply->ended_count; i++) {
 		if (reply->ended[i].end_number <= x->ends_seen)
 			continue;
@@ -369,6 +371,8 @@
 	}
 	for (i = 0; i < reply->running_count; i++)
 		run_reported(pool, x, &reply->running[i], now_us);
+	if (!x->polled)
+		expect_earlier_lease(pool, x);
 	x->polled = true;
 	drop_absent(pool, x, reply);
 	ph_pool_claim_orphans(pool, now_us);
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -230,7 +230,7 @@
 	{
 		std::vector<ph_run_report> running;
 		std::vector<ph_run_report> ended;
-		uint64_t clock = clock_ms(o->world);
+		uint64_t clock = x->hides_clock ? 0 : clock_ms(o->world);
 		uint64_t started = x->started_ms;
 
 		for (const Run &r : x->running) {
@@ -392,6 +392,8 @@
 	for (const Executor &x : executors) {
 		ph_executor_info info = {};
 
+		if (x.unlisted)
+			continue;
 		snprintf(info.id, sizeof(info.id), "%s", x.id.c_str());
 		snprintf(info.addr, sizeof(info.addr), "%s", x.id.c_str());
 		snprintf(info.domain, sizeof(info.domain), "north");
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -253,27 +253,51 @@
 }
 
 /* The executor of a forgotten start never returns: the task is not blocked, and
- * the executor is not tracked for ever. */
+ * the executor is neither polled nor kept for ever. */
 TEST(Pool, AForgottenStartOnALostExecutorBlocksNothing)
 {
 	World w(2, 16000);
 	Owner *o = ready_owner(&w);
-	Executor *x = &w.executors.back();
 	uint64_t t0 = w.now_us;
+	uint64_t polls;
 	uint64_t seq;
 
-	x->unreachable_from = { 0 };
+	w.executors.back().unreachable_from = { 0 };
 	seq = w.submit(o, "a", 1, 500 * kMs, 500 * kMs, 2000 * kMs,
 		       20000 * kMs);
 	w.run_until(t0 + 2000 * kMs);
 	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
 	w.executors.pop_back();
 	w.list(o);
-	w.run_until(w.now_us + 30000 * kMs);
+	w.run_until(w.now_us + 6000 * kMs);
+	polls = ph_pool_counters(o->pool)->polls;
+	w.run_until(w.now_us + 10000 * kMs);
+	/* Long polls of the other. */
+	EXPECT_LE(ph_pool_counters(o->pool)->polls - polls,
+		  10000 * kMs / (kLeaseUs / 4) + 1);
+	w.run_until(w.now_us + 10000 * kMs);
 	w.list(o);
 	EXPECT_FALSE(w.list(o));
 }
 
+/* An executor's answers lack its clock, by which its lease's end is known, and
+ * then it can't be reached: its runs are alive for a lease all the same. */
+TEST(Pool, RunsLastForALeaseAlsoIfAnExecutorHidesItsClock)
+{
+	World w(2, 16000);
+	Owner *o = ready_owner(&w);
+	Executor *x = &w.executors.back();
+	uint64_t seq = w.submit(o, "a", 1, 3000 * kMs, 3000 * kMs, 4000 * kMs,
+				20000 * kMs);
+
+	w.run_until(w.now_us + 100 * kMs);
+	x->hides_clock = true;
+	w.at(w.now_us + 200 * kMs, [=] { x->unreachable_from = { 0 }; });
+	w.run_until(w.now_us + 6000 * kMs);
+	EXPECT_EQ(w.concurrent_runs, 0);
+	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+}
+
 struct TransitCase {
 	const char *what;
 	uint64_t transit_us;
@@ -1136,6 +1160,78 @@
 	EXPECT_EQ(w.starts, 6);
 }
 
+/* Longest time until an owner notices that a submitter is silent: the silence
+ * after which an instance counts as dead, and two ticks. */
+constexpr uint64_t kSilenceNoticedUs = 350 * kMs + 2 * kTickUs;
+
+/* A partition separates the earlier owner from the submitter, which resumes its
+ * batch at a new owner, and the new owner from an executor. The earlier one
+ * notices that late, and its stops get lost: the task must not start elsewhere
+ * before its run there has ended all the same. */
+TEST(Pool, AResumedTaskWaitsForRunsWhoseStopsTheEarlierOwnerLoses)
+{
+	for (uint64_t step = 0; step < 20; step++) {
+		SCOPED_TRACE("at step " + std::to_string(step));
+		World w(2, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		/* Placement fills it first; there is room on the other. */
+		Executor *cut = &w.executors[1];
+		uint64_t seq;
+		uint64_t t0;
+
+		cut->unreachable_from = { b->number };
+		w.executors[0].unreachable_from = { a->number };
+		cut->loses_stops = true;
+		seq = w.submit(a, "a", 2, 3000 * kMs, 3000 * kMs, 4000 * kMs,
+			       9000 * kMs);
+		w.run_until(w.now_us + step * kTickUs);
+		t0 = w.now_us;
+		ph_pool_acquire(b->pool, t0, 2000);
+		w.resubmit(a, b, seq);
+		w.run_until(t0 + kSilenceNoticedUs);
+		ph_pool_submitter_lost(a->pool, w.now_us, "submitter");
+		w.run_until(t0 + 8000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
+	}
+}
+
+/* An executor is missing from the list for seconds, as after a partition from
+ * the platform's store, while its runs go on. Then the owner dies. The next one
+ * must know the executor for as long as its runs may be alive. */
+TEST(Pool, RunsOnALongUnlistedExecutorAreNotStartedAgainWhenTheOwnerDies)
+{
+	for (uint64_t died_ms : { 1000, 2900, 3500, 5000 }) {
+		SCOPED_TRACE(died_ms);
+		World w(2, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		uint64_t seq = w.submit(a, "a", 1, 9000 * kMs, 9000 * kMs,
+					12000 * kMs, 20000 * kMs);
+		uint64_t t0;
+
+		w.run_until(w.now_us + 50 * kMs);
+		t0 = w.now_us;
+		/* Placement has filled it first. */
+		w.executors[1].unlisted = true;
+		w.list(a);
+		/* Instances read the list at different times. */
+		w.run_until(t0 + 300 * kMs);
+		while (w.now_us < t0 + died_ms * kMs) {
+			w.list(b);
+			w.run_until(w.now_us + 100 * kMs);
+			w.list(a);
+		}
+		a->frozen = true;
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		w.resubmit(a, b, seq);
+		w.run_until(w.now_us + 12000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
+	}
+}
+
 TEST(Pool, NoTaskStartsAfterARefusedToken)
 {
 	World w(2, 16000);
