Start tasks under an unrenewed lease that still lasts

A start that carries the lease end that was sent last prolongs nothing, so it may go there while half of the lease is left.

Pool.AnExecutorThatLosesAFewStopsGoesOnServing failed before. Pool.RunsWhoseStopsGetLostEndBeforeTheCallerRetries now starts other tasks on the executor all the time: they prolong no run.

Unlisted executors get a lease for 1 s and are polled for 3.5 s (3 and 5.5 before): each that does not answer a new owner delays tasks that resume.

--- a/src/pool.c
+++ b/src/pool.c
@@ -574,6 +574,7 @@
 		x->poll_failures = 0;
 		x->clock_ms = 0;
 		x->lease_ms = 0;
+		x->lease_sent_ms = 0;
 	}
 }
 
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -136,9 +136,11 @@
 	uint64_t clock_ms;
 	/** The local time at which clock_ms was received. */
 	uint64_t clock_us;
-	/** Latest lease end that was sent, by an earlier owner too, on the
-	 * executor's clock. */
+	/** Latest lease end that may have been sent, by an earlier owner too,
+	 * on the executor's clock. */
 	uint64_t lease_ms;
+	/** Latest lease end that this owner has sent to this incarnation. */
+	uint64_t lease_sent_ms;
 	/** Id of the poll under way; 0: none. */
 	uint64_t poll_call;
 	uint64_t poll_sent_us;
@@ -149,7 +151,7 @@
 	/** Consecutive polls without success. */
 	uint32_t poll_failures;
 	/** A stop has gone unacknowledged for so long that no lease is renewed
-	 * here and nothing starts. */
+	 * here. */
 	bool stops_overdue;
 	/** Runs that failed or were too slow, and start commands that it
 	 * refused. */
@@ -275,7 +277,7 @@
 /** Timeout of a call; without an answer until then its outcome is unknown. */
 uint64_t ph_pool_timeout_us(const struct ph_pool *pool);
 /** Lease end to send now, on the executor's clock; 0 if that clock is unknown.
- */
+ * The one sent last while the lease must not be renewed. */
 uint64_t ph_lease_end(struct ph_pool *pool, struct ph_executor *executor,
 		      uint64_t now_us);
 /** True if it is listed, or was so lately that there may be runs of another
@@ -286,6 +288,9 @@
  * executor that it may not reach or have forgotten. */
 bool ph_lease_renewed(const struct ph_pool *pool,
 		      const struct ph_executor *executor, uint64_t now_us);
+/** Whether a lease lasts for long enough to start a task. */
+bool ph_lease_allows_start(const struct ph_pool *pool,
+			   const struct ph_executor *executor, uint64_t now_us);
 struct ph_run *ph_run_find(struct ph_executor *executor, const char *job,
 			   uint32_t index, uint64_t run);
 /** Time, from the first report, for which a batch may claim a run that this
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -18,6 +18,9 @@
  * slow clock, it has to end before the caller retries; a stop that got lost is
  * sent once more within it. */
 #define STOP_OVERDUE_US 100000U
+/* A task starts under a lease that is not renewed for now only if this part of
+ * it is left: most stops that got lost are acknowledged by then. */
+#define START_LEASE_DIVISOR 2U
 /* The platform's bound on how much slower an executor's clock may run. */
 #define CLOCK_SLOW_PERCENT 2U
 /* Time added to a computed lease expiry. */
@@ -50,7 +53,7 @@
 
 /* Time for which the lease of an unlisted executor is still renewed: its entry
  * may be back soon. */
-#define UNLISTED_RENEWED_US 3000000U
+#define UNLISTED_RENEWED_US 1000000U
 /* Time for which an unlisted executor is still polled: while another owner may
  * have renewed a lease there, plus the longest lease, plus the time by which
  * two instances may differ in their lists. */
@@ -237,6 +240,29 @@
 	return c;
 }
 
+bool ph_executor_followed(const struct ph_executor *x, uint64_t now_us)
+{
+	return x->listed || now_us < x->unlisted_us + UNLISTED_US;
+}
+
+bool ph_lease_renewed(const struct ph_pool *pool, const struct ph_executor *x,
+		      uint64_t now_us)
+{
+	return !x->stops_overdue && !pool->fenced &&
+	       (x->listed || now_us < x->unlisted_us + UNLISTED_RENEWED_US);
+}
+
+bool ph_lease_allows_start(const struct ph_pool *pool,
+			   const struct ph_executor *x, uint64_t now_us)
+{
+	uint64_t needed_us = pool->opt.lease_us / START_LEASE_DIVISOR;
+
+	return ph_lease_renewed(pool, x, now_us) ||
+	       x->lease_sent_ms >=
+		       x->clock_ms + (now_us - x->clock_us + needed_us) /
+					     PH_US_PER_MS;
+}
+
 uint64_t ph_lease_end(struct ph_pool *pool, struct ph_executor *x,
 		      uint64_t now_us)
 {
@@ -244,25 +270,17 @@
 
 	if (!x->clock_ms)
 		return 0;
+	if (!ph_lease_renewed(pool, x, now_us))
+		return x->lease_sent_ms;
 	end = x->clock_ms +
 	      (now_us - x->clock_us + pool->opt.lease_us) / PH_US_PER_MS;
+	if (end > x->lease_sent_ms)
+		x->lease_sent_ms = end;
 	if (end > x->lease_ms)
 		x->lease_ms = end;
 	return end;
 }
 
-bool ph_executor_followed(const struct ph_executor *x, uint64_t now_us)
-{
-	return x->listed || now_us < x->unlisted_us + UNLISTED_US;
-}
-
-bool ph_lease_renewed(const struct ph_pool *pool, const struct ph_executor *x,
-		      uint64_t now_us)
-{
-	return !x->stops_overdue && !pool->fenced &&
-	       (x->listed || now_us < x->unlisted_us + UNLISTED_RENEWED_US);
-}
-
 /* Local time at which every lease sent to the executor has expired; 0 if its
  * clock is unknown. */
 static uint64_t lease_expiry_us(const struct ph_executor *x)
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -129,7 +129,8 @@
 bool ph_executor_usable(const struct ph_pool *pool, const struct ph_executor *x,
 			uint64_t now_us)
 {
-	return reachable(pool, x, now_us) && !x->stops_overdue &&
+	return reachable(pool, x, now_us) &&
+	       ph_lease_allows_start(pool, x, now_us) &&
 	       (now_us >= x->faults.until_us ||
 		!ph_mechanism_on(pool->opt.off, PH_MECHANISM_AVOID_FAILING)) &&
 	       (now_us >= x->unanswered.until_us || pool->widespread_loss ||
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -137,6 +137,7 @@
 	ph_event(PART, "event=executor_restarted executor=%s started_ms=%llu",
 		 x->info.id, (unsigned long long)reply->started_ms);
 	x->ends_seen = 0;
+	x->lease_sent_ms = 0;
 	x->lease_ms = reply->clock_ms +
 		      RESTARTED_LEASES * pool->opt.lease_us / PH_US_PER_MS;
 	memset(&x->faults, 0, sizeof(x->faults));
