Tokens ahead of the time of day differ in more bits

Callers saw nothing yet; found by reading.

Cause: a token that has to exceed a known one is the next millisecond with 12 bits of the instance's hash below. Two instances with equal 12 bits, one pair in 4,096, that do not hear of each other claim a pool with one token if the highest known one is ahead of the time of day, and executors serve both owners.

Why the fix works: such a token is ahead by 1 to 1,024 ms, by ten more bits of the hash. One pair in four million has equal tokens then.

--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -57,6 +57,10 @@
  * bits, with bits of a hash of the instance below. It stays below 2^53, beyond
  * which a JSON reader may round numbers. */
 #define TOKEN_SHIFT 12U
+/* A token that has to exceed a known one is ahead of that by 1 to this many
+ * milliseconds, by more bits of the hash: among hundreds of instances some have
+ * equal bits below. A power of two. */
+#define TOKEN_SPREAD_MS 1024U
 /* Executors may reject a token because they have seen a higher one that no
  * instance knows: the time of day was set back, or all instances that knew it
  * have failed. The token is raised by the equivalent of 1 s, and by 8 times as
@@ -412,19 +416,21 @@
 }
 
 /* Two instances that do not hear of each other may claim a pool after the same
- * highest token. The lower bits, which differ from instance to instance, are
- * kept also when the token has to exceed that one: executors accept calls of
- * both owners if their tokens are equal. */
+ * highest token. Their tokens differ by the bits of a hash of the instance, of
+ * which there are more when the token has to exceed that one: executors accept
+ * calls of both owners if their tokens are equal. */
 static uint64_t new_token(const struct ph_cluster *cluster,
 			  struct ph_pool_claim *p, uint64_t unix_ms)
 {
-	uint64_t own =
-		(ph_hash_str(cluster->opt.name) + cluster->opt.incarnation) &
-		((1U << TOKEN_SHIFT) - 1);
+	uint64_t hash =
+		ph_hash_str(cluster->opt.name) + cluster->opt.incarnation;
+	uint64_t own = hash & ((1U << TOKEN_SHIFT) - 1);
+	uint64_t ahead_ms = 1 + ((hash >> TOKEN_SHIFT) & (TOKEN_SPREAD_MS - 1));
 	uint64_t token = unix_ms << TOKEN_SHIFT | own;
 
 	if (token <= p->highest_token)
-		token = ((p->highest_token >> TOKEN_SHIFT) + 1) << TOKEN_SHIFT |
+		token = ((p->highest_token >> TOKEN_SHIFT) + ahead_ms)
+				<< TOKEN_SHIFT |
 			own;
 	p->highest_token = token;
 	return token;
--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -9,8 +9,9 @@
 #include <vector>
 
 extern "C" {
-#include "log.h"
 #include "cluster.h"
+#include "ident.h"
+#include "log.h"
 }
 
 namespace
@@ -676,6 +677,42 @@
 	EXPECT_EQ(net.owners("north").size(), 2U);
 }
 
+/* Among hundreds of instances some have equal lower bits of their tokens. */
+TEST(Cluster, InstancesWithEqualTokenBitsClaimWithDifferentTokens)
+{
+	constexpr uint64_t kHourMs = 3600 * 1000;
+	constexpr uint64_t kTokenBits = (1U << 12) - 1;
+	std::map<uint64_t, std::string> names;
+	int pairs = 0;
+
+	for (int i = 0; pairs < 20; i++) {
+		std::string name = "n" + std::to_string(i);
+		uint64_t bits = ph_hash_str(name.c_str()) & kTokenBits;
+		Network net;
+
+		if (names.emplace(bits, name).second)
+			continue;
+		SCOPED_TRACE(name + " and " + names[bits]);
+		pairs++;
+		net.pools = { "north" };
+		net.add(name, "north");
+		net.add(names[bits], "north");
+		net.add("owner", "north", 500);
+		net.start_all();
+		net.highest_token_seen["north"] = (kUnixMs + kHourMs) << 12;
+		net.run_until(net.now_us + 2000 * kMs);
+		ASSERT_EQ(net.owners("north").size(), 1U);
+		ASSERT_EQ(net.owners("north")[0]->name, "owner");
+		net.find("owner")->running = false;
+		net.group[name] = 1;
+		/* An instance in a minority waits for three seconds. */
+		net.run_until(net.now_us + 4500 * kMs);
+		ASSERT_EQ(net.owners("north").size(), 2U);
+		EXPECT_NE(net.owners("north")[0]->owned["north"],
+			  net.owners("north")[1]->owned["north"]);
+	}
+}
+
 TEST(Cluster, ATokenBelowTheOneKnownToExecutorsIsRaisedFast)
 {
 	constexpr uint64_t kHourMs = 3600 * 1000;
