Tests of clocks that were set, and of messages that are long in transit

Incarnations, sequence numbers and run numbers come from the time of day. With clocks that are set back by up to a minute, or ahead, a restarted instance is served and a job with lower run numbers than before ends, and no task runs twice: passes without a change of the code.

--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -769,6 +769,69 @@
 	}
 }
 
+/* Messages of an instance take ever longer, as on a link whose queue fills. Its
+ * heartbeats go on arriving after its end, and a cancellation arrives late. */
+TEST(Resubmission, RunsEndInTimeIfMessagesAreLongInTransit)
+{
+	for (bool killed : { false, true }) {
+		SCOPED_TRACE(killed);
+		Trio t;
+		std::pair<std::string, std::string> way = { t.submitter->name,
+							    t.first->name };
+		size_t caller;
+
+		caller = t.submit(t.submitter, 4, 6000 * kMs, 24000 * kMs);
+		t.run_for(200 * kMs);
+		ASSERT_EQ(t.running(), 4U);
+		for (int i = 0; i < 30 && !t.callers[caller].resends_us; i++) {
+			t.delay_us[way] += 50 * kMs;
+			t.run_for(100 * kMs);
+		}
+		t.dark.insert(t.submitter->name);
+		if (killed)
+			t.kill(t.submitter);
+		else if (!t.callers[caller].resends_us)
+			t.disconnect(caller);
+		while (t.w.now_us + 2 * kTickUs < t.callers[caller].resends_us)
+			t.run_for(kTickUs);
+		EXPECT_EQ(t.running(), 0U);
+	}
+}
+
+/* Incarnations, sequence numbers and run numbers come from the time of day,
+ * which may have been set back: the next process of an instance has lower ones,
+ * and so has a job that is submitted again there. */
+TEST(Resubmission, AJobIsServedByAnInstanceWhoseClockWasSet)
+{
+	for (int64_t step_ms : { -60000, -5000, -1300, 0, 5000 }) {
+		SCOPED_TRACE(step_ms);
+		Trio t;
+		std::string name = t.submitter->name;
+		size_t first;
+		size_t other;
+
+		first = t.submit(t.submitter, 4, 600 * kMs, 6000 * kMs);
+		t.run_for(200 * kMs);
+		ASSERT_EQ(t.running(), 4U);
+		t.kill(t.submitter);
+		t.callers[first].resends_us = 0;
+		t.run_for(50 * kMs);
+		t.add(name, "south", step_ms);
+		t.run_for(400 * kMs);
+		other = t.submit(t.find(name), 2, 300 * kMs, 3000 * kMs);
+		t.run_for(kResendUs - 450 * kMs);
+		EXPECT_EQ(t.running(), 0U);
+		t.send(first, t.find(name));
+		t.run_for(2000 * kMs);
+		for (size_t caller : { other, first }) {
+			ASSERT_EQ(t.callers[caller].answers.size(), 1U);
+			EXPECT_EQ(t.callers[caller].answers[0],
+				  PH_JOB_COMPLETED);
+		}
+		EXPECT_EQ(t.w.concurrent_runs, 0);
+	}
+}
+
 /* ## Random disruptions */
 
 enum Kind {
