An owner renews no lease beside a found run that nobody has claimed

Cause: the rule for found runs ended with the first claim on the executor, and with the stop of a found run, which may get lost.

Change: no lease is renewed, and nothing starts, as long as a found run is there that no batch has claimed, also while it is being stopped.

Evidence: Pool.AFoundRunBesideAClaimedOneEndsBeforeItsTaskStartsElsewhere failed before.

--- a/src/pool.c
+++ b/src/pool.c
@@ -275,6 +275,7 @@
 		 x->info.id);
 	run->batch = b;
 	run->state = PH_RUN_RUNNING;
+	run->unclaimed = false;
 	run->acked_us = run->created_us;
 	task->run = run;
 	task->state = PH_BATCH_TASK_PLACED;
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -90,6 +90,9 @@
 	struct ph_batch *batch;
 	/** When its start was sent, or when a poll first reported it. */
 	uint64_t created_us;
+	/** A poll reported it, this owner has not started it, and no batch has
+	 * claimed it. */
+	bool unclaimed;
 	/** Orphaned runs only: until when a batch may claim it. */
 	uint64_t claim_until_us;
 	/** When the latest command was acknowledged, or a poll first reported
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -240,19 +240,14 @@
 	return c;
 }
 
-/* True if an executor runs tasks that earlier owners started, and none that
- * belongs to a batch. */
-static bool has_only_orphans(const struct ph_executor *x)
+static bool has_unclaimed_run(const struct ph_executor *x)
 {
 	const struct ph_run *run;
-	bool orphaned = false;
 
-	for (run = x->runs; run; run = run->next) {
-		if (run->batch)
-			return false;
-		orphaned = orphaned || run->state == PH_RUN_ORPHANED;
-	}
-	return orphaned;
+	for (run = x->runs; run; run = run->next)
+		if (run->unclaimed)
+			return true;
+	return false;
 }
 
 bool ph_executor_followed(const struct ph_executor *x, uint64_t now_us)
@@ -263,7 +258,7 @@
 bool ph_lease_renewed(const struct ph_pool *pool, const struct ph_executor *x,
 		      uint64_t now_us)
 {
-	return !x->stops_overdue && !pool->fenced && !has_only_orphans(x) &&
+	return !x->stops_overdue && !pool->fenced && !has_unclaimed_run(x) &&
 	       (x->listed || now_us < x->unlisted_us + UNLISTED_RENEWED_US);
 }
 
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -274,6 +274,7 @@
 		run = ph_run_add(pool, x, seen->job, seen->index, seen->run,
 				 &need, now_us);
 		run->state = PH_RUN_ORPHANED;
+		run->unclaimed = true;
 		run->claim_until_us = now_us + ph_run_claim_us(x);
 		ph_event(PART,
 			 "event=run_found job=%s task=%u run=%llu executor=%s "
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -1111,6 +1111,66 @@
 	}
 }
 
+/* The same with runs of two batches, one of which is resumed at the other
+ * instance and cancelled here. */
+TEST(Pool, AFoundRunBesideAClaimedOneEndsBeforeItsTaskStartsElsewhere)
+{
+	for (uint64_t found_ms = 0; found_ms <= 700; found_ms += 20) {
+		SCOPED_TRACE("found after " + std::to_string(found_ms) + " ms");
+		World w(6, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		uint64_t t0 = w.now_us;
+		uint64_t kept = w.submit(a, "kept", 1, 2500 * kMs, 2500 * kMs,
+					 3000 * kMs, 8000 * kMs);
+		uint64_t moved = w.submit(a, "moved", 1, 2500 * kMs, 2500 * kMs,
+					  3000 * kMs, 8000 * kMs);
+
+		w.run_until(t0 + 100 * kMs);
+		for (Executor &x : w.executors)
+			x.unreachable_from = { x.running.empty() ? b->number
+								 : a->number };
+		w.run_until(w.now_us + found_ms * kMs);
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		w.run_until(w.now_us + 20 * kMs);
+		ph_pool_cancel(a->pool, w.now_us, "submitter", moved);
+		w.resubmit(a, b, moved);
+		w.run_until(t0 + 6000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(a, kept, PH_VERDICT_DONE));
+		EXPECT_TRUE(w.ended(b, moved, PH_VERDICT_DONE));
+	}
+}
+
+/* An owner gets an executor into its list after it has acquired the pool. The
+ * lease of the earlier owner lasts there too, so a run that the first poll
+ * reports must not be taken for expired. */
+TEST(Pool, ARunFoundOnALaterListedExecutorIsKeptForItsBatch)
+{
+	World w(1, 16000);
+	Owner *b = w.add_owner();
+	Owner *a;
+	uint64_t seq;
+
+	ph_pool_update(b->pool, w.now_us, nullptr, 0);
+	w.run_until(w.now_us + 30000 * kMs);
+	ph_pool_update(b->pool, w.now_us, nullptr, 0);
+	a = ready_owner(&w);
+	seq = w.submit(a, "a", 2, 600 * kMs, 600 * kMs, 1500 * kMs, 5000 * kMs);
+	w.run_until(w.now_us + 50 * kMs);
+	ph_pool_acquire(b->pool, w.now_us, 2000);
+	w.list(b);
+	w.run_until(w.now_us + 20 * kMs);
+	ph_pool_release(a->pool, w.now_us);
+	w.run_until(w.now_us + 90 * kMs);
+	w.resubmit(a, b, seq);
+	w.run_until(w.now_us + 1500 * kMs);
+	EXPECT_EQ(ph_pool_counters(b->pool)->claimed_runs, 2U);
+	EXPECT_EQ(ph_pool_counters(b->pool)->expired_runs, 0U);
+	EXPECT_EQ(w.concurrent_runs, 0);
+	EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
+}
+
 TEST(Pool, UnclaimedRunsAreStoppedBeforeTheCallerRetries)
 {
 	World w(2, 16000);
