Log which runs an executor's loss takes along

A run that was lost because its executor had restarted was dropped without a line. Now event=run_lost says job, task, run, executor and cause; a run whose lease expired also says how many runs were there and for how long the executor was unreachable, so that the log tells which tasks were on an executor when it crashed.

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -140,6 +140,8 @@
 	uint64_t next_poll_us;
 	/** Consecutive polls without success. */
 	uint32_t poll_failures;
+	/** When the first of these polls failed. */
+	uint64_t unreachable_us;
 	/** Runs that failed or were too slow, and start commands that it
 	 * refused. */
 	struct ph_backoff faults;
@@ -269,6 +271,7 @@
 		      uint64_t now_us);
 struct ph_run *ph_run_find(struct ph_executor *executor, const char *job,
 			   uint32_t index, uint64_t run);
+const char *ph_run_state_name(enum ph_run_state state);
 /** Frees a run that ended without success or never began; its task waits
  * again. */
 void ph_run_drop_requeue(struct ph_pool *pool, struct ph_executor *executor,
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -82,6 +82,14 @@
 
 /* ## Runs */
 
+const char *ph_run_state_name(enum ph_run_state state)
+{
+	static const char *const names[] = { "starting", "running", "stopping",
+					     "orphaned" };
+
+	return names[state];
+}
+
 struct ph_run *ph_run_find(struct ph_executor *x, const char *job,
 			   uint32_t index, uint64_t run)
 {
@@ -455,17 +463,16 @@
 /* ## Timeouts */
 
 static void log_expired(const struct ph_executor *x, const struct ph_run *run,
-			uint64_t now_us)
+			uint32_t runs_there, uint64_t now_us)
 {
-	static const char *const states[] = { "starting", "running", "stopping",
-					      "orphaned" };
-
 	ph_event(PART,
 		 "event=lease_expired job=%s task=%u run=%llu executor=%s "
-		 "state=%s acknowledged=%d age_us=%llu",
+		 "state=%s acknowledged=%d age_us=%llu runs_there=%u "
+		 "unreachable_for_us=%llu",
 		 run->job, run->index, (unsigned long long)run->run, x->info.id,
-		 states[run->state], run->acked_us != 0,
-		 (unsigned long long)(now_us - run->created_us));
+		 ph_run_state_name(run->state), run->acked_us != 0,
+		 (unsigned long long)(now_us - run->created_us), runs_there,
+		 (unsigned long long)(now_us - x->unreachable_us));
 }
 
 /* Drops all runs of an executor that doesn't answer polls once their leases
@@ -473,10 +480,15 @@
 static void expire_runs(struct ph_pool *pool, struct ph_executor *x,
 			uint64_t now_us)
 {
+	const struct ph_run *run;
+	uint32_t runs_there = 0;
+
 	if (!x->runs || !x->poll_failures || now_us < lease_expiry_us(x))
 		return;
+	for (run = x->runs; run; run = run->next)
+		runs_there++;
 	while (x->runs) {
-		log_expired(x, x->runs, now_us);
+		log_expired(x, x->runs, runs_there, now_us);
 		pool->counters.expired_runs++;
 		ph_run_drop_requeue(pool, x, x->runs);
 	}
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -115,11 +115,13 @@
 			  << (x->poll_failures < 4 ? x->poll_failures - 1 : 3);
 	if (reply->status == PH_CALL_FENCED)
 		ph_pool_fenced_by(pool, x, now_us);
-	if (!x->poll_failures)
+	if (!x->poll_failures) {
+		x->unreachable_us = now_us;
 		ph_event(
 			PART,
 			"event=executor_unreachable executor=%s call_status=%d",
 			x->info.id, (int)reply->status);
+	}
 	x->poll_failures++;
 	x->next_poll_us =
 		now_us +
@@ -288,11 +290,24 @@
 	return false;
 }
 
+static void log_lost(const struct ph_executor *x, const struct ph_run *run,
+		     bool restarted, uint64_t now_us)
+{
+	ph_event(PART,
+		 "event=run_lost job=%s task=%u run=%llu executor=%s cause=%s "
+		 "state=%s age_us=%llu",
+		 run->job, run->index, (unsigned long long)run->run, x->info.id,
+		 restarted ? "restarted" : "not_reported",
+		 ph_run_state_name(run->state),
+		 (unsigned long long)(now_us - run->created_us));
+}
+
 /* Drops runs that the poll doesn't report, if they are orphaned or their latest
- * command was acknowledged before the poll was sent: their lease expired, or
- * they were stopped before they began. */
+ * command was acknowledged before the poll was sent: the executor restarted,
+ * their lease expired, or they were stopped before they began. */
 static void drop_absent(struct ph_pool *pool, struct ph_executor *x,
-			const struct ph_poll_reply *reply)
+			const struct ph_poll_reply *reply, bool restarted,
+			uint64_t now_us)
 {
 	struct ph_run *run = x->runs;
 
@@ -302,8 +317,10 @@
 
 		if ((orphaned ||
 		     (run->acked_us && run->acked_us < x->poll_sent_us)) &&
-		    !reported_in(run, reply->running, reply->running_count))
+		    !reported_in(run, reply->running, reply->running_count)) {
+			log_lost(x, run, restarted, now_us);
 			ph_run_drop_requeue(pool, x, run);
+		}
 		run = next;
 	}
 }
@@ -312,6 +329,7 @@
 		       const struct ph_poll_reply *reply)
 {
 	struct ph_executor *x;
+	bool restarted;
 	size_t i;
 
 	for (x = pool->executors; x; x = x->next)
@@ -335,11 +353,12 @@
 			 x->info.id, x->poll_failures);
 	x->ends_delayed = x->poll_failures;
 	x->poll_failures = 0;
-	if (reply->started_ms && reply->started_ms != x->started_ms) {
-		if (x->started_ms)
-			executor_restarted(pool, x, reply);
+	restarted = x->started_ms && reply->started_ms &&
+		    reply->started_ms != x->started_ms;
+	if (restarted)
+		executor_restarted(pool, x, reply);
+	if (reply->started_ms)
 		x->started_ms = reply->started_ms;
-	}
 	x->clock_ms = reply->clock_ms;
 	x->clock_us = now_us;
 	x->poll_ok_us = now_us;
@@ -353,7 +372,7 @@
 	}
 	for (i = 0; i < reply->running_count; i++)
 		run_reported(pool, x, &reply->running[i], now_us);
-	drop_absent(pool, x, reply);
+	drop_absent(pool, x, reply, restarted, now_us);
 	ph_pool_claim_orphans(pool, now_us);
 	pool->dirty = true;
 	ph_poll_send(pool, x, now_us);
