--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -77,14 +77,14 @@
 	return PH_CALL_OK;
 }
 
-static ph_run_report seen(const Run &r)
+static ph_run_report seen(const World *w, const Run &r)
 {
 	ph_run_report s = {};
 
 	snprintf(s.job, sizeof(s.job), "%s", r.job.c_str());
 	s.index = r.index;
 	s.run = r.run;
-	s.cpu_milli = r.cpu;
+	s.cpu_milli = r.cpu * w->reported_cpu_percent / 100;
 	return s;
 }
 
@@ -217,7 +217,7 @@
 		uint64_t started = x->started_ms;
 
 		for (const Run &r : x->running) {
-			running.push_back(seen(r));
+			running.push_back(seen(o->world, r));
 			running.back().percent =
 				(uint32_t)((o->world->now_us - r.begin_us) *
 					   100 / (r.end_us - r.begin_us + 1));
@@ -225,7 +225,7 @@
 		for (const End &e : x->ends) {
 			if (e.number <= ends_seen)
 				continue;
-			ended.push_back(seen(e.run));
+			ended.push_back(seen(o->world, e.run));
 			ended.back().end_number = e.number;
 			ended.back().end = e.how;
 		}
@@ -246,17 +246,23 @@
 	/* Answers a poll once there is an end that isn't acknowledged, or at
 	 * until_us; checks every millisecond. */
 	static void poll_wait(Owner *o, const std::string &xid, uint64_t id,
-			      uint64_t ends_seen, uint64_t until_us)
+			      uint64_t ends_seen, uint64_t until_us,
+			      uint32_t crashes)
 	{
 		World *w = o->world;
 		Executor *x = w->find(xid);
 
+		if (x->crashes != crashes) {
+			poll_failed(o, id, PH_CALL_UNKNOWN);
+			return;
+		}
 		if (x->next_end > ends_seen + 1 || w->now_us >= until_us) {
 			poll_reply(o, x, id, ends_seen);
 			return;
 		}
-		w->at(w->now_us + kMs,
-		      [=] { poll_wait(o, xid, id, ends_seen, until_us); });
+		w->at(w->now_us + kMs, [=] {
+			poll_wait(o, xid, id, ends_seen, until_us, crashes);
+		});
 	}
 
 	static void poll_failed(Owner *o, uint64_t id, ph_call_status status)
@@ -296,9 +302,11 @@
 				uint64_t until_us =
 					w->now_us + wait + x->poll_delay_us;
 
+				uint32_t crashes = x->crashes;
+
 				w->at(w->now_us + x->poll_delay_us, [=] {
 					poll_wait(o, xid, id, seen_up_to,
-						  until_us);
+						  until_us, crashes);
 				});
 			},
 			[=] { poll_failed(o, id, PH_CALL_UNKNOWN); });
@@ -347,6 +355,27 @@
 	return nullptr;
 }
 
+void World::crash(Executor *x, uint64_t down_us)
+{
+	std::string id = x->id;
+
+	x->crashes++;
+	x->running.clear();
+	x->ends.clear();
+	x->next_end = 1;
+	x->highest_run.clear();
+	x->token = 0;
+	x->lease_until_us = 0;
+	for (const Owner *o : owners)
+		x->unreachable_from.insert(o->number);
+	at(now_us + down_us, [this, id] {
+		Executor *back = find(id);
+
+		back->unreachable_from.clear();
+		back->started_ms = clock_ms(this);
+	});
+}
+
 Owner *World::add_owner(const ph_scheduling_policy *policy)
 {
 	Owner *o = new Owner;
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -75,6 +75,8 @@
 	uint64_t start_delay_us = 0;
 	/** Factor on the run times. */
 	double slow = 1.0;
+	/** Crashes so far; the calls that waited there are not answered. */
+	uint32_t crashes = 0;
 };
 
 /** An instance that owns, or may own, the pool, and the results it sent. */
@@ -106,6 +108,8 @@
 	std::map<std::string, uint64_t> duration_us;
 	/** Cores of each task in thousandths, by job. */
 	std::map<std::string, uint32_t> cpu_of;
+	/** Share of its declared cores that a run is reported to use. */
+	uint32_t reported_cpu_percent = 100;
 
 	World(size_t count, uint32_t cpu);
 	~World();
@@ -133,6 +137,9 @@
 	bool ended(const Owner *owner, uint64_t seq, ph_verdict verdict) const;
 
 	Executor *find(const std::string &id);
+	/** Ends everything on an executor, which no call reaches for down_us
+	 * and which then is a new incarnation. */
+	void crash(Executor *x, uint64_t down_us);
 
       private:
 	uint64_t last_seq = 0;
--- /dev/null
+++ b/test/test_crashing_tasks.cc
@@ -0,0 +1,529 @@
+/* Tasks that crash the executors that start them, and executors whose capacity
+ * shrinks and grows again. */
+#include <gtest/gtest.h>
+
+#include "pool_world.h"
+
+extern "C" {
+#include "poolmsg.h"
+}
+
+namespace
+{
+
+using namespace world;
+
+constexpr uint64_t kTarget = 400 * kMs;
+/** Callers that wait long enough for many leases to expire. */
+constexpr uint64_t kLongTimeout = 20000 * kMs;
+/** Time until a crashed executor is back. */
+constexpr uint64_t kDown = 3200 * kMs;
+/** Executors that one task may crash: the rule forbids a third start after the
+ * third crash. */
+constexpr size_t kCrashesMax = 5;
+
+/** Executors on which some tasks crash everything. */
+struct CrashWorld : World {
+	/** "job.index" of the tasks that crash their executors. */
+	std::set<std::string> deadly;
+	/** Executors that crashed while a task was on them, by task. */
+	std::map<std::string, std::vector<std::string>> crashed_under;
+	int crash_count = 0;
+
+	CrashWorld(size_t count, uint32_t cpu) : World(count, cpu)
+	{
+		watch();
+	}
+
+	void crash_now(Executor *x)
+	{
+		for (const Run &r : x->running)
+			crashed_under[r.key].push_back(x->id);
+		crash_count++;
+		crash(x, kDown);
+	}
+
+	/** The most executors that crashed under a task whose job's name begins
+	 * with prefix. */
+	size_t most_crashes(const std::string &prefix) const
+	{
+		size_t most = 0;
+
+		for (const auto &c : crashed_under)
+			if (!c.first.compare(0, prefix.size(), prefix))
+				most = std::max(most, c.second.size());
+		return most;
+	}
+
+      private:
+	void watch()
+	{
+		for (Executor &x : executors) {
+			bool crashes = false;
+
+			for (const Run &r : x.running)
+				crashes |= deadly.count(r.key) &&
+					   now_us >= r.begin_us + 5 * kMs;
+			if (crashes)
+				crash_now(&x);
+		}
+		at(now_us + kMs, [this] { watch(); });
+	}
+};
+
+Owner *ready_owner(World *w)
+{
+	Owner *o = w->add_owner();
+
+	ph_pool_acquire(o->pool, w->now_us, 1000);
+	w->run_until(w->now_us + 50 * kMs);
+	return o;
+}
+
+ph_batch_request request_of(const std::string &job, uint32_t count,
+			    uint64_t estimate, uint64_t caller_timeout)
+{
+	ph_batch_request w = {};
+
+	snprintf(w.job, sizeof(w.job), "%s", job.c_str());
+	snprintf(w.service, sizeof(w.service), "desk");
+	w.count = count;
+	w.need = { 6800, 64, 0 };
+	w.estimate_us = estimate;
+	w.target_us = 0;
+	w.caller_timeout_us = caller_timeout;
+	w.max_attempts = 3;
+	w.first_run = 100;
+	return w;
+}
+
+/** Submits jobs that can be done, at intervals, until a time. */
+void submit_sound_jobs(CrashWorld *w, Owner *o, uint64_t interval,
+		       uint64_t until_us, std::vector<uint64_t> *seqs)
+{
+	if (w->now_us >= until_us)
+		return;
+	seqs->push_back(w->submit_request(
+		o,
+		request_of("sound-" + std::to_string(seqs->size()), 2,
+			   200 * kMs, kLongTimeout),
+		200 * kMs));
+	w->at(w->now_us + interval,
+	      [=] { submit_sound_jobs(w, o, interval, until_us, seqs); });
+}
+
+/* ## How many executors a task may crash */
+
+struct DeadlyCase {
+	const char *what;
+	size_t executors;
+	uint32_t jobs;
+	/** The first so many of the eight tasks of each job are deadly. */
+	uint32_t deadly;
+	/** Interval of sound jobs; 0: there are none. */
+	uint64_t sound_interval;
+};
+
+const DeadlyCase deadly_cases[] = {
+	{ "one job with one such task, executors enough", 12, 1, 1, 0 },
+	{ "all tasks of the job are such", 12, 1, 8, 0 },
+	{ "two jobs", 12, 2, 1, 0 },
+	{ "six jobs, few executors", 6, 6, 1, 0 },
+	{ "one job in a pool with other jobs", 12, 1, 1, 40 * kMs },
+	{ "one job in a full pool", 6, 1, 1, 40 * kMs },
+};
+
+// A task crashes one executor after another for as long as its caller waits.
+TEST(CrashingTasks, ATaskThatCrashesExecutorsIsGivenUp)
+{
+	for (const DeadlyCase &c : deadly_cases) {
+		SCOPED_TRACE(c.what);
+		CrashWorld w(c.executors, 16000);
+		Owner *o = ready_owner(&w);
+		std::vector<uint64_t> bad;
+		std::vector<uint64_t> sound;
+
+		for (uint32_t i = 0; i < c.jobs; i++) {
+			std::string job = "bad-" + std::to_string(i);
+
+			for (uint32_t k = 0; k < c.deadly; k++)
+				w.deadly.insert(job + "." + std::to_string(k));
+			bad.push_back(w.submit_request(
+				o, request_of(job, 8, 60 * kMs, kLongTimeout),
+				60 * kMs));
+		}
+		if (c.sound_interval)
+			submit_sound_jobs(&w, o, c.sound_interval,
+					  w.now_us + 5000 * kMs, &sound);
+		w.run_until(w.now_us + kLongTimeout + 2000 * kMs);
+		for (const std::string &key : w.deadly)
+			EXPECT_LE(w.crashed_under[key].size(), kCrashesMax)
+				<< key;
+		for (uint64_t seq : bad)
+			EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_FAILED));
+		for (uint64_t seq : sound)
+			EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+		EXPECT_EQ(w.concurrent_runs, 0);
+	}
+}
+
+// The caller of a job that is given up is told that it was not run, or an end
+// that its other tasks have reached is forgotten.
+TEST(CrashingTasks, AGivenUpJobIsFailedAndKeepsTheEndsOfItsOtherTasks)
+{
+	CrashWorld w(12, 16000);
+	Owner *o = ready_owner(&w);
+	uint64_t seq;
+
+	w.deadly.insert("bad.3");
+	seq = w.submit_request(o, request_of("bad", 8, 60 * kMs, kLongTimeout),
+			       60 * kMs);
+	w.run_until(w.now_us + kLongTimeout + 2000 * kMs);
+	ASSERT_TRUE(w.ended(o, seq, PH_VERDICT_FAILED));
+	for (uint32_t i = 0; i < 8; i++) {
+		EXPECT_EQ(ph_bit_get(o->results[seq].done, i), i != 3) << i;
+		EXPECT_EQ(w.done["bad." + std::to_string(i)], i != 3) << i;
+	}
+}
+
+// The caller waits for too short a time to give the job up, and hands it in
+// again: the count starts from nothing.
+TEST(CrashingTasks, ASecondHandInDoesNotStartTheCountAgain)
+{
+	CrashWorld w(16, 16000);
+	Owner *o = ready_owner(&w);
+	ph_batch_request request = request_of("bad", 8, 60 * kMs, 1300 * kMs);
+
+	w.deadly.insert("bad.0");
+	for (int i = 0; i < 3; i++) {
+		request.first_run = 100U * (uint32_t)(i + 1);
+		w.submit_request(o, request, 60 * kMs);
+		w.run_until(w.now_us + 2600 * kMs);
+	}
+	EXPECT_LE(w.crashed_under["bad.0"].size(), kCrashesMax);
+}
+
+/* ## Change of the owner */
+
+/** Passes a message through its encoding. */
+ph_poolmsg over_the_wire(const ph_poolmsg &m)
+{
+	ph_buf buf = { ph_mem_default(), nullptr, 0, 0 };
+	ph_poolmsg out;
+
+	ph_poolmsg_encode(&m, &buf);
+	EXPECT_EQ(ph_poolmsg_decode(ph_mem_default(), buf.data + 4, buf.len - 4,
+				    &out),
+		  0);
+	ph_buf_free(&buf);
+	return out;
+}
+
+/** Resumes a batch at another owner as its submitter does, with what the result
+ * of the owner before says. Returns its number. */
+uint64_t resume(World *w, Owner *from, Owner *to, uint64_t seq,
+		ph_batch_request request)
+{
+	ph_poolmsg result = {};
+	ph_poolmsg submit = {};
+	uint64_t next;
+
+	result.type = PH_POOLMSG_RESULT;
+	result.result = from->results[seq];
+	result.result.reason = "";
+	result = over_the_wire(result);
+	request.resumed = true;
+	memcpy(request.done, result.result.done, sizeof(request.done));
+	memcpy(request.possible_executor, result.result.possible_executor,
+	       sizeof(request.possible_executor));
+	submit.type = PH_POOLMSG_SUBMIT;
+	submit.batch_request = &request;
+	submit = over_the_wire(submit);
+	next = w->submit_request(to, *submit.batch_request, 60 * kMs);
+	ph_poolmsg_clear(ph_mem_default(), &submit);
+	return next;
+}
+
+// Each new owner of the pool starts the count from nothing.
+TEST(CrashingTasks, TheCountSurvivesChangesOfTheOwner)
+{
+	CrashWorld w(16, 16000);
+	Owner *owners[] = { ready_owner(&w), w.add_owner() };
+	ph_batch_request request =
+		request_of("bad", 8, 60 * kMs, 10 * kLongTimeout);
+	Owner *o = owners[0];
+	uint64_t token = 1000;
+	uint64_t seq;
+
+	w.deadly.insert("bad.0");
+	seq = w.submit_request(o, request, 60 * kMs);
+	/* The owner changes after each crash that it has noticed. */
+	for (int i = 1; i < 10; i++) {
+		w.run_until(w.now_us + 1000 * kMs);
+		if (w.ended(o, seq, PH_VERDICT_FAILED))
+			break;
+		ph_pool_release(o->pool, w.now_us);
+		ASSERT_TRUE(w.ended(o, seq, PH_VERDICT_MOVED));
+		ph_pool_acquire(owners[i % 2]->pool, w.now_us, ++token);
+		w.run_until(w.now_us + 50 * kMs);
+		seq = resume(&w, o, owners[i % 2], seq, request);
+		o = owners[i % 2];
+	}
+	EXPECT_LE(w.crashed_under["bad.0"].size(), kCrashesMax);
+	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_FAILED));
+}
+
+/* ## Tasks that are not to blame */
+
+struct InnocentCase {
+	const char *what;
+	size_t executors;
+	/** Interval of jobs with a deadly task. */
+	uint64_t bad_interval;
+	uint64_t sound_interval;
+	/** Executors that may crash under a sound task, by its neighbours. */
+	size_t crashes_max;
+};
+
+const InnocentCase innocent_cases[] = {
+	{ "a deadly job now and then", 16, 900 * kMs, 100 * kMs, 1 },
+	{ "many deadly jobs", 16, 300 * kMs, 100 * kMs, 1 },
+	{ "more deadly jobs than executors", 8, 200 * kMs, 200 * kMs, 1 },
+};
+
+// A sound task starts again and again beside tasks that crash its executor, or
+// is given up for what these did.
+TEST(CrashingTasks, ASoundTaskBesideDeadlyOnesIsDone)
+{
+	for (const InnocentCase &c : innocent_cases) {
+		SCOPED_TRACE(c.what);
+		CrashWorld w(c.executors, 16000);
+		Owner *o = ready_owner(&w);
+		std::vector<uint64_t> sound;
+
+		for (int i = 0; i < 20; i++) {
+			std::string job = "bad-" + std::to_string(i);
+
+			w.deadly.insert(job + ".0");
+			w.at(w.now_us + (uint64_t)i * c.bad_interval, [=, &w] {
+				w.submit_request(o,
+						 request_of(job, 1, 60 * kMs,
+							    kLongTimeout),
+						 60 * kMs);
+			});
+		}
+		submit_sound_jobs(&w, o, c.sound_interval,
+				  w.now_us + 6000 * kMs, &sound);
+		w.run_until(w.now_us + 40000 * kMs);
+		for (uint64_t seq : sound)
+			EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE)) << seq;
+		EXPECT_LE(w.most_crashes("sound-"), c.crashes_max);
+		EXPECT_LE(w.most_crashes("bad-"), kCrashesMax);
+		EXPECT_EQ(w.concurrent_runs, 0);
+	}
+}
+
+struct FleetCase {
+	const char *what;
+	/** Executors that crash at the same time, and how often. */
+	size_t at_once;
+	int waves;
+	/** They are cut off instead and go on running. */
+	bool cut_off;
+};
+
+const FleetCase fleet_cases[] = {
+	{ "a third of the fleet crashes once", 5, 1, false },
+	{ "a third of the fleet crashes four times", 5, 4, false },
+	{ "half of the fleet crashes four times", 8, 4, false },
+	{ "a third of the fleet is cut off four times", 5, 4, true },
+	{ "one executor after another is cut off", 1, 10, true },
+};
+
+// Tasks are given up, and their jobs said to have failed, for executors that
+// crash or are cut off for other reasons.
+TEST(CrashingTasks, NoTaskIsGivenUpForCrashesThatHaveOtherCauses)
+{
+	for (const FleetCase &c : fleet_cases) {
+		SCOPED_TRACE(c.what);
+		CrashWorld w(16, 16000);
+		Owner *o = ready_owner(&w);
+		std::vector<uint64_t> seqs;
+
+		for (int i = 0; i < 4; i++)
+			seqs.push_back(w.submit_request(
+				o,
+				request_of("long-" + std::to_string(i), 6,
+					   2500 * kMs, kLongTimeout),
+				2500 * kMs));
+		for (int wave = 0; wave < c.waves; wave++) {
+			uint64_t us = w.now_us + 300 * kMs +
+				      (uint64_t)wave * 1200 * kMs;
+
+			w.at(us, [=, &w] {
+				size_t hit = 0;
+
+				for (Executor &x : w.executors) {
+					if (x.running.empty() ||
+					    !x.unreachable_from.empty() ||
+					    hit++ >= c.at_once)
+						continue;
+					if (!c.cut_off) {
+						w.crash_now(&x);
+						continue;
+					}
+					std::string id = x.id;
+
+					x.unreachable_from.insert(0);
+					w.at(w.now_us + 1100 * kMs, [=, &w] {
+						w.find(id)
+							->unreachable_from
+							.clear();
+					});
+				}
+			});
+		}
+		w.run_until(w.now_us + kLongTimeout + 2000 * kMs);
+		for (uint64_t seq : seqs)
+			EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE)) << seq;
+		EXPECT_EQ(w.concurrent_runs, 0);
+	}
+}
+
+/* ## Capacity that shrinks and grows */
+
+/** Executors that start whatever they are told to, and the capacity that they
+ * report. */
+struct UnguardedWorld : World {
+	std::map<std::string, uint32_t> capacity;
+	std::map<std::string, size_t> runs_before;
+	/** Starts that brought an executor over its capacity. */
+	int over_capacity = 0;
+
+	explicit UnguardedWorld(size_t count) : World(count, 1000000)
+	{
+		for (const Executor &x : executors)
+			capacity[x.id] = 16000;
+		watch();
+	}
+
+	/** Sends an owner the list, with the capacity as reported now. */
+	void list_all(Owner *o)
+	{
+		std::vector<ph_executor_info> infos;
+
+		for (const Executor &x : executors) {
+			ph_executor_info info = {};
+
+			snprintf(info.id, sizeof(info.id), "%s", x.id.c_str());
+			snprintf(info.addr, sizeof(info.addr), "%s",
+				 x.id.c_str());
+			snprintf(info.domain, sizeof(info.domain), "north");
+			snprintf(info.service, sizeof(info.service), "desk");
+			info.capacity = { capacity[x.id], 65536, 0 };
+			infos.push_back(info);
+		}
+		ph_pool_update(o->pool, now_us, infos.data(), infos.size());
+	}
+
+	uint32_t used(const Executor &x) const
+	{
+		uint32_t sum = 0;
+
+		for (const Run &r : x.running)
+			sum += r.cpu;
+		return sum;
+	}
+
+      private:
+	void watch()
+	{
+		for (const Executor &x : executors) {
+			if (x.running.size() > runs_before[x.id] &&
+			    used(x) > capacity[x.id])
+				over_capacity++;
+			runs_before[x.id] = x.running.size();
+		}
+		at(now_us + 100, [this] { watch(); });
+	}
+};
+
+struct ShrinkCase {
+	const char *what;
+	uint32_t to;
+};
+
+const ShrinkCase shrink_cases[] = {
+	{ "to nothing", 0 },
+	{ "below one task", 3000 },
+	{ "below what is used, above one task", 9000 },
+	{ "to exactly what is used", 13600 },
+};
+
+// An executor whose capacity has shrunk below what is used counts as empty, or
+// is not used again when its capacity has grown.
+TEST(CrashingTasks, CapacityThatShrinksAndGrowsIsNeverExceeded)
+{
+	for (const ShrinkCase &c : shrink_cases) {
+		SCOPED_TRACE(c.what);
+		UnguardedWorld w(4);
+		Owner *o = w.add_owner();
+		uint64_t t0;
+
+		w.list_all(o);
+		ph_pool_acquire(o->pool, w.now_us, 1000);
+		w.run_until(w.now_us + 50 * kMs);
+		t0 = w.now_us;
+		for (int i = 0; i < 100; i++)
+			w.at(t0 + (uint64_t)i * 30 * kMs, [=, &w] {
+				w.submit_request(
+					o,
+					request_of("j" + std::to_string(i), 2,
+						   150 * kMs, kLongTimeout),
+					150 * kMs);
+			});
+		w.run_until(t0 + 1000 * kMs);
+		for (int i = 0; i < 3; i++)
+			w.capacity["i-" + std::to_string(i)] = c.to;
+		w.list_all(o);
+		w.run_until(t0 + 2000 * kMs);
+		for (int i = 0; i < 3; i++)
+			EXPECT_LE(w.used(w.executors[(size_t)i]), c.to);
+		for (auto &x : w.capacity)
+			x.second = 16000;
+		w.list_all(o);
+		w.run_until(t0 + 2060 * kMs);
+		for (const Executor &x : w.executors)
+			EXPECT_EQ(w.used(x), 13600U) << x.id;
+		EXPECT_EQ(w.over_capacity, 0);
+		w.run_until(t0 + kLongTimeout);
+		EXPECT_EQ(w.over_capacity, 0);
+	}
+}
+
+// A new owner counts a run that it finds with the little that it has used so
+// far, and starts more on an executor than fits.
+TEST(CrashingTasks, AFoundRunCountsWithMoreThanItUses)
+{
+	UnguardedWorld w(2);
+	Owner *first = w.add_owner();
+	Owner *second = w.add_owner();
+
+	w.reported_cpu_percent = 5;
+	w.list_all(first);
+	w.list_all(second);
+	ph_pool_acquire(first->pool, w.now_us, 1000);
+	w.run_until(w.now_us + 50 * kMs);
+	w.submit_request(first, request_of("a", 4, 900 * kMs, kLongTimeout),
+			 900 * kMs);
+	w.run_until(w.now_us + 50 * kMs);
+	first->frozen = true;
+	ph_pool_acquire(second->pool, w.now_us, 1001);
+	w.run_until(w.now_us + 50 * kMs);
+	w.submit_request(second, request_of("b", 2, 100 * kMs, kLongTimeout),
+			 100 * kMs);
+	w.run_until(w.now_us + 3000 * kMs);
+	EXPECT_EQ(w.over_capacity, 0);
+}
+
+} // namespace
