Run a task alone after its executor was lost, and give up one that crashes them

Cause: a run that is lost with its executor went back to the queue and nothing counted that. Now a table says under which tasks executors were lost. Such a task is started on an executor without runs, and nothing is started beside it: a second loss there shows that it is the cause, and its job is answered as failed; a sound task ends there. A quarter of the usable executors may be set aside for this at a time. If many executors are lost at once other causes are likely: then a task runs alone only if an executor is empty, and such a loss convicts nobody. After five losses of any kind a task is not started again. An executor that answers again in its old incarnation was cut off and has not crashed.

--- a/src/pool.c
+++ b/src/pool.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "ident.h"
 #include "log.h"
 #include "pool_impl.h"
 
@@ -37,6 +38,9 @@
 	pool->opt.name = pool->name;
 	pool->mem = options->mem;
 	pool->last_call = options->first_call;
+	pool->own_crashes = !options->crashes;
+	pool->crashes = options->crashes ? options->crashes
+					 : ph_crashes_new(options->mem);
 	return pool;
 }
 
@@ -80,6 +84,8 @@
 		batch_free(pool, b);
 	}
 	forget_cancelled(pool, UINT64_MAX);
+	if (pool->own_crashes)
+		ph_crashes_free(pool->crashes);
 	pool->mem->free(pool->waiting);
 	while (pool->calls) {
 		struct ph_pending_command *c = pool->calls;
@@ -110,6 +116,11 @@
 	return &pool->counters;
 }
 
+struct ph_crashes *ph_pool_crashes(struct ph_pool *pool)
+{
+	return pool->crashes;
+}
+
 /* ## Batches */
 
 /* Hash of the executor that may be running a task; what an earlier owner
@@ -390,6 +401,33 @@
 	batch_end(pool, b, now_us);
 }
 
+/* The first waiting task of a batch that is not to be started again, as it
+ * crashes executors; the number of tasks if there is none. */
+static uint32_t given_up_task(const struct ph_pool *pool,
+			      const struct ph_batch *b)
+{
+	uint32_t i;
+
+	if (!b->waiting || !ph_crashes_has_job(pool->crashes, b->job_hash))
+		return b->request->count;
+	for (i = 0; i < b->request->count; i++)
+		if (b->tasks[i].state == PH_BATCH_TASK_WAITING &&
+		    ph_crashes_given_up(pool->crashes, b->job_hash, i))
+			break;
+	return i;
+}
+
+static void batch_give_up(struct ph_pool *pool, struct ph_batch *b,
+			  uint32_t index, uint64_t now_us)
+{
+	ph_event(PART, "event=task_given_up job=%s task=%u", b->request->job,
+		 index);
+	pool->counters.given_up++;
+	batch_report(pool, b, PH_VERDICT_FAILED, 0, "a task crashes executors",
+		     now_us);
+	batch_end(pool, b, now_us);
+}
+
 static struct ph_batch *batch_new(struct ph_pool *pool, uint64_t now_us,
 				  const char *submitter, uint64_t seq,
 				  struct ph_batch_request *request)
@@ -399,6 +437,7 @@
 
 	ph_strcopy(b->submitter, sizeof(b->submitter), submitter);
 	b->seq = seq;
+	b->job_hash = ph_hash_str(request->job);
 	b->request = request;
 	b->received_us = now_us;
 	b->arrived_us = now_us > request->age_us ? now_us - request->age_us : 0;
@@ -643,8 +682,11 @@
 	forget_cancelled(pool, now_us);
 	while (b) {
 		struct ph_batch *next = b->next;
+		uint32_t given_up = given_up_task(pool, b);
 
-		if (batch_overdue(pool, b, now_us))
+		if (given_up < b->request->count)
+			batch_give_up(pool, b, given_up, now_us);
+		else if (batch_overdue(pool, b, now_us))
 			batch_expire(pool, b, now_us);
 		b = next;
 	}
--- a/src/pool.h
+++ b/src/pool.h
@@ -9,6 +9,7 @@
  */
 
 #include "mechanisms.h"
+#include "pool_crashes.h"
 #include "pool_types.h"
 
 struct ph_pool;
@@ -58,11 +59,15 @@
 	struct ph_mechanisms_off off;
 	/** Call ids are assigned in increasing order, starting above this. */
 	uint64_t first_call;
+	/** Tasks that were on lost executors, as all pools of this instance
+	 * know them; NULL: the pool has a table of its own. */
+	struct ph_crashes *crashes;
 	const struct ph_pool_sink *sink;
 	void *ctx;
 };
 
-/** Copies the options; mem, policy, sink and ctx must outlive the pool. */
+/** Copies the options; mem, policy, crashes, sink and ctx must outlive
+ * the pool. */
 struct ph_pool *ph_pool_new(const struct ph_pool_options *options);
 void ph_pool_free(struct ph_pool *pool);
 
@@ -164,8 +169,14 @@
 	uint64_t polls;
 	/** Probes sent to executors of the pool while it was not owned. */
 	uint64_t probes;
+	/** Executors with runs that were lost. */
+	uint64_t lost_executors;
+	/** Batches that ended because a task of theirs crashes executors. */
+	uint64_t given_up;
 };
 
 const struct ph_pool_counters *ph_pool_counters(const struct ph_pool *pool);
+/** The table of tasks that were on lost executors. */
+struct ph_crashes *ph_pool_crashes(struct ph_pool *pool);
 
 #endif
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -38,6 +38,8 @@
 	struct ph_batch *next;
 	char submitter[PH_NAME_BYTES];
 	uint64_t seq;
+	/** Hash of the job's id. */
+	uint64_t job_hash;
 	struct ph_batch_request *request;
 	/** When the caller's request arrived at its submitter, on the local
 	 * clock. */
@@ -99,6 +101,8 @@
 	/** Stop commands sent. */
 	uint32_t stops;
 	bool stop_pending;
+	/** Its task may crash the executor: nothing is started beside it. */
+	bool alone;
 	/** Progress as last reported. */
 	uint32_t percent;
 };
@@ -153,6 +157,9 @@
 	bool ends_delayed;
 	/** Smoothed actual run time in percent of the declared one. */
 	uint32_t run_time_percent;
+	/** Nothing is started in this placement round, so that it gets empty
+	 * for a task that is to run alone. */
+	bool held;
 };
 
 /** A run command that has been sent and not yet answered. */
@@ -207,6 +214,9 @@
 	 */
 	uint32_t orphaned_end_next;
 	struct ph_cancelled *cancelled;
+	struct ph_crashes *crashes;
+	/** The pool frees crashes. */
+	bool own_crashes;
 	struct ph_pool_counters counters;
 	/** Smoothed time from a run command to its answer; a missing answer
 	 * counts with part of the timeout. */
@@ -259,8 +269,9 @@
 void ph_run_drop(struct ph_pool *pool, struct ph_executor *executor,
 		 struct ph_run *run);
 /** Starts a task's next run on an executor. */
-void ph_run_start(struct ph_pool *pool, struct ph_executor *executor,
-		  struct ph_batch *batch, uint32_t index, uint64_t now_us);
+struct ph_run *ph_run_start(struct ph_pool *pool, struct ph_executor *executor,
+			    struct ph_batch *batch, uint32_t index,
+			    uint64_t now_us);
 /** Detaches a run from its batch and stops it. */
 void ph_run_abandon(struct ph_pool *pool, struct ph_run *run, uint64_t now_us);
 /** Timeout of a call; without an answer until then its outcome is unknown. */
@@ -283,6 +294,11 @@
  * least half of the listed executors refuse it, or one does for long. */
 void ph_pool_fenced_by(struct ph_pool *pool, struct ph_executor *executor,
 		       uint64_t now_us);
+/** Counts the loss of an executor for the tasks of its runs, before these are
+ * dropped: of all runs, or, after a restart, of those that the answer to a poll
+ * shows to be gone. */
+void ph_executor_lost(struct ph_pool *pool, struct ph_executor *executor,
+		      const struct ph_poll_reply *reply, uint64_t now_us);
 /** Sends polls and stops that are due and drops runs whose lease expired. */
 void ph_lease_tick(struct ph_pool *pool, uint64_t now_us);
 /** Counts a failure; from the second in a row on the executor is avoided for a
@@ -294,6 +310,10 @@
 
 /* ## pool_poll.c */
 
+/** Whether a run that a poll doesn't report is gone: it is orphaned, or its
+ * latest command was acknowledged before the poll was sent. */
+bool ph_run_gone(const struct ph_executor *executor, const struct ph_run *run,
+		 const struct ph_poll_reply *reply);
 /** Polls an executor, which renews the lease of its runs unless the poll
  * before failed. */
 void ph_poll_send(struct ph_pool *pool, struct ph_executor *executor,
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -40,6 +40,13 @@
 #define UNRELIABLE_LOST_PERMILLE 600U
 /* The time of one call has a weight of 1/16 in the smoothed one. */
 #define CALL_TIME_WEIGHT 16U
+/* Executors that become unreachable within this time are lost at once: the
+ * answers to the polls that wait there fail within it. */
+#define LOST_AT_ONCE_US 100000U
+/* If so many executors, and more than this share of the pool's, are lost at
+ * once, the tasks on them are hardly the cause. */
+#define WIDESPREAD_EXECUTORS 3U
+#define WIDESPREAD_PERCENT 15U
 
 struct ph_executor *ph_executor_find(struct ph_pool *pool, const char *id)
 {
@@ -267,8 +274,9 @@
 	command->timeout_us = ph_pool_timeout_us(pool);
 }
 
-void ph_run_start(struct ph_pool *pool, struct ph_executor *x,
-		  struct ph_batch *batch, uint32_t index, uint64_t now_us)
+struct ph_run *ph_run_start(struct ph_pool *pool, struct ph_executor *x,
+			    struct ph_batch *batch, uint32_t index,
+			    uint64_t now_us)
 {
 	struct ph_batch_task *task = &batch->tasks[index];
 	struct ph_run *run =
@@ -291,6 +299,7 @@
 	command.spec = batch->request->spec;
 	command.spec_len = batch->request->spec_len;
 	pool->opt.sink->start(pool->opt.ctx, &command);
+	return run;
 }
 
 void ph_run_stop(struct ph_pool *pool, struct ph_executor *x,
@@ -475,6 +484,51 @@
 		 (unsigned long long)(now_us - x->unreachable_us));
 }
 
+/* Whether many other executors became unreachable when this one did. */
+static bool lost_with_many(const struct ph_pool *pool,
+			   const struct ph_executor *x)
+{
+	const struct ph_executor *other;
+	uint32_t all = 0;
+	uint32_t lost = 0;
+
+	for (other = pool->executors; other; other = other->next) {
+		all += other->listed;
+		lost += other->unreachable_us + LOST_AT_ONCE_US >
+				x->unreachable_us &&
+			other->unreachable_us <
+				x->unreachable_us + LOST_AT_ONCE_US;
+	}
+	return lost >= WIDESPREAD_EXECUTORS &&
+	       lost * 100 > all * WIDESPREAD_PERCENT;
+}
+
+void ph_executor_lost(struct ph_pool *pool, struct ph_executor *x,
+		      const struct ph_poll_reply *reply, uint64_t now_us)
+{
+	struct ph_loss loss = {
+		.executor = ph_executor_hash(x->info.id),
+		.widespread = lost_with_many(pool, x),
+	};
+	const struct ph_run *run;
+
+	for (run = x->runs; run; run = run->next)
+		loss.runs += !reply || ph_run_gone(x, run, reply);
+	if (!loss.runs)
+		return;
+	pool->counters.lost_executors++;
+	ph_event(PART,
+		 "event=executor_lost executor=%s cause=%s runs=%u "
+		 "widespread=%d",
+		 x->info.id, reply ? "restarted" : "lease_expired", loss.runs,
+		 loss.widespread);
+	for (run = x->runs; run; run = run->next)
+		if (!reply || ph_run_gone(x, run, reply))
+			ph_crashes_add(pool->crashes, now_us,
+				       ph_hash_str(run->job), run->index,
+				       &loss);
+}
+
 /* Drops all runs of an executor that doesn't answer polls once their leases
  * have expired. */
 static void expire_runs(struct ph_pool *pool, struct ph_executor *x,
@@ -487,6 +541,9 @@
 		return;
 	for (run = x->runs; run; run = run->next)
 		runs_there++;
+	/* One that refuses the token has not crashed. */
+	if (!x->rejected_us)
+		ph_executor_lost(pool, x, NULL, now_us);
 	while (x->runs) {
 		log_expired(x, x->runs, runs_there, now_us);
 		pool->counters.expired_runs++;
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -28,6 +28,9 @@
 #define WIDESPREAD_LOSS_PERCENT 30U
 /* Lower bound of the relative run time by which executors are ranked. */
 #define RUN_TIME_MIN_PERCENT 30U
+/* Part of the usable executors that may be set aside at a time for tasks that
+ * are to run alone, but one at least. */
+#define ALONE_DIVISOR 4U
 
 /* ## Order of starts */
 
@@ -205,6 +208,66 @@
 	return ((uint64_t)failures(pool, x) << 48) + left * run_time / PERCENT;
 }
 
+/* Whether an executor is set aside for a task that is to run alone. */
+static bool set_aside(const struct ph_executor *x)
+{
+	const struct ph_run *run;
+
+	if (x->held)
+		return true;
+	for (run = x->runs; run; run = run->next)
+		if (run->alone)
+			return true;
+	return false;
+}
+
+/* Whether one more executor may be set aside. */
+static bool may_set_aside(const struct ph_pool *pool, uint64_t now_us)
+{
+	const struct ph_executor *x;
+	uint32_t usable = 0;
+	uint32_t aside = 0;
+
+	for (x = pool->executors; x; x = x->next) {
+		if (!ph_executor_usable(pool, x, now_us))
+			continue;
+		usable++;
+		aside += set_aside(x);
+	}
+	return !aside || (aside + 1) * ALONE_DIVISOR <= usable;
+}
+
+/* Chooses an executor without runs for a task that is to run alone. If there is
+ * none, returns NULL, and holds the one with the least work on request, so that
+ * it gets empty. */
+static struct ph_executor *choose_empty(struct ph_pool *pool,
+					const struct ph_batch *batch, bool hold,
+					uint64_t now_us)
+{
+	const struct ph_capacity nothing = { 0 };
+	const struct ph_batch_request *w = batch->request;
+	struct ph_executor *best = NULL;
+	struct ph_executor *x;
+
+	if (!may_set_aside(pool, now_us))
+		return NULL;
+	for (x = pool->executors; x; x = x->next) {
+		if (strcmp(x->info.service, w->service) != 0 ||
+		    !ph_executor_usable(pool, x, now_us) || set_aside(x) ||
+		    !ph_capacity_fits(&x->info.capacity, &nothing, &w->need) ||
+		    !label_ok(x, w->label))
+			continue;
+		if (!best || (!x->runs && best->runs) ||
+		    (!x->runs == !best->runs &&
+		     x->used.cpu_milli < best->used.cpu_milli))
+			best = x;
+	}
+	if (!best || !best->runs)
+		return best;
+	best->held = hold;
+	return NULL;
+}
+
 static struct ph_executor *choose_executor(struct ph_pool *pool,
 					   const struct ph_batch *batch,
 					   uint64_t now_us)
@@ -217,7 +280,7 @@
 		if (strcmp(x->info.service, w->service) != 0 ||
 		    !ph_executor_usable(pool, x, now_us) ||
 		    !ph_capacity_fits(&x->info.capacity, &x->used, &w->need) ||
-		    !label_ok(x, w->label))
+		    !label_ok(x, w->label) || set_aside(x))
 			continue;
 		/* After a failure an executor gets one run at a time until one
 		 * succeeds. */
@@ -291,23 +354,58 @@
 	return false;
 }
 
-/* Starts the waiting tasks of a batch until one finds no executor. Returns
- * false in this case. */
+static bool may_start(const struct ph_pool *pool, const struct ph_batch *b,
+		      uint32_t index, uint64_t now_us)
+{
+	return earlier_run_gone(pool, b, index, now_us) &&
+	       !has_run(pool, b->request->job, index);
+}
+
+/* Starts the waiting tasks of a batch that were on lost executors, alone, as
+ * far as there are empty executors. Those that are not suspected start like
+ * others if there is none. */
+static void place_alone(struct ph_pool *pool, struct ph_batch *b,
+			uint64_t now_us)
+{
+	uint32_t i;
+
+	if (!ph_crashes_has_job(pool->crashes, b->job_hash))
+		return;
+	for (i = 0; i < b->request->count; i++) {
+		const struct ph_suspect *suspect;
+		struct ph_executor *x;
+
+		if (b->tasks[i].state != PH_BATCH_TASK_WAITING)
+			continue;
+		suspect = ph_crashes_find(pool->crashes, b->job_hash, i);
+		if (!suspect || !suspect->losses ||
+		    !may_start(pool, b, i, now_us))
+			continue;
+		x = choose_empty(pool, b, suspect->suspected, now_us);
+		if (x)
+			ph_run_start(pool, x, b, i, now_us)->alone = true;
+	}
+}
+
+/* Starts the other waiting tasks of a batch until one finds no executor.
+ * Returns false in this case. */
 static bool place_batch(struct ph_pool *pool, struct ph_batch *b,
 			uint64_t now_us)
 {
+	bool suspects = ph_crashes_has_job(pool->crashes, b->job_hash);
 	uint32_t i;
 
 	for (i = 0; i < b->request->count && b->waiting; i++) {
 		struct ph_executor *x;
 
-		if (b->tasks[i].state != PH_BATCH_TASK_WAITING)
+		if (b->tasks[i].state != PH_BATCH_TASK_WAITING ||
+		    (suspects &&
+		     ph_crashes_suspected(pool->crashes, b->job_hash, i)))
 			continue;
 		x = choose_executor(pool, b, now_us);
 		if (!x)
 			return false;
-		if (earlier_run_gone(pool, b, i, now_us) &&
-		    !has_run(pool, b->request->job, i))
+		if (may_start(pool, b, i, now_us))
 			ph_run_start(pool, x, b, i, now_us);
 	}
 	return true;
@@ -441,6 +539,7 @@
 
 void ph_pool_place(struct ph_pool *pool, uint64_t now_us)
 {
+	struct ph_executor *x;
 	size_t count;
 	size_t i;
 
@@ -448,7 +547,11 @@
 	if (pool->fenced)
 		return;
 	update_widespread_loss(pool, now_us);
+	for (x = pool->executors; x; x = x->next)
+		x->held = false;
 	count = sort_waiting(pool, now_us);
+	for (i = 0; i < count; i++)
+		place_alone(pool, pool->waiting[i], now_us);
 	for (i = 0; i < count; i++)
 		place_in_turn(pool, i, now_us);
 	pool->dirty = false;
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -290,6 +290,14 @@
 	return false;
 }
 
+bool ph_run_gone(const struct ph_executor *x, const struct ph_run *run,
+		 const struct ph_poll_reply *reply)
+{
+	return (run->state == PH_RUN_ORPHANED ||
+		(run->acked_us && run->acked_us < x->poll_sent_us)) &&
+	       !reported_in(run, reply->running, reply->running_count);
+}
+
 static void log_lost(const struct ph_executor *x, const struct ph_run *run,
 		     bool restarted, uint64_t now_us)
 {
@@ -302,9 +310,8 @@
 		 (unsigned long long)(now_us - run->created_us));
 }
 
-/* Drops runs that the poll doesn't report, if they are orphaned or their latest
- * command was acknowledged before the poll was sent: the executor restarted,
- * their lease expired, or they were stopped before they began. */
+/* Drops runs that are gone without an end: the executor restarted, their lease
+ * expired, or they were stopped before they began. */
 static void drop_absent(struct ph_pool *pool, struct ph_executor *x,
 			const struct ph_poll_reply *reply, bool restarted,
 			uint64_t now_us)
@@ -313,11 +320,8 @@
 
 	while (run) {
 		struct ph_run *next = run->next;
-		bool orphaned = run->state == PH_RUN_ORPHANED;
 
-		if ((orphaned ||
-		     (run->acked_us && run->acked_us < x->poll_sent_us)) &&
-		    !reported_in(run, reply->running, reply->running_count)) {
+		if (ph_run_gone(x, run, reply)) {
 			log_lost(x, run, restarted, now_us);
 			ph_run_drop_requeue(pool, x, run);
 		}
@@ -352,11 +356,17 @@
 			 "event=executor_reachable executor=%s failures=%u",
 			 x->info.id, x->poll_failures);
 	x->ends_delayed = x->poll_failures;
-	x->poll_failures = 0;
 	restarted = x->started_ms && reply->started_ms &&
 		    reply->started_ms != x->started_ms;
+	if (restarted && !x->poll_failures)
+		x->unreachable_us = now_us;
 	if (restarted)
 		executor_restarted(pool, x, reply);
+	else if (x->poll_failures)
+		ph_crashes_take_back(pool->crashes,
+				     ph_executor_hash(x->info.id),
+				     x->unreachable_us);
+	x->poll_failures = 0;
 	if (reply->started_ms)
 		x->started_ms = reply->started_ms;
 	x->clock_ms = reply->clock_ms;
@@ -372,6 +382,8 @@
 	}
 	for (i = 0; i < reply->running_count; i++)
 		run_reported(pool, x, &reply->running[i], now_us);
+	if (restarted)
+		ph_executor_lost(pool, x, reply, now_us);
 	drop_absent(pool, x, reply, restarted, now_us);
 	ph_pool_claim_orphans(pool, now_us);
 	pool->dirty = true;
