Tell other instances under which tasks executors were lost

Now heartbeats carry the tasks under which their sender has seen a loss in the last five seconds, 32 at most, and all pools of an instance share one table. Instances of the version before ignore these fields, and a heartbeat without losses is as before. An owner that loses the pool counts the executors that do not answer then, which nobody would count otherwise; such a loss is doubtful and convicts nobody by itself. A task is given up after four losses of any kind, one less than before, as a change of the owner may hide one.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -336,6 +336,7 @@
 	submitter.cluster = d->cluster;
 	d->submitter = ph_submitter_new(&submitter);
 	d->directory = ph_directory_new(d->mem);
+	d->crashes = ph_crashes_new(d->mem);
 	add_seeds(d);
 }
 
@@ -416,6 +417,7 @@
 	}
 	for (i = 0; i < d->pool_count; i++)
 		ph_pool_free(d->pools[i].pool);
+	ph_crashes_free(d->crashes);
 	d->mem->free(d->pools);
 	d->mem->free(d->domains);
 	while (d->unacked_results) {
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -73,6 +73,8 @@
 	struct ph_cluster *cluster;
 	struct ph_submitter *submitter;
 	struct ph_directory *directory;
+	/** Of all pools. */
+	struct ph_crashes *crashes;
 	struct ph_dispatcher_pool *pools;
 	struct ph_dispatcher_domain *domains;
 	size_t domain_count;
--- a/src/dispatcher_peers.c
+++ b/src/dispatcher_peers.c
@@ -269,6 +269,8 @@
 		ph_cluster_heartbeat_received(d->cluster, now_us, msg);
 		update_shards(d, msg);
 		request_config(d, msg, now_us);
+		for (i = 0; i < msg->suspect_count; i++)
+			ph_crashes_heard(d->crashes, now_us, &msg->suspects[i]);
 		break;
 	case PH_POOLMSG_SUBMIT:
 		handle_submit(d, msg, now_us);
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -71,6 +71,7 @@
 		.lease_us = d->settings.lease_us,
 		.stop_us = d->settings.stop_us,
 		.first_call = (uint64_t)d->pool_count << PH_POOL_CALL_SHIFT,
+		.crashes = d->crashes,
 		.sink = &pool_sink,
 		.ctx = d,
 	};
@@ -230,6 +231,8 @@
 		ph_pool_measure(d->pools[i].pool, now_us, &c->load);
 		msg->claim_count++;
 	}
+	msg->suspect_count =
+		ph_crashes_recent(d->crashes, now_us, msg->suspects);
 	ph_dispatcher_send(d, addr, msg);
 }
 
--- a/src/dispatcher_report.c
+++ b/src/dispatcher_report.c
@@ -32,6 +32,8 @@
 		{ "adopted_runs_total", c->claimed_runs },
 		{ "looks_total", c->polls },
 		{ "probes_total", c->probes },
+		{ "lost_executors_total", c->lost_executors },
+		{ "given_up_jobs_total", c->given_up },
 	};
 	size_t i;
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -603,6 +603,9 @@
 		batch_remove(pool, b);
 	}
 	for (x = pool->executors; x; x = x->next) {
+		if (x->poll_failures && !x->rejected_us)
+			ph_executor_lost(pool, x, PH_LOSS_POOL_RELEASED, NULL,
+					 now_us);
 		while (x->runs)
 			ph_run_drop(pool, x, x->runs);
 		x->polled = false;
--- a/src/pool_crashes.c
+++ b/src/pool_crashes.c
@@ -8,8 +8,8 @@
 /* Losses after which a task that ran alone when the last executor was lost is
  * given up. */
 #define LOSSES_ALONE 2U
-/* Losses from which on a task is to run alone also if each of them was one of
- * many at once. */
+/* Losses from which on a task is to run alone also if each of them is doubtful.
+ */
 #define LOSSES_SUSPECTED 2U
 /* How long heartbeats carry an entry: several of them may get lost, and an
  * instance that has just started needs it too. */
@@ -108,9 +108,9 @@
 	s->losses++;
 	s->executor = loss->executor;
 	s->lost_us = now_us;
-	if (!loss->widespread || s->losses >= LOSSES_SUSPECTED)
+	if (!loss->doubtful || s->losses >= LOSSES_SUSPECTED)
 		s->suspected = true;
-	if (!loss->widespread && loss->runs == 1 && s->losses >= LOSSES_ALONE)
+	if (!loss->doubtful && loss->runs == 1 && s->losses >= LOSSES_ALONE)
 		s->losses = PH_LOSSES_MAX;
 }
 
--- a/src/pool_crashes.h
+++ b/src/pool_crashes.h
@@ -18,7 +18,7 @@
 
 /** Executors lost under a task after which it is not started again whatever the
  * cause of the losses. */
-#define PH_LOSSES_MAX 5U
+#define PH_LOSSES_MAX 4U
 /** Entries that a heartbeat carries at most. */
 #define PH_SUSPECTS_SENT_MAX 32U
 
@@ -62,9 +62,9 @@
 	uint32_t executor;
 	/** Runs that it had. */
 	uint32_t runs;
-	/** So many executors were lost at once that the tasks there are hardly
-	 * the cause. */
-	bool widespread;
+	/** The tasks there are hardly the cause, as many executors were lost at
+	 * once, or it may have been cut off and not lost. */
+	bool doubtful;
 };
 
 /** Counts a loss of an executor for a task that was there. */
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -294,10 +294,21 @@
  * least half of the listed executors refuse it, or one does for long. */
 void ph_pool_fenced_by(struct ph_pool *pool, struct ph_executor *executor,
 		       uint64_t now_us);
+/** How an owner learns of the loss of an executor. */
+enum ph_loss_cause {
+	/** It answers a poll in a new incarnation. */
+	PH_LOSS_RESTARTED,
+	/** It has not answered until the lease of its runs expired. */
+	PH_LOSS_LEASE_EXPIRED,
+	/** It does not answer when the owner loses the pool. */
+	PH_LOSS_POOL_RELEASED,
+};
+
 /** Counts the loss of an executor for the tasks of its runs, before these are
  * dropped: of all runs, or, after a restart, of those that the answer to a poll
  * shows to be gone. */
 void ph_executor_lost(struct ph_pool *pool, struct ph_executor *executor,
+		      enum ph_loss_cause cause,
 		      const struct ph_poll_reply *reply, uint64_t now_us);
 /** Sends polls and stops that are due and drops runs whose lease expired. */
 void ph_lease_tick(struct ph_pool *pool, uint64_t now_us);
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -504,11 +504,15 @@
 }
 
 void ph_executor_lost(struct ph_pool *pool, struct ph_executor *x,
+		      enum ph_loss_cause cause,
 		      const struct ph_poll_reply *reply, uint64_t now_us)
 {
+	static const char *const causes[] = { "restarted", "lease_expired",
+					      "pool_released" };
 	struct ph_loss loss = {
 		.executor = ph_executor_hash(x->info.id),
-		.widespread = lost_with_many(pool, x),
+		.doubtful = cause == PH_LOSS_POOL_RELEASED ||
+			    lost_with_many(pool, x),
 	};
 	const struct ph_run *run;
 
@@ -519,9 +523,8 @@
 	pool->counters.lost_executors++;
 	ph_event(PART,
 		 "event=executor_lost executor=%s cause=%s runs=%u "
-		 "widespread=%d",
-		 x->info.id, reply ? "restarted" : "lease_expired", loss.runs,
-		 loss.widespread);
+		 "doubtful=%d",
+		 x->info.id, causes[cause], loss.runs, loss.doubtful);
 	for (run = x->runs; run; run = run->next)
 		if (!reply || ph_run_gone(x, run, reply))
 			ph_crashes_add(pool->crashes, now_us,
@@ -543,7 +546,7 @@
 		runs_there++;
 	/* One that refuses the token has not crashed. */
 	if (!x->rejected_us)
-		ph_executor_lost(pool, x, NULL, now_us);
+		ph_executor_lost(pool, x, PH_LOSS_LEASE_EXPIRED, NULL, now_us);
 	while (x->runs) {
 		log_expired(x, x->runs, runs_there, now_us);
 		pool->counters.expired_runs++;
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -383,7 +383,7 @@
 	for (i = 0; i < reply->running_count; i++)
 		run_reported(pool, x, &reply->running[i], now_us);
 	if (restarted)
-		ph_executor_lost(pool, x, reply, now_us);
+		ph_executor_lost(pool, x, PH_LOSS_RESTARTED, reply, now_us);
 	drop_absent(pool, x, reply, restarted, now_us);
 	ph_pool_claim_orphans(pool, now_us);
 	pool->dirty = true;
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -8,10 +8,11 @@
 
 /* Numbers of array elements: of the header, of the body of a heartbeat and of a
  * list change without their entries, of the other bodies, and of one entry (a
- * claim or an executor). */
+ * claim, a suspect or an executor). */
 #define HEADER_FIELDS 6U
 #define HEARTBEAT_FIELDS 10U
 #define CLAIM_FIELDS 9U
+#define SUSPECT_FIELDS 4U
 #define BATCH_REQUEST_FIELDS 19U
 #define RESULT_FIELDS 5U
 #define LIST_FIELDS 5U
@@ -57,6 +58,14 @@
 	msgpack_pack_uint32(pk, c->load.batches);
 }
 
+static void put_suspect(msgpack_packer *pk, const struct ph_suspect *s)
+{
+	msgpack_pack_uint64(pk, s->job);
+	msgpack_pack_uint32(pk, s->index);
+	msgpack_pack_uint32(pk, s->losses);
+	msgpack_pack_uint32(pk, s->suspected);
+}
+
 static void put_heartbeat(msgpack_packer *pk, const struct ph_poolmsg *m)
 {
 	uint32_t i;
@@ -73,6 +82,11 @@
 	msgpack_pack_uint32(pk, m->claim_count);
 	for (i = 0; i < m->claim_count; i++)
 		put_claim(pk, &m->claims[i]);
+	if (!m->suspect_count)
+		return;
+	msgpack_pack_uint32(pk, m->suspect_count);
+	for (i = 0; i < m->suspect_count; i++)
+		put_suspect(pk, &m->suspects[i]);
 }
 
 static void put_batch_request(msgpack_packer *pk,
@@ -136,11 +150,19 @@
 		put_str(pk, c->removed[i]);
 }
 
+static size_t heartbeat_fields(const struct ph_poolmsg *m)
+{
+	size_t suspects =
+		m->suspect_count ? 1 + m->suspect_count * SUSPECT_FIELDS : 0;
+
+	return HEARTBEAT_FIELDS + m->claim_count * CLAIM_FIELDS + suspects;
+}
+
 static size_t body_fields(const struct ph_poolmsg *m)
 {
 	switch (m->type) {
 	case PH_POOLMSG_HEARTBEAT:
-		return HEARTBEAT_FIELDS + m->claim_count * CLAIM_FIELDS;
+		return heartbeat_fields(m);
 	case PH_POOLMSG_SUBMIT:
 		return 3 + BATCH_REQUEST_FIELDS;
 	case PH_POOLMSG_RESULT:
@@ -310,6 +332,14 @@
 	c->load.batches = get_u32(r);
 }
 
+static void get_suspect(struct reader *r, struct ph_suspect *s)
+{
+	s->job = get_u64(r);
+	s->index = get_u32(r);
+	s->losses = get_u32(r);
+	s->suspected = get_u32(r) != 0;
+}
+
 static void get_heartbeat(struct reader *r, struct ph_poolmsg *m)
 {
 	uint32_t i;
@@ -326,6 +356,11 @@
 	m->claim_count = (uint32_t)get_uint(r, PH_CLAIMS_MAX);
 	for (i = 0; i < m->claim_count; i++)
 		get_claim(r, &m->claims[i]);
+	if (r->bad || !r->left)
+		return;
+	m->suspect_count = (uint32_t)get_uint(r, PH_SUSPECTS_SENT_MAX);
+	for (i = 0; i < m->suspect_count; i++)
+		get_suspect(r, &m->suspects[i]);
 }
 
 static void get_batch_request(const struct ph_mem *mem, struct reader *r,
--- a/src/poolmsg.h
+++ b/src/poolmsg.h
@@ -55,7 +55,7 @@
 	char domain[PH_NAME_BYTES];
 	char addr[PH_ADDR_BYTES];
 	uint64_t incarnation;
-	/* The fields from here to claims are those of HEARTBEAT. */
+	/* The fields from here to suspects are those of HEARTBEAT. */
 	/** The sender is stopping and claims no more pools. */
 	bool leaving;
 	uint64_t config_version;
@@ -75,6 +75,11 @@
 	uint64_t list_age_us;
 	uint32_t claim_count;
 	struct ph_claim claims[PH_CLAIMS_MAX];
+	/** Tasks on executors whose loss the sender has seen; executor and
+	 * lost_us are not sent. Left out if there are none; versions that don't
+	 * know them ignore them. */
+	uint32_t suspect_count;
+	struct ph_suspect suspects[PH_SUSPECTS_SENT_MAX];
 	/** Number that identifies a batch at the submitting instance; in all
 	 * types but HEARTBEAT, CONFIG_REQUEST, CONFIG and LIST. */
 	uint64_t seq;
--- a/test/test_crashing_tasks.cc
+++ b/test/test_crashing_tasks.cc
@@ -219,17 +219,19 @@
 	return out;
 }
 
-/** Tells an owner of the lost executors that another one has seen, as that
- * one's heartbeats do. */
+/** Tells an owner of the lost executors that another one has seen, by a
+ * heartbeat. */
 void tell(World *w, Owner *from, Owner *to)
 {
-	ph_suspect suspects[PH_SUSPECTS_SENT_MAX];
-	uint32_t count = ph_crashes_recent(ph_pool_crashes(from->pool),
-					   w->now_us, suspects);
+	ph_poolmsg m = {};
 
-	for (uint32_t i = 0; i < count; i++)
+	m.type = PH_POOLMSG_HEARTBEAT;
+	m.suspect_count = ph_crashes_recent(ph_pool_crashes(from->pool),
+					    w->now_us, m.suspects);
+	m = over_the_wire(m);
+	for (uint32_t i = 0; i < m.suspect_count; i++)
 		ph_crashes_heard(ph_pool_crashes(to->pool), w->now_us,
-				 &suspects[i]);
+				 &m.suspects[i]);
 }
 
 /** Resumes a batch at another owner as its submitter does, with what the result
@@ -257,34 +259,132 @@
 	return next;
 }
 
+struct HandOverCase {
+	const char *what;
+	/** Time between two changes of the owner. */
+	uint64_t interval;
+};
+
+const HandOverCase hand_over_cases[] = {
+	{ "each owner sees several crashes", 3000 * kMs },
+	{ "each owner sees a crash or two", 2200 * kMs },
+	{ "each owner sees one crash", 1500 * kMs },
+	{ "owners change while the lease of a crashed executor lasts",
+	  1200 * kMs },
+	{ "owners change faster than one may start the task", 900 * kMs },
+};
+
 // Each new owner of the pool starts the count from nothing.
 TEST(CrashingTasks, TheCountSurvivesChangesOfTheOwner)
+{
+	for (const HandOverCase &c : hand_over_cases) {
+		SCOPED_TRACE(c.what);
+		CrashWorld w(32, 16000);
+		Owner *owners[] = { ready_owner(&w), w.add_owner(),
+				    w.add_owner() };
+		ph_batch_request request =
+			request_of("bad", 8, 60 * kMs, 10 * kLongTimeout);
+		Owner *o = owners[0];
+		uint64_t token = 1000;
+		uint64_t seq;
+
+		w.deadly.insert("bad.0");
+		seq = w.submit_request(o, request, 60 * kMs);
+		for (int i = 1; i < 20; i++) {
+			Owner *next = owners[i % 3];
+
+			w.run_until(w.now_us + c.interval);
+			if (w.ended(o, seq, PH_VERDICT_FAILED))
+				break;
+			ph_pool_release(o->pool, w.now_us);
+			ASSERT_TRUE(w.ended(o, seq, PH_VERDICT_MOVED));
+			for (Owner *other : owners)
+				if (other != o)
+					tell(&w, o, other);
+			ph_pool_acquire(next->pool, w.now_us, ++token);
+			w.run_until(w.now_us + 50 * kMs);
+			seq = resume(&w, o, next, seq, request);
+			o = next;
+		}
+		EXPECT_LE(w.crashed_under["bad.0"].size(), kCrashesMax);
+		EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_FAILED));
+	}
+}
+
+// The job is handed in again, to another pool: the count starts from nothing.
+TEST(CrashingTasks, TheCountHoldsAtOtherPools)
 {
 	CrashWorld w(16, 16000);
-	Owner *owners[] = { ready_owner(&w), w.add_owner() };
-	ph_batch_request request =
-		request_of("bad", 8, 60 * kMs, 10 * kLongTimeout);
-	Owner *o = owners[0];
+	Owner *owners[] = { ready_owner(&w), w.add_owner(), w.add_owner(),
+			    w.add_owner() };
+	ph_batch_request request = request_of("bad", 8, 60 * kMs, 1300 * kMs);
 	uint64_t token = 1000;
-	uint64_t seq;
 
 	w.deadly.insert("bad.0");
-	seq = w.submit_request(o, request, 60 * kMs);
-	/* Each owner sees a crash or two. */
-	for (int i = 1; i < 10; i++) {
-		w.run_until(w.now_us + 2200 * kMs);
-		if (w.ended(o, seq, PH_VERDICT_FAILED))
-			break;
-		tell(&w, o, owners[i % 2]);
-		ph_pool_release(o->pool, w.now_us);
-		ASSERT_TRUE(w.ended(o, seq, PH_VERDICT_MOVED));
-		ph_pool_acquire(owners[i % 2]->pool, w.now_us, ++token);
+	for (Owner *o : owners) {
+		ph_pool_acquire(o->pool, w.now_us, ++token);
 		w.run_until(w.now_us + 50 * kMs);
-		seq = resume(&w, o, owners[i % 2], seq, request);
-		o = owners[i % 2];
+		request.first_run += 100;
+		w.submit_request(o, request, 60 * kMs);
+		w.run_until(w.now_us + 2600 * kMs);
+		for (Owner *other : owners)
+			if (other != o)
+				tell(&w, o, other);
+		ph_pool_release(o->pool, w.now_us);
 	}
 	EXPECT_LE(w.crashed_under["bad.0"].size(), kCrashesMax);
-	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_FAILED));
+}
+
+// A new owner is told of losses in a way that an instance of the version before
+// cannot read, or that loses them.
+TEST(CrashingTasks, HeartbeatsCarryLossesAndAreReadableWithoutThem)
+{
+	ph_poolmsg without = {};
+	ph_poolmsg with = {};
+	ph_poolmsg got;
+
+	without.type = PH_POOLMSG_HEARTBEAT;
+	without.list_age_us = 7;
+	without.claim_count = 1;
+	without.claims[0].token = 5;
+	got = over_the_wire(without);
+	EXPECT_EQ(got.suspect_count, 0U);
+	EXPECT_EQ(got.claims[0].token, 5U);
+	with = without;
+	with.suspect_count = PH_SUSPECTS_SENT_MAX;
+	for (uint32_t i = 0; i < with.suspect_count; i++)
+		with.suspects[i] = { UINT64_MAX - i, i, 1 + i % 4,
+				     i % 2 == 0,     3, 9 };
+	got = over_the_wire(with);
+	ASSERT_EQ(got.suspect_count, with.suspect_count);
+	EXPECT_EQ(got.claims[0].token, 5U);
+	for (uint32_t i = 0; i < with.suspect_count; i++) {
+		EXPECT_EQ(got.suspects[i].job, UINT64_MAX - i);
+		EXPECT_EQ(got.suspects[i].index, i);
+		EXPECT_EQ(got.suspects[i].losses, 1 + i % 4);
+		EXPECT_EQ(got.suspects[i].suspected, i % 2 == 0);
+	}
+}
+
+// The table gets full and forgets the latest losses, or tells of the oldest.
+TEST(CrashingTasks, TheLatestLossesAreKeptAndTold)
+{
+	ph_crashes *c = ph_crashes_new(ph_mem_default());
+	ph_suspect told[PH_SUSPECTS_SENT_MAX];
+	ph_loss loss = { 77, 2, false };
+
+	for (uint32_t i = 1; i <= 1000; i++)
+		ph_crashes_add(c, i * kMs, i, 0, &loss);
+	EXPECT_FALSE(ph_crashes_find(c, 1, 0));
+	EXPECT_TRUE(ph_crashes_suspected(c, 1000, 0));
+	ASSERT_EQ(ph_crashes_recent(c, 1000 * kMs, told), PH_SUSPECTS_SENT_MAX);
+	for (uint32_t i = 0; i < PH_SUSPECTS_SENT_MAX; i++)
+		EXPECT_EQ(told[i].job, 1000U - i);
+	EXPECT_EQ(ph_crashes_recent(c, 60000 * kMs, told), 0U);
+	ph_crashes_take_back(c, 77, 1000 * kMs);
+	EXPECT_FALSE(ph_crashes_suspected(c, 1000, 0));
+	EXPECT_TRUE(ph_crashes_suspected(c, 999, 0));
+	ph_crashes_free(c);
 }
 
 /* ## Tasks that are not to blame */
