Start nothing beside a found run until a batch claims it

What the users could see: a start that takes an executor over its capacity, if the executor does not guard it. A new owner counted a run that it found with the use that the executor reports, a rough figure of the last half second, and not with what its task asked for, which it can't know before a batch claims the run. Now an executor with such a run gets no new ones until the run is claimed or has ended: 350 ms and the time of a stop at most. Evidence: CrashingTasks.AFoundRunCountsWithMoreThanItUses fails without it (one start over the capacity).

--- a/src/pool.c
+++ b/src/pool.c
@@ -252,6 +252,7 @@
 
 	ph_capacity_sub(&x->used, &run->need);
 	run->need = b->request->need;
+	run->need_unknown = false;
 	ph_capacity_add(&x->used, &run->need);
 	ph_event(PART, "event=run_claimed job=%s task=%u run=%llu executor=%s",
 		 run->job, run->index, (unsigned long long)run->run,
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -87,6 +87,9 @@
 	uint32_t index;
 	uint64_t run;
 	struct ph_capacity need;
+	/** A poll has shown it and no batch claimed it: need says only what it
+	 * uses, which may be less than what its task needs. */
+	bool need_unknown;
 	enum ph_run_state state;
 	/** The batch that waits for its end, or NULL. */
 	struct ph_batch *batch;
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -221,6 +221,18 @@
 	return false;
 }
 
+/* Whether an executor has runs of which it is not known what they need. Not all
+ * executors guard their capacity. */
+static bool room_unknown(const struct ph_executor *x)
+{
+	const struct ph_run *run;
+
+	for (run = x->runs; run; run = run->next)
+		if (run->need_unknown)
+			return true;
+	return false;
+}
+
 /* Whether one more executor may be set aside. */
 static bool may_set_aside(const struct ph_pool *pool, uint64_t now_us)
 {
@@ -280,7 +292,7 @@
 		if (strcmp(x->info.service, w->service) != 0 ||
 		    !ph_executor_usable(pool, x, now_us) ||
 		    !ph_capacity_fits(&x->info.capacity, &x->used, &w->need) ||
-		    !label_ok(x, w->label) || set_aside(x))
+		    !label_ok(x, w->label) || set_aside(x) || room_unknown(x))
 			continue;
 		/* After a failure an executor gets one run at a time until one
 		 * succeeds. */
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -264,6 +264,7 @@
 		run = ph_run_add(pool, x, seen->job, seen->index, seen->run,
 				 &need, now_us);
 		run->state = PH_RUN_ORPHANED;
+		run->need_unknown = true;
 		ph_event(PART,
 			 "event=run_found job=%s task=%u run=%llu executor=%s "
 			 "token=%llu",
