Give a task up only for executors that have crashed for certain

Cause: the loss of an executor was its silence until the lease expired. Polls that get lost for as long look the same, and the conviction does not wait for the executor to be back. Now a crash counts if the executor refuses connections, or is back in another incarnation; two such crashes, the last of them while the task ran alone, or four, and its job is answered as failed. Other losses only make a task run alone, and after five of any kind it is not started again, so that the bound holds for executors that crash silently too; its caller then gets unknown when its time is over. Evidence: CrashingTasks.NoTaskIsGivenUpWhileItsExecutorsMayBeCutOff fails if each loss counts as a crash, and passes now. The simulated executors refuse connections after a crash, or leave calls unanswered, which two more cases ask for.

--- a/src/pool_crashes.c
+++ b/src/pool_crashes.c
@@ -5,9 +5,9 @@
 
 /* Entries kept; the oldest one makes room. */
 #define SUSPECTS_MAX 256U
-/* Losses after which a task that ran alone when the last executor was lost is
+/* Crashes after which a task that ran alone when the last executor crashed is
  * given up. */
-#define LOSSES_ALONE 2U
+#define CRASHES_ALONE 2U
 /* Losses from which on a task is to run alone also if each of them is doubtful.
  */
 #define LOSSES_SUSPECTED 2U
@@ -67,7 +67,7 @@
 {
 	const struct ph_suspect *s = ph_crashes_find(c, job, index);
 
-	return s && s->losses >= PH_LOSSES_MAX;
+	return s && s->crashes >= PH_CRASHES_MAX;
 }
 
 bool ph_crashes_suspected(const struct ph_crashes *c, uint64_t job,
@@ -100,6 +100,14 @@
 	return s;
 }
 
+static void count_crash(struct ph_suspect *s)
+{
+	s->crashed = true;
+	s->crashes++;
+	if (s->to_blame && s->crashes >= CRASHES_ALONE)
+		s->crashes = PH_CRASHES_MAX;
+}
+
 void ph_crashes_add(struct ph_crashes *c, uint64_t now_us, uint64_t job,
 		    uint32_t index, const struct ph_loss *loss)
 {
@@ -108,25 +116,31 @@
 	s->losses++;
 	s->executor = loss->executor;
 	s->lost_us = now_us;
+	s->crashed = false;
+	s->to_blame = loss->runs == 1 && !loss->doubtful;
 	if (!loss->doubtful || s->losses >= LOSSES_SUSPECTED)
 		s->suspected = true;
-	if (!loss->doubtful && loss->runs == 1 && s->losses >= LOSSES_ALONE)
-		s->losses = PH_LOSSES_MAX;
+	if (loss->crashed)
+		count_crash(s);
 }
 
-void ph_crashes_take_back(struct ph_crashes *c, uint32_t executor,
-			  uint64_t since_us)
+void ph_crashes_executor_back(struct ph_crashes *c, uint32_t executor,
+			      uint64_t since_us, bool restarted)
 {
 	uint32_t i;
 
 	for (i = 0; i < c->count; i++) {
 		struct ph_suspect *s = &c->suspects[i];
 
-		if (s->executor != executor || s->lost_us < since_us ||
-		    !s->losses)
+		if (s->executor != executor || s->lost_us < since_us)
 			continue;
-		s->losses--;
-		s->executor = PH_EXECUTOR_NONE;
+		if (restarted && !s->crashed) {
+			count_crash(s);
+		} else if (!restarted && s->losses) {
+			s->losses--;
+			s->crashes -= s->crashed && s->crashes;
+			s->executor = PH_EXECUTOR_NONE;
+		}
 	}
 }
 
@@ -160,10 +174,13 @@
 {
 	struct ph_suspect *s = get(c, heard->job, heard->index);
 
-	if (heard->losses > s->losses) {
-		s->losses = heard->losses;
+	if (heard->losses > s->losses || heard->crashes > s->crashes) {
 		s->executor = PH_EXECUTOR_NONE;
 		s->lost_us = now_us;
 	}
+	if (heard->losses > s->losses)
+		s->losses = heard->losses;
+	if (heard->crashes > s->crashes)
+		s->crashes = heard->crashes;
 	s->suspected = s->suspected || heard->suspected;
 }
--- a/src/pool_crashes.h
+++ b/src/pool_crashes.h
@@ -16,9 +16,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** Executors lost under a task after which it is not started again whatever the
- * cause of the losses. */
-#define PH_LOSSES_MAX 4U
+/** Executors that have crashed under a task after which it is given up, whoever
+ * was the cause. */
+#define PH_CRASHES_MAX 4U
+/** Executors lost under a task after which it is not started again. They may
+ * have been cut off, so its job is not said to have failed. */
+#define PH_LOSSES_MAX 5U
 /** Entries that a heartbeat carries at most. */
 #define PH_SUSPECTS_SENT_MAX 32U
 
@@ -27,14 +30,20 @@
 	/** Hash of the job's id. */
 	uint64_t job;
 	uint32_t index;
-	/** Executors lost under it; PH_LOSSES_MAX also if it was shown to be
-	 * the cause earlier. */
+	/** Executors lost under it. */
 	uint32_t losses;
+	/** Those of them that have crashed for certain; PH_CRASHES_MAX also if
+	 * it was shown to be the cause earlier. */
+	uint32_t crashes;
 	/** It is to run alone. */
 	bool suspected;
 	/** Hash of the executor that was lost last; PH_EXECUTOR_NONE: another
 	 * instance has seen the losses. */
 	uint32_t executor;
+	/** Whether that one has crashed for certain, and whether the task must
+	 * then be the cause. */
+	bool crashed;
+	bool to_blame;
 	/** When the last loss was seen. */
 	uint64_t lost_us;
 };
@@ -49,7 +58,7 @@
 					 uint64_t job, uint32_t index);
 /** Whether a job has tasks in the table. */
 bool ph_crashes_has_job(const struct ph_crashes *crashes, uint64_t job);
-/** Whether a task is not to be started again. */
+/** Whether a task is given up: it crashes executors. */
 bool ph_crashes_given_up(const struct ph_crashes *crashes, uint64_t job,
 			 uint32_t index);
 /** Whether a task is to run alone on an executor. */
@@ -65,15 +74,18 @@
 	/** The tasks there are hardly the cause, as many executors were lost at
 	 * once, or it may have been cut off and not lost. */
 	bool doubtful;
+	/** It has crashed for certain: it refuses connections, or it is back in
+	 * another incarnation. */
+	bool crashed;
 };
 
 /** Counts a loss of an executor for a task that was there. */
 void ph_crashes_add(struct ph_crashes *crashes, uint64_t now_us, uint64_t job,
 		    uint32_t index, const struct ph_loss *loss);
-/** An executor that was taken for lost after since_us has not crashed: it is
- * back, in the same incarnation. */
-void ph_crashes_take_back(struct ph_crashes *crashes, uint32_t executor,
-			  uint64_t since_us);
+/** An executor that was taken for lost after since_us is back: in the same
+ * incarnation, so that it has not crashed, or in another one. */
+void ph_crashes_executor_back(struct ph_crashes *crashes, uint32_t executor,
+			      uint64_t since_us, bool restarted);
 
 /** Copies the entries whose losses this instance has seen lately, the latest
  * first, and returns their number. */
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -149,6 +149,8 @@
 	uint32_t poll_failures;
 	/** When the first of these polls failed. */
 	uint64_t unreachable_us;
+	/** One of these polls found nobody that listens at its address. */
+	bool refuses;
 	/** Runs that failed or were too slow, and start commands that it
 	 * refused. */
 	struct ph_backoff faults;
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -513,6 +513,7 @@
 		.executor = ph_executor_hash(x->info.id),
 		.doubtful = cause == PH_LOSS_POOL_RELEASED ||
 			    lost_with_many(pool, x),
+		.crashed = cause == PH_LOSS_RESTARTED || x->refuses,
 	};
 	const struct ph_run *run;
 
@@ -523,8 +524,9 @@
 	pool->counters.lost_executors++;
 	ph_event(PART,
 		 "event=executor_lost executor=%s cause=%s runs=%u "
-		 "doubtful=%d",
-		 x->info.id, causes[cause], loss.runs, loss.doubtful);
+		 "doubtful=%d crashed=%d",
+		 x->info.id, causes[cause], loss.runs, loss.doubtful,
+		 loss.crashed);
 	for (run = x->runs; run; run = run->next)
 		if (!reply || ph_run_gone(x, run, reply))
 			ph_crashes_add(pool->crashes, now_us,
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -391,6 +391,7 @@
 			continue;
 		suspect = ph_crashes_find(pool->crashes, b->job_hash, i);
 		if (!suspect || !suspect->losses ||
+		    suspect->losses >= PH_LOSSES_MAX ||
 		    !may_start(pool, b, i, now_us))
 			continue;
 		x = choose_empty(pool, b, suspect->suspected, now_us);
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -117,11 +117,13 @@
 		ph_pool_fenced_by(pool, x, now_us);
 	if (!x->poll_failures) {
 		x->unreachable_us = now_us;
+		x->refuses = false;
 		ph_event(
 			PART,
 			"event=executor_unreachable executor=%s call_status=%d",
 			x->info.id, (int)reply->status);
 	}
+	x->refuses = x->refuses || reply->status == PH_CALL_UNSENT;
 	x->poll_failures++;
 	x->next_poll_us =
 		now_us +
@@ -363,10 +365,10 @@
 		x->unreachable_us = now_us;
 	if (restarted)
 		executor_restarted(pool, x, reply);
-	else if (x->poll_failures)
-		ph_crashes_take_back(pool->crashes,
-				     ph_executor_hash(x->info.id),
-				     x->unreachable_us);
+	if (x->poll_failures)
+		ph_crashes_executor_back(pool->crashes,
+					 ph_executor_hash(x->info.id),
+					 x->unreachable_us, restarted);
 	x->poll_failures = 0;
 	if (reply->started_ms)
 		x->started_ms = reply->started_ms;
--- a/src/poolmsg.h
+++ b/src/poolmsg.h
@@ -75,8 +75,8 @@
 	uint64_t list_age_us;
 	uint32_t claim_count;
 	struct ph_claim claims[PH_CLAIMS_MAX];
-	/** Tasks on executors whose loss the sender has seen; executor and
-	 * lost_us are not sent. Left out if there are none; versions that don't
+	/** Tasks on executors whose loss the sender has seen; their last
+	 * losses are not sent. Left out if there are none; versions that don't
 	 * know them ignore them. */
 	uint32_t suspect_count;
 	struct ph_suspect suspects[PH_SUSPECTS_SENT_MAX];
