--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -38,6 +38,8 @@
 	struct ph_batch *next;
 	char submitter[PH_NAME_BYTES];
 	uint64_t seq;
+	/** Hash of the job's id. */
+	uint64_t job_hash;
 	struct ph_batch_request *request;
 	/** When the caller's request arrived at its submitter, on the local
 	 * clock. */
@@ -91,7 +93,8 @@
 	/** When its start was sent, or when a poll first reported it. */
 	uint64_t created_us;
 	/** A poll reported it, this owner has not started it, and no batch has
-	 * claimed it. */
+	 * claimed it. need says only what it uses, which may be less than what
+	 * its task needs. */
 	bool unclaimed;
 	/** Orphaned runs only: until when a batch may claim it. */
 	uint64_t claim_until_us;
@@ -109,6 +112,8 @@
 	/** Stopping, and its task no longer waits for it: its lease has expired
 	 * but its start may still be carried out. */
 	bool forgotten;
+	/** Its task may crash the executor: nothing is started beside it. */
+	bool alone;
 	/** Progress as last reported. */
 	uint32_t percent;
 };
@@ -159,6 +164,10 @@
 	/** A stop has gone unacknowledged for so long that no lease is renewed
 	 * here. */
 	bool stops_overdue;
+	/** When the first of these polls failed. */
+	uint64_t unreachable_us;
+	/** One of these polls found nobody that listens at its address. */
+	bool refuses;
 	/** Runs that failed or were too slow, and start commands that it
 	 * refused. */
 	struct ph_backoff faults;
@@ -170,6 +179,9 @@
 	bool ends_delayed;
 	/** Smoothed actual run time in percent of the declared one. */
 	uint32_t run_time_percent;
+	/** Nothing is started in this placement round, so that it gets empty
+	 * for a task that is to run alone. */
+	bool held;
 };
 
 /** A run command that has been sent and not yet answered. */
@@ -225,6 +237,9 @@
 	uint32_t orphaned_end_next;
 	/** Latest first. */
 	struct ph_closed_batch *closed;
+	struct ph_crashes *crashes;
+	/** The pool frees crashes. */
+	bool own_crashes;
 	struct ph_pool_counters counters;
 	/** Smoothed time from a run command to its answer; a missing answer
 	 * counts with part of the timeout. */
@@ -277,8 +292,9 @@
 void ph_run_drop(struct ph_pool *pool, struct ph_executor *executor,
 		 struct ph_run *run);
 /** Starts a task's next run on an executor. */
-void ph_run_start(struct ph_pool *pool, struct ph_executor *executor,
-		  struct ph_batch *batch, uint32_t index, uint64_t now_us);
+struct ph_run *ph_run_start(struct ph_pool *pool, struct ph_executor *executor,
+			    struct ph_batch *batch, uint32_t index,
+			    uint64_t now_us);
 /** Detaches a run from its batch and stops it. */
 void ph_run_abandon(struct ph_pool *pool, struct ph_run *run, uint64_t now_us);
 /** Timeout of a call; without an answer until then its outcome is unknown. */
@@ -307,6 +323,7 @@
 /** Time, from the first report, for which a batch may claim a run that this
  * owner has not started. */
 uint64_t ph_run_claim_us(const struct ph_executor *executor);
+const char *ph_run_state_name(enum ph_run_state state);
 /** Frees a run that ended without success or never began; its task waits
  * again. */
 void ph_run_drop_requeue(struct ph_pool *pool, struct ph_executor *executor,
@@ -318,6 +335,22 @@
  * least half of the listed executors refuse it, or one does for long. */
 void ph_pool_fenced_by(struct ph_pool *pool, struct ph_executor *executor,
 		       uint64_t now_us);
+/** How an owner learns of the loss of an executor. */
+enum ph_loss_cause {
+	/** It answers a poll in a new incarnation. */
+	PH_LOSS_RESTARTED,
+	/** It has not answered until the lease of its runs expired. */
+	PH_LOSS_LEASE_EXPIRED,
+	/** It does not answer when the owner loses the pool. */
+	PH_LOSS_POOL_RELEASED,
+};
+
+/** Counts the loss of an executor for the tasks of its runs, before these are
+ * dropped: of all runs, or, after a restart, of those that the answer to a poll
+ * shows to be gone. */
+void ph_executor_lost(struct ph_pool *pool, struct ph_executor *executor,
+		      enum ph_loss_cause cause,
+		      const struct ph_poll_reply *reply, uint64_t now_us);
 /** Sends polls and stops that are due and drops runs whose lease expired. */
 void ph_lease_tick(struct ph_pool *pool, uint64_t now_us);
 /** Counts a failure; from the second in a row on the executor is avoided for a
@@ -329,6 +362,10 @@
 
 /* ## pool_poll.c */
 
+/** Whether a run that a poll doesn't report is gone: it is orphaned, or its
+ * latest command was acknowledged before the poll was sent. */
+bool ph_run_gone(const struct ph_executor *executor, const struct ph_run *run,
+		 const struct ph_poll_reply *reply);
 /** Polls an executor, which renews the lease of its runs unless the poll
  * before failed or ph_lease_renewed() is false. */
 void ph_poll_send(struct ph_pool *pool, struct ph_executor *executor,
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -50,6 +50,13 @@
 #define UNRELIABLE_LOST_PERMILLE 600U
 /* The time of one call has a weight of 1/16 in the smoothed one. */
 #define CALL_TIME_WEIGHT 16U
+/* Executors that become unreachable within this time are lost at once: the
+ * answers to the polls that wait there fail within it. */
+#define LOST_AT_ONCE_US 100000U
+/* If so many executors, and more than this share of the pool's, are lost at
+ * once, the tasks on them are hardly the cause. */
+#define WIDESPREAD_EXECUTORS 3U
+#define WIDESPREAD_PERCENT 15U
 
 /* Time for which the lease of an unlisted executor is still renewed: its entry
  * may be back soon. */
@@ -100,6 +107,14 @@
 
 /* ## Runs */
 
+const char *ph_run_state_name(enum ph_run_state state)
+{
+	static const char *const names[] = { "starting", "running", "stopping",
+					     "orphaned" };
+
+	return names[state];
+}
+
 struct ph_run *ph_run_find(struct ph_executor *x, const char *job,
 			   uint32_t index, uint64_t run)
 {
@@ -319,8 +334,9 @@
 	command->timeout_us = ph_pool_timeout_us(pool);
 }
 
-void ph_run_start(struct ph_pool *pool, struct ph_executor *x,
-		  struct ph_batch *batch, uint32_t index, uint64_t now_us)
+struct ph_run *ph_run_start(struct ph_pool *pool, struct ph_executor *x,
+			    struct ph_batch *batch, uint32_t index,
+			    uint64_t now_us)
 {
 	struct ph_batch_task *task = &batch->tasks[index];
 	struct ph_run *run =
@@ -343,6 +359,7 @@
 	command.spec = batch->request->spec;
 	command.spec_len = batch->request->spec_len;
 	pool->opt.sink->start(pool->opt.ctx, &command);
+	return run;
 }
 
 void ph_run_stop(struct ph_pool *pool, struct ph_executor *x,
@@ -517,17 +534,74 @@
 /* ## Timeouts */
 
 static void log_expired(const struct ph_executor *x, const struct ph_run *run,
-			uint64_t now_us)
+			uint32_t runs_there, uint64_t now_us)
 {
-	static const char *const states[] = { "starting", "running", "stopping",
-					      "orphaned" };
-
 	ph_event(PART,
 		 "event=lease_expired job=%s task=%u run=%llu executor=%s "
-		 "state=%s acknowledged=%d age_us=%llu",
+		 "state=%s acknowledged=%d age_us=%llu runs_there=%u "
+		 "unreachable_for_us=%llu",
 		 run->job, run->index, (unsigned long long)run->run, x->info.id,
-		 states[run->state], run->acked_us != 0,
-		 (unsigned long long)(now_us - run->created_us));
+		 ph_run_state_name(run->state), run->acked_us != 0,
+		 (unsigned long long)(now_us - run->created_us), runs_there,
+		 (unsigned long long)(now_us - x->unreachable_us));
+}
+
+/* Whether many other executors became unreachable when this one did. */
+static bool lost_with_many(const struct ph_pool *pool,
+			   const struct ph_executor *x)
+{
+	const struct ph_executor *other;
+	uint32_t all = 0;
+	uint32_t lost = 0;
+
+	for (other = pool->executors; other; other = other->next) {
+		all += other->listed;
+		lost += other->unreachable_us + LOST_AT_ONCE_US >
+				x->unreachable_us &&
+			other->unreachable_us <
+				x->unreachable_us + LOST_AT_ONCE_US;
+	}
+	return lost >= WIDESPREAD_EXECUTORS &&
+	       lost * 100 > all * WIDESPREAD_PERCENT;
+}
+
+/* Whether a run is lost with its executor: all that may run there are, or,
+ * after a restart, those that the answer to a poll shows to be gone. */
+static bool lost_with(const struct ph_executor *x, const struct ph_run *run,
+		      const struct ph_poll_reply *reply)
+{
+	return !run->forgotten && (!reply || ph_run_gone(x, run, reply));
+}
+
+void ph_executor_lost(struct ph_pool *pool, struct ph_executor *x,
+		      enum ph_loss_cause cause,
+		      const struct ph_poll_reply *reply, uint64_t now_us)
+{
+	static const char *const causes[] = { "restarted", "lease_expired",
+					      "pool_released" };
+	struct ph_loss loss = {
+		.executor = ph_executor_hash(x->info.id),
+		.doubtful = cause == PH_LOSS_POOL_RELEASED ||
+			    lost_with_many(pool, x),
+		.crashed = cause == PH_LOSS_RESTARTED || x->refuses,
+	};
+	const struct ph_run *run;
+
+	for (run = x->runs; run; run = run->next)
+		loss.runs += lost_with(x, run, reply);
+	if (!loss.runs)
+		return;
+	pool->counters.lost_executors++;
+	ph_event(PART,
+		 "event=executor_lost executor=%s cause=%s runs=%u "
+		 "doubtful=%d crashed=%d",
+		 x->info.id, causes[cause], loss.runs, loss.doubtful,
+		 loss.crashed);
+	for (run = x->runs; run; run = run->next)
+		if (lost_with(x, run, reply))
+			ph_crashes_add(pool->crashes, now_us,
+				       ph_hash_str(run->job), run->index,
+				       &loss);
 }
 
 /* True if no lease that this owner or another one has sent to the executor can
@@ -572,15 +646,21 @@
 			uint64_t now_us)
 {
 	struct ph_run *run = x->runs;
+	uint32_t runs_there = 0;
 
 	if (!run || (!x->poll_failures && ph_lease_renewed(pool, x, now_us)) ||
 	    !leases_expired(pool, x, now_us))
 		return;
-	while (run) {
+	for (; run; run = run->next)
+		runs_there += !run->forgotten;
+	/* One that answers, or refuses the token, has not crashed. */
+	if (x->poll_failures && !x->rejected_us)
+		ph_executor_lost(pool, x, PH_LOSS_LEASE_EXPIRED, NULL, now_us);
+	for (run = x->runs; run;) {
 		struct ph_run *next = run->next;
 
 		if (!run->forgotten) {
-			log_expired(x, run, now_us);
+			log_expired(x, run, runs_there, now_us);
 			pool->counters.expired_runs++;
 			if (may_begin(run))
 				run_forget(pool, run, now_us);
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -116,11 +116,15 @@
 			  << (x->poll_failures < 4 ? x->poll_failures - 1 : 3);
 	if (reply->status == PH_CALL_FENCED)
 		ph_pool_fenced_by(pool, x, now_us);
-	if (!x->poll_failures)
+	if (!x->poll_failures) {
+		x->unreachable_us = now_us;
+		x->refuses = false;
 		ph_event(
 			PART,
 			"event=executor_unreachable executor=%s call_status=%d",
 			x->info.id, (int)reply->status);
+	}
+	x->refuses = x->refuses || reply->status == PH_CALL_UNSENT;
 	x->poll_failures++;
 	x->next_poll_us =
 		now_us +
@@ -304,22 +308,41 @@
 	return false;
 }
 
-/* Drops runs that the poll doesn't report, if they are orphaned or their latest
- * command was acknowledged before the poll was sent: their lease expired, or
- * they were stopped before they began. */
+bool ph_run_gone(const struct ph_executor *x, const struct ph_run *run,
+		 const struct ph_poll_reply *reply)
+{
+	return (run->state == PH_RUN_ORPHANED ||
+		(run->acked_us && run->acked_us < x->poll_sent_us)) &&
+	       !reported_in(run, reply->running, reply->running_count);
+}
+
+static void log_lost(const struct ph_executor *x, const struct ph_run *run,
+		     bool restarted, uint64_t now_us)
+{
+	ph_event(PART,
+		 "event=run_lost job=%s task=%u run=%llu executor=%s cause=%s "
+		 "state=%s age_us=%llu",
+		 run->job, run->index, (unsigned long long)run->run, x->info.id,
+		 restarted ? "restarted" : "not_reported",
+		 ph_run_state_name(run->state),
+		 (unsigned long long)(now_us - run->created_us));
+}
+
+/* Drops runs that are gone without an end: the executor restarted, their lease
+ * expired, or they were stopped before they began. */
 static void drop_absent(struct ph_pool *pool, struct ph_executor *x,
-			const struct ph_poll_reply *reply)
+			const struct ph_poll_reply *reply, bool restarted,
+			uint64_t now_us)
 {
 	struct ph_run *run = x->runs;
 
 	while (run) {
 		struct ph_run *next = run->next;
-		bool orphaned = run->state == PH_RUN_ORPHANED;
 
-		if ((orphaned ||
-		     (run->acked_us && run->acked_us < x->poll_sent_us)) &&
-		    !reported_in(run, reply->running, reply->running_count))
+		if (ph_run_gone(x, run, reply)) {
+			log_lost(x, run, restarted, now_us);
 			ph_run_drop_requeue(pool, x, run);
+		}
 		run = next;
 	}
 }
@@ -328,6 +351,7 @@
 		       const struct ph_poll_reply *reply)
 {
 	struct ph_executor *x;
+	bool restarted;
 	size_t i;
 
 	for (x = pool->executors; x; x = x->next)
@@ -354,12 +378,19 @@
 			 "event=executor_reachable executor=%s failures=%u",
 			 x->info.id, x->poll_failures);
 	x->ends_delayed = x->poll_failures;
+	restarted = x->started_ms && reply->started_ms &&
+		    reply->started_ms != x->started_ms;
+	if (restarted && !x->poll_failures)
+		x->unreachable_us = now_us;
+	if (restarted)
+		executor_restarted(pool, x, reply);
+	if (x->poll_failures)
+		ph_crashes_executor_back(pool->crashes,
+					 ph_executor_hash(x->info.id),
+					 x->unreachable_us, restarted);
 	x->poll_failures = 0;
-	if (reply->started_ms && reply->started_ms != x->started_ms) {
-		if (x->started_ms)
-			executor_restarted(pool, x, reply);
+	if (reply->started_ms)
 		x->started_ms = reply->started_ms;
-	}
 	x->clock_ms = reply->clock_ms;
 	x->clock_us = now_us;
 	x->poll_ok_us = now_us;
@@ -376,7 +407,9 @@
 	if (!x->polled)
 		expect_earlier_lease(pool, x);
 	x->polled = true;
-	drop_absent(pool, x, reply);
+	if (restarted)
+		ph_executor_lost(pool, x, PH_LOSS_RESTARTED, reply, now_us);
+	drop_absent(pool, x, reply, restarted, now_us);
 	ph_pool_claim_orphans(pool, now_us);
 	pool->dirty = true;
 	ph_poll_send(pool, x, now_us);
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -84,6 +84,10 @@
 	bool loses_stops = false;
 	/** Factor on the run times. */
 	double slow = 1.0;
+	/** Crashes so far; the calls that waited there are not answered. */
+	uint32_t crashes = 0;
+	/** Refuses connections. */
+	bool refuses = false;
 };
 
 /** An instance that owns, or may own, the pool, and the results it sent. */
@@ -115,6 +119,8 @@
 	std::map<std::string, uint64_t> duration_us;
 	/** Cores of each task in thousandths, by job. */
 	std::map<std::string, uint32_t> cpu_of;
+	/** Share of its declared cores that a run is reported to use. */
+	uint32_t reported_cpu_percent = 100;
 
 	World(size_t count, uint32_t cpu);
 	~World();
@@ -145,6 +151,10 @@
 	Executor *find(const std::string &id);
 	/** The executor restarts with the same id and has forgotten all. */
 	static void restart(Executor *x);
+	/** Ends everything on an executor, which no call reaches for down_us
+	 * and which then is a new incarnation. Until then it refuses
+	 * connections, or, if silent, leaves calls unanswered. */
+	void crash(Executor *x, uint64_t down_us, bool silent = false);
 
       private:
 	uint64_t last_seq = 0;
