--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -769,6 +769,37 @@
 	}
 }
 
+/* Each new owner waits for the batches of the runs that it finds. If owners
+ * fail in turn, these waits must not add up: the caller of a run whose instance
+ * failed first submits the job again meanwhile. */
+TEST(Resubmission, RunsEndBeforeTheCallerRetriesIfOwnersFailInTurn)
+{
+	for (uint64_t second_ms = 300; second_ms <= 1200; second_ms += 50) {
+		SCOPED_TRACE(second_ms);
+		Group g({ "north" }, 4);
+		Instance *first;
+		Instance *second;
+
+		for (const char *name : { "n1", "n2", "n3", "n4" })
+			g.add(name, "north");
+		g.run_for(1500 * kMs);
+		first = g.owner_of("north");
+		ASSERT_NE(first, nullptr);
+		g.submit(first, 4, 3000 * kMs, 12000 * kMs);
+		g.run_for(200 * kMs);
+		ASSERT_EQ(g.running(), 4U);
+		for (auto &i : g.instances)
+			g.dark.insert(i->name);
+		g.kill(first);
+		g.run_for(second_ms * kMs);
+		second = g.owner_of("north");
+		if (second)
+			g.kill(second);
+		g.run_for(kResendUs - second_ms * kMs - 10 * kMs);
+		EXPECT_EQ(g.running(), 0U);
+	}
+}
+
 /* Messages of an instance take ever longer, as on a link whose queue fills. Its
  * heartbeats go on arriving after its end, and a cancellation arrives late. */
 TEST(Resubmission, RunsEndInTimeIfMessagesAreLongInTransit)
