Keep found runs for 150 ms

While a run that an owner has found waits for its batch, no lease is renewed and nothing starts on its executor. Submitters know of the old owner's death by the time at which the pool is claimed, so that the batches arrive within a few ticks; what is not claimed then is stopped, in time to renew the lease for the others. 350 ms came from a time at which the wait cost nothing.

--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -9,10 +9,12 @@
 /* Margin added to the longest duration of a stop. */
 #define STOP_MARGIN_US 10000U
 /* Time for which orphaned runs wait for the batches of a dead owner to be
- * submitted again: two heartbeats and a round trip. Then they are stopped. The
- * first poll shows all runs of earlier owners, as their tokens are refused from
- * then on; a run that appears later waits for nothing. */
-#define CLAIM_US 350000U
+ * submitted again: their submitters know of its death, so the claim of the pool
+ * and the batches are on their way for a few ticks each. Then they are stopped,
+ * in time to renew the lease of the others on the executor. The first poll
+ * shows all runs of earlier owners, as their tokens are refused from then on; a
+ * run that appears later waits for nothing. */
+#define CLAIM_US 150000U
 /* Time without an acknowledgement after which a stop is overdue. With the time
  * until a lost submitter is noticed, and the lease that was renewed last on a
  * slow clock, it has to end before the caller retries; a stop that got lost is
