--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "pool_world.h"
@@ -1171,6 +1173,40 @@
 	EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
 }
 
+/* A new instance takes the pool over before it has the list of executors, and
+ * finds the runs before their batch arrives. */
+TEST(Pool, RunsFoundOnExecutorsListedAfterTheTakeOverAreNoSecondRuns)
+{
+	for (uint64_t gap_ms = 0; gap_ms <= 340; gap_ms += 20) {
+		SCOPED_TRACE("batch " + std::to_string(gap_ms) +
+			     " ms after the list");
+		World w(8, 16000);
+		Owner *a = ready_owner(&w);
+		std::vector<Executor> later;
+		Owner *b;
+		uint64_t seq = w.submit(a, "a", 8, 600 * kMs, 600 * kMs,
+					900 * kMs, kCallerTimeout);
+
+		w.run_until(w.now_us + 100 * kMs);
+		later.swap(w.executors);
+		b = w.add_owner();
+		/* Listed in another order, so that others come first. */
+		std::reverse(later.begin(), later.end());
+		later.swap(w.executors);
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		w.list(b);
+		w.run_until(w.now_us + gap_ms * kMs);
+		ph_pool_release(a->pool, w.now_us);
+		w.resubmit(a, b, seq);
+		w.run_until(w.now_us + 1500 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		/* Later batches find their runs stopped, and start again. */
+		if (gap_ms <= 120)
+			EXPECT_EQ(w.starts, 8);
+		EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
+	}
+}
+
 TEST(Pool, UnclaimedRunsAreStoppedBeforeTheCallerRetries)
 {
 	World w(2, 16000);
