--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -1201,8 +1201,9 @@
 		w.run_until(w.now_us + 1500 * kMs);
 		EXPECT_EQ(w.concurrent_runs, 0);
 		/* Later batches find their runs stopped, and start again. */
-		if (gap_ms <= 120)
+		if (gap_ms <= 120) {
 			EXPECT_EQ(w.starts, 8);
+		}
 		EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
 	}
 }
