Only a refused connection counts as the crash of an executor

Cause: a poll that was not sent counted as a refused connection, and so as a certain crash. A connection that is not established in time is not sent either, as where the executor is cut off.

Change: the HTTP client tells a refused connection (ECONNREFUSED) from others, and the pool gets a call status of its own for it.

Evidence: CrashingTasks.NoTaskIsGivenUpWhileItsExecutorsMayBeCutOff, new case, fails if unsent polls count; Httpc.ARefusedConnectionIsToldFromOneThatTimesOut.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -386,6 +386,14 @@
 	return PH_ERR_IO;
 }
 
+static bool connection_refused(CURL *easy, CURLcode code)
+{
+	long os_errno = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &os_errno);
+	return code == CURLE_COULDNT_CONNECT && os_errno == ECONNREFUSED;
+}
+
 static void unlink_active(struct ph_httpc *client, struct transfer *t)
 {
 	if (t->previous)
@@ -406,6 +414,8 @@
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&t);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	result.err = error_of(t, code);
+	if (result.err == PH_ERR_UNREACHABLE)
+		result.refused = connection_refused(easy, code);
 	result.status = (int)status;
 	result.index = t->index;
 	result.closing = t->closing;
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -33,6 +33,9 @@
 	 * processed the request. PH_ERR_IO: it may have.
 	 */
 	int err;
+	/** With PH_ERR_UNREACHABLE: the connection was refused, rather than not
+	 * established in time. */
+	bool refused;
 	/** HTTP status, 0 if there is none. */
 	int status;
 	/** Value of the X-Consul-Index header, or 0. */
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -233,7 +233,7 @@
 {
 	uint64_t missing_us = ph_pool_timeout_us(pool) / UNANSWERED_DIVISOR;
 
-	if (status == PH_CALL_UNSENT)
+	if (ph_call_unsent(status))
 		return;
 	if (status == PH_CALL_UNKNOWN) {
 		pool->call_us = smoothed(pool->call_us, missing_us);
@@ -438,10 +438,9 @@
 		break;
 	}
 	if (status != PH_CALL_OLD_RUN && status != PH_CALL_LATE)
-		ph_executor_failed(x,
-				   status == PH_CALL_UNSENT ? &x->unanswered
-							    : &x->faults,
-				   now_us);
+		ph_executor_failed(
+			x, ph_call_unsent(status) ? &x->unanswered : &x->faults,
+			now_us);
 	ph_event(PART,
 		 "event=start_refused job=%s task=%u run=%llu executor=%s "
 		 "call_status=%d",
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -124,7 +124,7 @@
 			"event=executor_unreachable executor=%s call_status=%d",
 			x->info.id, (int)reply->status);
 	}
-	x->refuses = x->refuses || reply->status == PH_CALL_UNSENT;
+	x->refuses = x->refuses || reply->status == PH_CALL_REFUSED;
 	x->poll_failures++;
 	x->next_poll_us =
 		now_us +
--- a/src/pool_probe.c
+++ b/src/pool_probe.c
@@ -73,6 +73,6 @@
 		   enum ph_call_status status, uint64_t now_us)
 {
 	x->poll_call = 0;
-	if (status != PH_CALL_UNKNOWN && status != PH_CALL_UNSENT)
+	if (status != PH_CALL_UNKNOWN && !ph_call_unsent(status))
 		pool->reached_us = now_us;
 }
--- a/src/pool_types.h
+++ b/src/pool_types.h
@@ -208,8 +208,17 @@
 	PH_CALL_INVALID,
 	/** No answer: the call may have been carried out, or may be later. */
 	PH_CALL_UNKNOWN,
+	/** Not sent: the connection was refused, as nothing listens at the
+	 * executor's address. */
+	PH_CALL_REFUSED,
 };
 
+/** Whether a call did not reach the executor. */
+static inline bool ph_call_unsent(enum ph_call_status status)
+{
+	return status == PH_CALL_UNSENT || status == PH_CALL_REFUSED;
+}
+
 struct ph_run_command_reply {
 	enum ph_call_status status;
 	/** The executor's clock, or 0. */
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -135,6 +135,9 @@
 				what(x);
 			else if (x && x->refuses)
 				w->at(w->now_us + kLatencyUs,
+				      [=] { on_lost(PH_CALL_REFUSED); });
+			else if (x && x->drops_connections)
+				w->at(w->now_us + timeout_us,
 				      [=] { on_lost(PH_CALL_UNSENT); });
 			else
 				w->at(w->now_us + timeout_us,
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -88,6 +88,9 @@
 	uint32_t crashes = 0;
 	/** Refuses connections. */
 	bool refuses = false;
+	/** Where it can't be reached, connections are not established, so that
+	 * calls are known not to have been sent. */
+	bool drops_connections = false;
 };
 
 /** An instance that owns, or may own, the pool, and the results it sent. */
--- a/test/test_crashing_tasks.cc
+++ b/test/test_crashing_tasks.cc
@@ -455,14 +455,14 @@
 	}
 }
 
-// Polls of an executor get lost for longer than its lease lasts, again and
-// again while a task runs there alone, and its job is said to have failed.
-TEST(CrashingTasks, NoTaskIsGivenUpWhileItsExecutorsMayBeCutOff)
+void run_on_executors_that_are_cut_off(bool drops_connections)
 {
 	CrashWorld w(12, 16000);
 	Owner *o = ready_owner(&w);
 	uint64_t seq;
 
+	for (Executor &x : w.executors)
+		x.drops_connections = drops_connections;
 	seq = w.submit_request(
 		o, request_of("long", 1, 2500 * kMs, kLongTimeout), 2500 * kMs);
 	for (int i = 0; i < 4; i++) {
@@ -483,6 +483,17 @@
 	EXPECT_EQ(w.concurrent_runs, 0);
 }
 
+// Polls of an executor get lost for longer than its lease lasts, or find no
+// connection, again and again while a task runs there alone, and its job is
+// said to have failed.
+TEST(CrashingTasks, NoTaskIsGivenUpWhileItsExecutorsMayBeCutOff)
+{
+	for (bool drops_connections : { false, true }) {
+		SCOPED_TRACE(drops_connections);
+		run_on_executors_that_are_cut_off(drops_connections);
+	}
+}
+
 struct FleetCase {
 	const char *what;
 	/** Executors that crash at the same time, and how often. */
--- a/test/test_httpc.cc
+++ b/test/test_httpc.cc
@@ -166,8 +166,10 @@
 	ASSERT_NE(server, nullptr);
 	for (int round = 0; round < 3; round++) {
 		for (const ph_http_result &r :
-		     client.send(unanswered.port, kCalls, 100 * kMs))
+		     client.send(unanswered.port, kCalls, 100 * kMs)) {
 			EXPECT_EQ(r.err, PH_ERR_UNREACHABLE);
+			EXPECT_FALSE(r.refused);
+		}
 		for (const ph_http_result &r :
 		     client.send(port, kCalls, kTimeoutUs)) {
 			EXPECT_EQ(r.err, 0);
@@ -177,4 +179,24 @@
 	ph_httpd_free(server);
 }
 
+/* A connection that is not established in time looks like a port that nobody
+ * listens at, and a server that was cut off like one that has crashed. */
+TEST(Httpc, ARefusedConnectionIsToldFromOneThatTimesOut)
+{
+	RecordingClient client;
+	FullBacklogPort unanswered;
+	uint16_t closed;
+
+	close(bind_any(&closed));
+	for (const ph_http_result &r : client.send(closed, 2, 500 * kMs)) {
+		EXPECT_EQ(r.err, PH_ERR_UNREACHABLE);
+		EXPECT_TRUE(r.refused);
+	}
+	for (const ph_http_result &r :
+	     client.send(unanswered.port, 2, 100 * kMs)) {
+		EXPECT_EQ(r.err, PH_ERR_UNREACHABLE);
+		EXPECT_FALSE(r.refused);
+	}
+}
+
 } // namespace
