--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -1,10 +1,10 @@
 #ifndef PH_POOL_IMPL_H
 #define PH_POOL_IMPL_H
 
-/* Shared by the parts of the pool: pool.c (batches), pool_lease.c (leases and
- * run commands), pool_poll.c (polls of executors), pool_probe.c (reachability
- * of executors of other owners), pool_placement.c (in which order tasks start,
- * and on which executors). */
+/* Shared by the parts of the pool: pool.c (batches), pool_run.c (runs and run
+ * commands), pool_lease.c (leases), pool_poll.c (polls of executors),
+ * pool_probe.c (reachability of executors of other owners), pool_placement.c
+ * (in which order tasks start, and on which executors). */
 
 #include "pool.h"
 
@@ -280,7 +280,7 @@
 /** Lets resumed batches claim the orphaned runs and ends reported so far. */
 void ph_pool_claim_orphans(struct ph_pool *pool, uint64_t now_us);
 
-/* ## pool_lease.c */
+/* ## pool_run.c */
 
 struct ph_executor *ph_executor_find(struct ph_pool *pool, const char *id);
 void ph_executor_free(struct ph_pool *pool, struct ph_executor *executor);
@@ -299,6 +299,29 @@
 void ph_run_abandon(struct ph_pool *pool, struct ph_run *run, uint64_t now_us);
 /** Timeout of a call; without an answer until then its outcome is unknown. */
 uint64_t ph_pool_timeout_us(const struct ph_pool *pool);
+struct ph_run *ph_run_find(struct ph_executor *executor, const char *job,
+			   uint32_t index, uint64_t run);
+const char *ph_run_state_name(enum ph_run_state state);
+/** Frees a run that ended without success or never began; its task waits
+ * again. */
+void ph_run_drop_requeue(struct ph_pool *pool, struct ph_executor *executor,
+			 struct ph_run *run);
+/** Sends a stop command; the run's batch, if any, waits for the end. */
+void ph_run_stop(struct ph_pool *pool, struct ph_executor *executor,
+		 struct ph_run *run, uint64_t now_us);
+/** Handles the refusal of the token by an executor. The pool is fenced once at
+ * least half of the listed executors refuse it, or one does for long. */
+void ph_pool_fenced_by(struct ph_pool *pool, struct ph_executor *executor,
+		       uint64_t now_us);
+/** Counts a failure; from the second in a row on the executor is avoided for a
+ * while. */
+void ph_executor_failed(struct ph_executor *executor,
+			struct ph_backoff *backoff, uint64_t now_us);
+/** Resets the failure counts after a successful run. */
+void ph_executor_succeeded(struct ph_executor *executor);
+
+/* ## pool_lease.c */
+
 /** Lease end to send now, on the executor's clock; 0 if that clock is unknown.
  * The one sent last while the lease must not be renewed. */
 uint64_t ph_lease_end(struct ph_pool *pool, struct ph_executor *executor,
@@ -318,23 +341,9 @@
 /** Whether a lease lasts for long enough to start a task. */
 bool ph_lease_allows_start(const struct ph_pool *pool,
 			   const struct ph_executor *executor, uint64_t now_us);
-struct ph_run *ph_run_find(struct ph_executor *executor, const char *job,
-			   uint32_t index, uint64_t run);
 /** Time, from the first report, for which a batch may claim a run that this
  * owner has not started. */
 uint64_t ph_run_claim_us(const struct ph_executor *executor);
-const char *ph_run_state_name(enum ph_run_state state);
-/** Frees a run that ended without success or never began; its task waits
- * again. */
-void ph_run_drop_requeue(struct ph_pool *pool, struct ph_executor *executor,
-			 struct ph_run *run);
-/** Sends a stop command; the run's batch, if any, waits for the end. */
-void ph_run_stop(struct ph_pool *pool, struct ph_executor *executor,
-		 struct ph_run *run, uint64_t now_us);
-/** Handles the refusal of the token by an executor. The pool is fenced once at
- * least half of the listed executors refuse it, or one does for long. */
-void ph_pool_fenced_by(struct ph_pool *pool, struct ph_executor *executor,
-		       uint64_t now_us);
 /** How an owner learns of the loss of an executor. */
 enum ph_loss_cause {
 	/** It answers a poll in a new incarnation. */
@@ -353,12 +362,6 @@
 		      const struct ph_poll_reply *reply, uint64_t now_us);
 /** Sends polls and stops that are due and drops runs whose lease expired. */
 void ph_lease_tick(struct ph_pool *pool, uint64_t now_us);
-/** Counts a failure; from the second in a row on the executor is avoided for a
- * while. */
-void ph_executor_failed(struct ph_executor *executor,
-			struct ph_backoff *backoff, uint64_t now_us);
-/** Resets the failure counts after a successful run. */
-void ph_executor_succeeded(struct ph_executor *executor);
 
 /* ## pool_poll.c */
 
