--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -284,6 +284,8 @@
 
 struct ph_executor *ph_executor_find(struct ph_pool *pool, const char *id);
 void ph_executor_free(struct ph_pool *pool, struct ph_executor *executor);
+/** Whether it has a run that this owner has found and no batch has claimed. */
+bool ph_executor_has_unclaimed(const struct ph_executor *executor);
 /** Adds a run and reserves its capacity. */
 struct ph_run *ph_run_add(struct ph_pool *pool, struct ph_executor *executor,
 			  const char *job, uint32_t index, uint64_t number,
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -48,16 +48,6 @@
 	return x->polled ? 0 : CLAIM_US;
 }
 
-static bool has_unclaimed_run(const struct ph_executor *x)
-{
-	const struct ph_run *run;
-
-	for (run = x->runs; run; run = run->next)
-		if (run->unclaimed)
-			return true;
-	return false;
-}
-
 bool ph_executor_followed(const struct ph_executor *x, uint64_t now_us)
 {
 	return x->listed || now_us < x->unlisted_us + UNLISTED_US;
@@ -66,7 +56,8 @@
 bool ph_lease_renewed(const struct ph_pool *pool, const struct ph_executor *x,
 		      uint64_t now_us)
 {
-	return !x->stops_overdue && !pool->fenced && !has_unclaimed_run(x) &&
+	return !x->stops_overdue && !pool->fenced &&
+	       !ph_executor_has_unclaimed(x) &&
 	       (x->listed || now_us < x->unlisted_us + UNLISTED_RENEWED_US);
 }
 
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -223,18 +223,6 @@
 	return false;
 }
 
-/* Whether an executor has runs of which it is not known what they need. Not all
- * executors guard their capacity. */
-static bool room_unknown(const struct ph_executor *x)
-{
-	const struct ph_run *run;
-
-	for (run = x->runs; run; run = run->next)
-		if (run->unclaimed)
-			return true;
-	return false;
-}
-
 /* Whether one more executor may be set aside. */
 static bool may_set_aside(const struct ph_pool *pool, uint64_t now_us)
 {
@@ -291,10 +279,13 @@
 	struct ph_executor *x;
 
 	for (x = pool->executors; x; x = x->next) {
+		/* It is not known what an unclaimed run needs, and not all
+		 * executors guard their capacity. */
 		if (strcmp(x->info.service, w->service) != 0 ||
 		    !ph_executor_usable(pool, x, now_us) ||
 		    !ph_capacity_fits(&x->info.capacity, &x->used, &w->need) ||
-		    !label_ok(x, w->label) || set_aside(x) || room_unknown(x))
+		    !label_ok(x, w->label) || set_aside(x) ||
+		    ph_executor_has_unclaimed(x))
 			continue;
 		/* After a failure an executor gets one run at a time until one
 		 * succeeds. */
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -135,6 +135,16 @@
 		ph_batch_task_requeue(pool, batch, index);
 }
 
+bool ph_executor_has_unclaimed(const struct ph_executor *x)
+{
+	const struct ph_run *run;
+
+	for (run = x->runs; run; run = run->next)
+		if (run->unclaimed)
+			return true;
+	return false;
+}
+
 void ph_executor_free(struct ph_pool *pool, struct ph_executor *x)
 {
 	while (x->runs)
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -1087,6 +1087,15 @@
 	EXPECT_EQ(ph_pool_counters(o->pool)->orphans_stopped, 1U);
 }
 
+/* Cuts the executors that have runs off from one owner, the others off from
+ * another one. */
+void cut_apart(World *w, const Owner *a, const Owner *b)
+{
+	for (Executor &x : w->executors)
+		x.unreachable_from = { x.running.empty() ? b->number
+							 : a->number };
+}
+
 /* An owner can't reach an executor, and does not learn that another instance
  * has taken the pool over and has found its runs there. It starts their tasks
  * elsewhere when the lease that it sent has expired. */
@@ -1102,9 +1111,7 @@
 					3000 * kMs, 8000 * kMs);
 
 		w.run_until(t0 + 100 * kMs);
-		for (Executor &x : w.executors)
-			x.unreachable_from = { x.running.empty() ? b->number
-								 : a->number };
+		cut_apart(&w, a, b);
 		w.run_until(w.now_us + found_ms * kMs);
 		ph_pool_acquire(b->pool, w.now_us, 2000);
 		w.run_until(t0 + 7500 * kMs);
@@ -1129,9 +1136,7 @@
 					  3000 * kMs, 8000 * kMs);
 
 		w.run_until(t0 + 100 * kMs);
-		for (Executor &x : w.executors)
-			x.unreachable_from = { x.running.empty() ? b->number
-								 : a->number };
+		cut_apart(&w, a, b);
 		w.run_until(w.now_us + found_ms * kMs);
 		ph_pool_acquire(b->pool, w.now_us, 2000);
 		w.run_until(w.now_us + 20 * kMs);
