Renew the lease of a found run as soon as a batch claims it

Found by review: after the death of an owner most runs lapsed although their batches claimed them within 20 ms.

Cause: the long poll that the new owner sends while runs are unclaimed renews no lease, and waits for up to 175 ms; the lease was renewed by the next one only.

Change: a claim sends a poll at once; the answer to the one before is ignored.

--- a/src/pool.c
+++ b/src/pool.c
@@ -295,6 +295,9 @@
 	b->waiting--;
 	b->request->possible_executor[run->index] = PH_EXECUTOR_NONE;
 	b->started = true;
+	/* The long poll under way may have renewed no lease. */
+	x->poll_call = 0;
+	x->next_poll_us = 0;
 	pool->counters.claimed_runs++;
 }
 
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -1032,6 +1032,54 @@
 	}
 }
 
+/* Another instance takes over an executor and claims a run there. Its first
+ * owner, which the cancellation of the batch does not reach, can't reach the
+ * executor from lost_us after the claim on. Returns the number of tasks that
+ * ran twice at once. */
+int lose_executor_after_claim(uint64_t lost_us)
+{
+	World w(6, 16000);
+	Owner *a = ready_owner(&w);
+	Owner *b = w.add_owner();
+	uint64_t t0 = w.now_us;
+	uint64_t seq = w.submit(a, "a", 1, 2500 * kMs, 2500 * kMs, 3000 * kMs,
+				8000 * kMs);
+	Executor *shared = nullptr;
+
+	w.run_until(t0 + 100 * kMs);
+	for (Executor &x : w.executors)
+		if (x.running.empty())
+			x.unreachable_from = { b->number };
+		else
+			shared = &x;
+	ph_pool_acquire(b->pool, w.now_us, 2000);
+	w.run_until(w.now_us + 10 * kMs);
+	w.resubmit(a, b, seq);
+	w.run_until(w.now_us + lost_us);
+	shared->unreachable_from = { a->number };
+	w.run_until(t0 + 2500 * kMs);
+	EXPECT_EQ(ph_pool_counters(b->pool)->claimed_runs, 1U);
+	return w.concurrent_runs;
+}
+
+/* The first owner's token has been refused, so it knows of the other one. */
+TEST(Pool, ARunThatAnotherOwnerHasClaimedIsNotTakenForExpired)
+{
+	for (uint64_t lost_ms = 40; lost_ms <= 600; lost_ms += 20) {
+		SCOPED_TRACE(lost_ms);
+		EXPECT_EQ(lose_executor_after_claim(lost_ms * kMs), 0);
+	}
+}
+
+/* The first owner has seen nothing of the other one. */
+TEST(Pool, ARunThatAnUnknownOwnerHasClaimedIsNotTakenForExpired)
+{
+	for (uint64_t lost_ms = 0; lost_ms <= 20; lost_ms += 20) {
+		SCOPED_TRACE(lost_ms);
+		EXPECT_EQ(lose_executor_after_claim(lost_ms * kMs), 0);
+	}
+}
+
 /* An owner that another one had replaced for a while takes the pool back. It
  * knows a run that the other one started from a long poll that was under way,
  * but not how long the other one's lease lasts. */
@@ -1213,6 +1261,32 @@
 	}
 }
 
+/* The lease of found runs is not renewed before a batch claims them. It must be
+ * renewed then, and not when a long poll without a lease has ended, or the runs
+ * lapse though all of them have been claimed. */
+TEST(Pool, ClaimedRunsOfADeadOwnerAreNotInterrupted)
+{
+	for (uint64_t phase_ms = 0; phase_ms < 180; phase_ms += 10) {
+		SCOPED_TRACE(phase_ms);
+		World w(4, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		uint64_t seq = w.submit(a, "a", 8, 1500 * kMs, 1500 * kMs,
+					3000 * kMs, 8000 * kMs);
+
+		w.run_until(w.now_us + (100 + phase_ms) * kMs);
+		a->frozen = true;
+		w.run_until(w.now_us + 480 * kMs);
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		w.run_until(w.now_us + 20 * kMs);
+		w.resubmit(a, b, seq);
+		w.run_until(w.now_us + 3000 * kMs);
+		EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
+		EXPECT_EQ(w.starts, 8);
+		EXPECT_EQ(w.concurrent_runs, 0);
+	}
+}
+
 TEST(Pool, UnclaimedRunsAreStoppedBeforeTheCallerRetries)
 {
 	World w(2, 16000);
