Remember a cancellation also while the pool has another owner

Found by review: a cancellation that arrived between two terms of an owner was not remembered, so that a submission still on its way started the batch.

Evidence: Pool.ABatchThatWasCancelledBetweenTwoTermsIsNotStarted failed before (4 starts).

--- a/src/pool.c
+++ b/src/pool.c
@@ -545,8 +545,7 @@
 {
 	struct ph_batch *b = batch_find(pool, submitter, seq);
 
-	if (pool->owned)
-		remember_closed(pool, now_us, submitter, seq);
+	remember_closed(pool, now_us, submitter, seq);
 	if (!b)
 		return;
 	ph_event(PART, "event=batch_cancelled job=%s tasks_left=%u",
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -382,6 +382,24 @@
 	EXPECT_EQ(w.starts, 4);
 }
 
+/* The cancellation arrives while the pool has another owner, and the batch
+ * after this one has it back. */
+TEST(Pool, ABatchThatWasCancelledBetweenTwoTermsIsNotStarted)
+{
+	World w(4, 16000);
+	Owner *o = ready_owner(&w);
+
+	ph_pool_release(o->pool, w.now_us);
+	ph_pool_cancel(o->pool, w.now_us, "submitter", 1);
+	ph_pool_acquire(o->pool, w.now_us, 2000);
+	w.run_until(w.now_us + 50 * kMs);
+	ASSERT_EQ(w.submit(o, "a", 4, 60 * kMs, 60 * kMs, kTarget,
+			   kCallerTimeout),
+		  1U);
+	w.run_until(w.now_us + 300 * kMs);
+	EXPECT_EQ(w.starts, 0);
+}
+
 /* Many cancellations arrive before their batches: none of the batches starts.
  */
 TEST(Pool, ManyCancellationsAreAllRemembered)
