Answer at once a job whose task is not started again

A task under which five executors were lost for any cause is not started again, but its caller got the answer only when its time was over.

Change: its batch ends at once as interrupted (502), like one that is given up, which is said to have failed. What the caller is told stays true: the tasks may have run.

--- a/src/pool.c
+++ b/src/pool.c
@@ -434,31 +434,36 @@
 	batch_end(pool, b, now_us);
 }
 
-/* The first waiting task of a batch that is not to be started again, as it
- * crashes executors; the number of tasks if there is none. */
-static uint32_t given_up_task(const struct ph_pool *pool,
-			      const struct ph_batch *b)
+/* Ends a batch of which a waiting task is not started any more, since executors
+ * were lost under it. Returns false if there is no such task. */
+static bool batch_give_up(struct ph_pool *pool, struct ph_batch *b,
+			  uint64_t now_us)
 {
+	bool crashes = false;
 	uint32_t i;
 
 	if (!b->waiting || !ph_crashes_has_job(pool->crashes, b->job_hash))
-		return b->request->count;
-	for (i = 0; i < b->request->count; i++)
-		if (b->tasks[i].state == PH_BATCH_TASK_WAITING &&
-		    ph_crashes_given_up(pool->crashes, b->job_hash, i))
+		return false;
+	for (i = 0; i < b->request->count; i++) {
+		if (b->tasks[i].state != PH_BATCH_TASK_WAITING)
+			continue;
+		crashes = ph_crashes_given_up(pool->crashes, b->job_hash, i);
+		if (crashes ||
+		    ph_crashes_exhausted(pool->crashes, b->job_hash, i))
 			break;
-	return i;
-}
-
-static void batch_give_up(struct ph_pool *pool, struct ph_batch *b,
-			  uint32_t index, uint64_t now_us)
-{
-	ph_event(PART, "event=task_given_up job=%s task=%u", b->request->job,
-		 index);
+	}
+	if (i == b->request->count)
+		return false;
+	ph_event(PART, "event=task_given_up job=%s task=%u crashes=%d",
+		 b->request->job, i, crashes);
 	pool->counters.given_up++;
-	batch_report(pool, b, PH_VERDICT_FAILED, 0, "a task crashes executors",
+	batch_report(pool, b, crashes ? PH_VERDICT_FAILED : PH_VERDICT_BROKEN,
+		     0,
+		     crashes ? "a task crashes executors"
+			     : "a task's executors were lost",
 		     now_us);
 	batch_end(pool, b, now_us);
+	return true;
 }
 
 static struct ph_batch *batch_new(struct ph_pool *pool, uint64_t now_us,
@@ -709,11 +714,9 @@
 	ph_lease_tick(pool, now_us);
 	while (b) {
 		struct ph_batch *next = b->next;
-		uint32_t given_up = given_up_task(pool, b);
 
-		if (given_up < b->request->count)
-			batch_give_up(pool, b, given_up, now_us);
-		else if (batch_overdue(pool, b, now_us))
+		if (!batch_give_up(pool, b, now_us) &&
+		    batch_overdue(pool, b, now_us))
 			batch_expire(pool, b, now_us);
 		b = next;
 	}
--- a/src/pool_crashes.c
+++ b/src/pool_crashes.c
@@ -70,6 +70,14 @@
 	return s && s->crashes >= PH_CRASHES_MAX;
 }
 
+bool ph_crashes_exhausted(const struct ph_crashes *c, uint64_t job,
+			  uint32_t index)
+{
+	const struct ph_suspect *s = ph_crashes_find(c, job, index);
+
+	return s && s->losses >= PH_LOSSES_MAX;
+}
+
 bool ph_crashes_suspected(const struct ph_crashes *c, uint64_t job,
 			  uint32_t index)
 {
--- a/src/pool_crashes.h
+++ b/src/pool_crashes.h
@@ -61,6 +61,10 @@
 /** Whether a task is given up: it crashes executors. */
 bool ph_crashes_given_up(const struct ph_crashes *crashes, uint64_t job,
 			 uint32_t index);
+/** Whether a task is not started again, though it is not known to be the cause
+ * of its losses. */
+bool ph_crashes_exhausted(const struct ph_crashes *crashes, uint64_t job,
+			  uint32_t index);
 /** Whether a task is to run alone on an executor. */
 bool ph_crashes_suspected(const struct ph_crashes *crashes, uint64_t job,
 			  uint32_t index);
--- a/test/test_crashing_tasks.cc
+++ b/test/test_crashing_tasks.cc
@@ -160,6 +160,8 @@
 		if (c.sound_interval)
 			submit_sound_jobs(&w, o, c.sound_interval,
 					  w.now_us + 5000 * kMs, &sound);
+		uint64_t answered_by_us = w.now_us + kLongTimeout / 2;
+
 		w.run_until(w.now_us + kLongTimeout + 2000 * kMs);
 		for (const std::string &key : w.deadly)
 			EXPECT_LE(w.crashed_under[key].size(), kCrashesMax)
@@ -168,6 +170,9 @@
 			EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_FAILED) ||
 				    (c.silent &&
 				     w.ended(o, seq, PH_VERDICT_BROKEN)));
+		/* The answer does not wait for the caller's deadline. */
+		for (uint64_t seq : bad)
+			EXPECT_LE(o->result_us[seq], answered_by_us);
 		for (uint64_t seq : sound)
 			EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
 		EXPECT_EQ(w.concurrent_runs, 0);
