Count only crashes under tasks that had begun, and one alone is not enough

Cause: a task was given up after two crashes, the last while it ran alone. A start that was never acknowledged, and perhaps never carried out, counted as the first; the second was an executor that crashed for another reason.

Change: a crash counts only against tasks that had begun there for certain (the start was acknowledged, or a poll reported the run). A crash weighs two if the task ran alone and one if not, and four are needed, so that no single crash convicts.

--- a/src/pool_crashes.c
+++ b/src/pool_crashes.c
@@ -5,9 +5,8 @@
 
 /* Entries kept; the oldest one makes room. */
 #define SUSPECTS_MAX 256U
-/* Crashes after which a task that ran alone when the last executor crashed is
- * given up. */
-#define CRASHES_ALONE 2U
+#define CRASH_WEIGHT_ALONE 2U
+#define CRASH_WEIGHT_BESIDE_OTHERS 1U
 /* Losses from which on a task is to run alone also if each of them is doubtful.
  */
 #define LOSSES_SUSPECTED 2U
@@ -67,7 +66,7 @@
 {
 	const struct ph_suspect *s = ph_crashes_find(c, job, index);
 
-	return s && s->crashes >= PH_CRASHES_MAX;
+	return s && s->crash_weight >= PH_CRASH_WEIGHT_MAX;
 }
 
 bool ph_crashes_exhausted(const struct ph_crashes *c, uint64_t job,
@@ -108,12 +107,23 @@
 	return s;
 }
 
+static uint32_t weight_of_last_crash(const struct ph_suspect *s)
+{
+	return s->alone ? CRASH_WEIGHT_ALONE : CRASH_WEIGHT_BESIDE_OTHERS;
+}
+
 static void count_crash(struct ph_suspect *s)
 {
 	s->crashed = true;
-	s->crashes++;
-	if (s->to_blame && s->crashes >= CRASHES_ALONE)
-		s->crashes = PH_CRASHES_MAX;
+	s->crash_weight += weight_of_last_crash(s);
+}
+
+static void uncount_crash(struct ph_suspect *s)
+{
+	uint32_t weight = weight_of_last_crash(s);
+
+	s->crashed = false;
+	s->crash_weight -= s->crash_weight < weight ? s->crash_weight : weight;
 }
 
 void ph_crashes_add(struct ph_crashes *c, uint64_t now_us, uint64_t job,
@@ -125,10 +135,11 @@
 	s->executor = loss->executor;
 	s->lost_us = now_us;
 	s->crashed = false;
-	s->to_blame = loss->runs == 1 && !loss->doubtful;
+	s->begun = loss->begun;
+	s->alone = loss->runs == 1 && !loss->doubtful;
 	if (!loss->doubtful || s->losses >= LOSSES_SUSPECTED)
 		s->suspected = true;
-	if (loss->crashed)
+	if (loss->crashed && s->begun)
 		count_crash(s);
 }
 
@@ -142,11 +153,12 @@
 
 		if (s->executor != executor || s->lost_us < since_us)
 			continue;
-		if (restarted && !s->crashed) {
+		if (restarted && s->begun && !s->crashed) {
 			count_crash(s);
 		} else if (!restarted && s->losses) {
 			s->losses--;
-			s->crashes -= s->crashed && s->crashes;
+			if (s->crashed)
+				uncount_crash(s);
 			s->executor = PH_EXECUTOR_NONE;
 		}
 	}
@@ -182,13 +194,14 @@
 {
 	struct ph_suspect *s = get(c, heard->job, heard->index);
 
-	if (heard->losses > s->losses || heard->crashes > s->crashes) {
+	if (heard->losses > s->losses ||
+	    heard->crash_weight > s->crash_weight) {
 		s->executor = PH_EXECUTOR_NONE;
 		s->lost_us = now_us;
 	}
 	if (heard->losses > s->losses)
 		s->losses = heard->losses;
-	if (heard->crashes > s->crashes)
-		s->crashes = heard->crashes;
+	if (heard->crash_weight > s->crash_weight)
+		s->crash_weight = heard->crash_weight;
 	s->suspected = s->suspected || heard->suspected;
 }
--- a/src/pool_crashes.h
+++ b/src/pool_crashes.h
@@ -16,9 +16,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** Executors that have crashed under a task after which it is given up, whoever
- * was the cause. */
-#define PH_CRASHES_MAX 4U
+/** Weight of the crashes under a task at which it is given up. A crash while it
+ * ran alone weighs two, any other one: each may have another cause, but a crash
+ * beside other tasks is the more likely to. */
+#define PH_CRASH_WEIGHT_MAX 4U
 /** Executors lost under a task after which it is not started again. They may
  * have been cut off, so its job is not said to have failed. */
 #define PH_LOSSES_MAX 5U
@@ -32,20 +33,21 @@
 	uint32_t index;
 	/** Executors lost under it. */
 	uint32_t losses;
-	/** Those of them that have crashed for certain; PH_CRASHES_MAX also if
-	 * it was shown to be the cause earlier. */
-	uint32_t crashes;
+	/** Weight of those of them that have crashed for certain. */
+	uint32_t crash_weight;
 	/** It is to run alone. */
 	bool suspected;
 	/** Hash of the executor that was lost last; PH_EXECUTOR_NONE: another
 	 * instance has seen the losses. */
 	uint32_t executor;
-	/** Whether that one has crashed for certain, and whether the task must
-	 * then be the cause. */
+	/** Whether that one has crashed for certain, and whether the task ran
+	 * there alone. */
 	bool crashed;
-	bool to_blame;
+	bool alone;
 	/** When the last loss was seen. */
 	uint64_t lost_us;
+	/** The task had begun there for certain. */
+	bool begun;
 };
 
 struct ph_crashes;
@@ -81,6 +83,9 @@
 	/** It has crashed for certain: it refuses connections, or it is back in
 	 * another incarnation. */
 	bool crashed;
+	/** The task had begun there for certain; else its start may have been
+	 * lost, and no crash counts against it. */
+	bool begun;
 };
 
 /** Counts a loss of an executor for a task that was there. */
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -171,11 +171,13 @@
 		 "doubtful=%d crashed=%d",
 		 x->info.id, causes[cause], loss.runs, loss.doubtful,
 		 loss.crashed);
-	for (run = x->runs; run; run = run->next)
-		if (lost_with(x, run, reply))
-			ph_crashes_add(pool->crashes, now_us,
-				       ph_hash_str(run->job), run->index,
-				       &loss);
+	for (run = x->runs; run; run = run->next) {
+		if (!lost_with(x, run, reply))
+			continue;
+		loss.begun = run->begun;
+		ph_crashes_add(pool->crashes, now_us, ph_hash_str(run->job),
+			       run->index, &loss);
+	}
 }
 
 /* True if no lease that this owner or another one has sent to the executor can
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -63,7 +63,7 @@
 	msgpack_pack_uint64(pk, s->job);
 	msgpack_pack_uint32(pk, s->index);
 	msgpack_pack_uint32(pk, s->losses);
-	msgpack_pack_uint32(pk, s->crashes);
+	msgpack_pack_uint32(pk, s->crash_weight);
 	msgpack_pack_uint32(pk, s->suspected);
 }
 
@@ -338,7 +338,7 @@
 	s->job = get_u64(r);
 	s->index = get_u32(r);
 	s->losses = get_u32(r);
-	s->crashes = get_u32(r);
+	s->crash_weight = get_u32(r);
 	s->suspected = get_u32(r) != 0;
 }
 
