A crash that follows the start of a lone task weighs more than a later one

Change: a crash within 0.1 s after the start weighs three, a later one two; four convict.

NoTaskIsGivenUpForOneCrashWhileItRanAlone fails if every crash of a lone task weighs three, and if starts count that were not acknowledged.

--- a/src/pool_crashes.c
+++ b/src/pool_crashes.c
@@ -5,8 +5,11 @@
 
 /* Entries kept; the oldest one makes room. */
 #define SUSPECTS_MAX 256U
-#define CRASH_WEIGHT_ALONE 2U
-#define CRASH_WEIGHT_BESIDE_OTHERS 1U
+/* What a crash weighs: any one may have another cause than the task, least so
+ * if it follows the start of a task that ran alone. */
+#define WEIGHT_ALONE_PROMPT 3U
+#define WEIGHT_ALONE 2U
+#define WEIGHT_BESIDE_OTHERS 1U
 /* Losses from which on a task is to run alone also if each of them is doubtful.
  */
 #define LOSSES_SUSPECTED 2U
@@ -107,23 +110,26 @@
 	return s;
 }
 
-static uint32_t weight_of_last_crash(const struct ph_suspect *s)
+static uint32_t crash_weight(const struct ph_loss *loss)
 {
-	return s->alone ? CRASH_WEIGHT_ALONE : CRASH_WEIGHT_BESIDE_OTHERS;
+	if (!loss->begun)
+		return 0;
+	if (loss->runs > 1 || loss->doubtful)
+		return WEIGHT_BESIDE_OTHERS;
+	return loss->prompt ? WEIGHT_ALONE_PROMPT : WEIGHT_ALONE;
 }
 
 static void count_crash(struct ph_suspect *s)
 {
 	s->crashed = true;
-	s->crash_weight += weight_of_last_crash(s);
+	s->crash_weight += s->last_weight;
 }
 
 static void uncount_crash(struct ph_suspect *s)
 {
-	uint32_t weight = weight_of_last_crash(s);
-
 	s->crashed = false;
-	s->crash_weight -= s->crash_weight < weight ? s->crash_weight : weight;
+	s->crash_weight -= s->crash_weight < s->last_weight ? s->crash_weight
+							    : s->last_weight;
 }
 
 void ph_crashes_add(struct ph_crashes *c, uint64_t now_us, uint64_t job,
@@ -135,11 +141,10 @@
 	s->executor = loss->executor;
 	s->lost_us = now_us;
 	s->crashed = false;
-	s->begun = loss->begun;
-	s->alone = loss->runs == 1 && !loss->doubtful;
+	s->last_weight = crash_weight(loss);
 	if (!loss->doubtful || s->losses >= LOSSES_SUSPECTED)
 		s->suspected = true;
-	if (loss->crashed && s->begun)
+	if (loss->crashed)
 		count_crash(s);
 }
 
@@ -153,7 +158,7 @@
 
 		if (s->executor != executor || s->lost_us < since_us)
 			continue;
-		if (restarted && s->begun && !s->crashed) {
+		if (restarted && !s->crashed) {
 			count_crash(s);
 		} else if (!restarted && s->losses) {
 			s->losses--;
--- a/src/pool_crashes.h
+++ b/src/pool_crashes.h
@@ -16,9 +16,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** Weight of the crashes under a task at which it is given up. A crash while it
- * ran alone weighs two, any other one: each may have another cause, but a crash
- * beside other tasks is the more likely to. */
+/** Weight of the crashes under a task at which it is given up. */
 #define PH_CRASH_WEIGHT_MAX 4U
 /** Executors lost under a task after which it is not started again. They may
  * have been cut off, so its job is not said to have failed. */
@@ -40,14 +38,12 @@
 	/** Hash of the executor that was lost last; PH_EXECUTOR_NONE: another
 	 * instance has seen the losses. */
 	uint32_t executor;
-	/** Whether that one has crashed for certain, and whether the task ran
-	 * there alone. */
+	/** Whether that one has crashed for certain, and what its crash weighs.
+	 */
 	bool crashed;
-	bool alone;
+	uint32_t last_weight;
 	/** When the last loss was seen. */
 	uint64_t lost_us;
-	/** The task had begun there for certain. */
-	bool begun;
 };
 
 struct ph_crashes;
@@ -86,6 +82,9 @@
 	/** The task had begun there for certain; else its start may have been
 	 * lost, and no crash counts against it. */
 	bool begun;
+	/** It was lost so soon after the start that the task is the likely
+	 * cause. */
+	bool prompt;
 };
 
 /** Counts a loss of an executor for a task that was there. */
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -35,6 +35,9 @@
  * once, the tasks on them are hardly the cause. */
 #define WIDESPREAD_EXECUTORS 3U
 #define WIDESPREAD_PERCENT 15U
+/* A task that crashes its executor does so within this time of its start, with
+ * the round trip of the start and the failure of the poll. */
+#define PROMPT_CRASH_US 100000U
 /* Time for which the lease of an unlisted executor is still renewed: its entry
  * may be back soon. */
 #define UNLISTED_RENEWED_US 1000000U
@@ -175,6 +178,8 @@
 		if (!lost_with(x, run, reply))
 			continue;
 		loss.begun = run->begun;
+		loss.prompt =
+			x->unreachable_us < run->created_us + PROMPT_CRASH_US;
 		ph_crashes_add(pool->crashes, now_us, ph_hash_str(run->job),
 			       run->index, &loss);
 	}
--- a/test/test_crashing_tasks.cc
+++ b/test/test_crashing_tasks.cc
@@ -367,8 +367,7 @@
 	for (uint32_t i = 0; i < with.suspect_count; i++)
 		with.suspects[i] = { UINT64_MAX - i, i,		 1 + i % 4,
 				     i % 3,	     i % 2 == 0, 3,
-				     false,	     false,	 9,
-				     false };
+				     false,	     0,		 9 };
 	got = over_the_wire(with);
 	ASSERT_EQ(got.suspect_count, with.suspect_count);
 	EXPECT_EQ(got.claims[0].token, 5U);
@@ -386,7 +385,7 @@
 {
 	ph_crashes *c = ph_crashes_new(ph_mem_default());
 	ph_suspect told[PH_SUSPECTS_SENT_MAX];
-	ph_loss loss = { 77, 2, false, false, true };
+	ph_loss loss = { 77, 2, false, false, true, false };
 
 	for (uint32_t i = 1; i <= 1000; i++)
 		ph_crashes_add(c, i * kMs, i, 0, &loss);
@@ -507,12 +506,14 @@
 	bool first_start_lost;
 	/** Tasks of the job; the others run beside the first one. */
 	uint32_t tasks;
+	/** Time from the start to the crash while the task runs alone. */
+	uint64_t crash_after;
 };
 
 const LoneCrashCase lone_crash_cases[] = {
-	{ "the first start never began", true, 1 },
-	{ "no start of the job ever began there", true, 2 },
-	{ "the first crash hit two tasks", false, 2 },
+	{ "the first start never began", true, 1, 20 * kMs },
+	{ "no start of the job ever began there", true, 2, 20 * kMs },
+	{ "the first crash hit two tasks", false, 2, 150 * kMs },
 };
 
 /** Lists all executors with a capacity that is enough for the job, or only the
@@ -549,7 +550,8 @@
 			w.run_until(w.now_us + 10 * kMs);
 			for (Executor &x : w.executors)
 				if (!crashes && x.running.size() == 1) {
-					w.run_until(w.now_us + 100 * kMs);
+					w.run_until(x.running[0].begin_us +
+						    c.crash_after);
 					w.crash_now(&x);
 					crashes++;
 				}
