The list of executors is read anew after a page that can't be read

Cause: a page that could not be decoded left the time of its first page standing, so that the next list counted as older than it was; a truncated page without a readable item counted as the end of the list, whose remaining executors were then unlisted; the last key went as it was, cut at 200 bytes, into the URL of the next page, so that a key with a space, "&" or "#" led to another page than the next one; a store that sends the same page again was asked for it for ever. No line said that an answer was unreadable, and a watch that could not be decoded was repeated at once.

Change: platform/executor_list.c holds the state of such a read, without the calls. A page that can't be decoded, or that ends where the one before ended, fails the read: it starts anew with the first page after 0.3 s, and the last list stays. The key after which the next page begins is encoded and kept whole.

Tests, each of which fails if its rule is taken out: Wire.AListWithAPageThatCannotBeReadIsReadAnew (no restart), Wire.TheNextPageBeginsAfterTheLastKeyWhateverItIs (key not encoded; no check that the pages get on), Wire.ATruncatedPageWithoutAReadableItemIsNotTheEndOfTheList (such a page taken for the last one).

--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -116,6 +116,8 @@
 /** A read of the list of executors failed. */
 void ph_dispatcher_list_read_failed(struct ph_dispatcher *dispatcher,
 				    uint64_t now_us);
+/** Counts an answer of the platform that can't be decoded. */
+void ph_dispatcher_count_unreadable(struct ph_dispatcher *dispatcher);
 /** Adds the "ip:port" of an instance that the platform knows; it gets
  * heartbeats. */
 void ph_dispatcher_contact(struct ph_dispatcher *dispatcher, const char *addr);
--- a/src/dispatcher_executors.c
+++ b/src/dispatcher_executors.c
@@ -120,6 +120,11 @@
 	ph_directory_read_failed(d->directory, now_us);
 }
 
+void ph_dispatcher_count_unreadable(struct ph_dispatcher *d)
+{
+	d->counters.unreadable++;
+}
+
 void ph_dispatcher_list_changed(struct ph_dispatcher *d,
 				const struct ph_poolmsg *msg, uint64_t now_us)
 {
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -48,6 +48,8 @@
 struct ph_dispatcher_counters {
 	uint64_t jobs;
 	uint64_t disconnects;
+	/** Answers of the platform that couldn't be decoded. */
+	uint64_t unreadable;
 	/** Answers and response times, by enum ph_job_outcome. */
 	uint64_t answers[4];
 	struct ph_histogram response[4];
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -2,9 +2,12 @@
 
 #include <cstring>
 #include <string>
+#include <vector>
+
+#include <apr_base64.h>
 
 extern "C" {
-#include "wire.h"
+#include "executor_list.h"
 }
 
 namespace
@@ -227,11 +230,162 @@
 	EXPECT_EQ(std::string(items.list[0].value, items.list[0].len),
 		  "node-1");
 	EXPECT_EQ(items.list[1].value, nullptr);
+	EXPECT_EQ(items.skipped, 1U);
 	EXPECT_TRUE(items.truncated);
 	EXPECT_EQ(items.store_revision, 9U);
 	ph_wire_items_clear(mem(), &items);
 }
 
+/* ## List of executors */
+
+std::string base64(const std::string &text)
+{
+	std::string out((size_t)apr_base64_encode_len((int)text.size()), '\0');
+
+	apr_base64_encode(&out[0], text.data(), (int)text.size());
+	out.pop_back();
+	return out;
+}
+
+std::string entry(const std::string &addr = "10.0.0.1:80")
+{
+	return R"({"service":"s","address":")" + addr +
+	       R"(","zone":"z","state":"ready","capacity":{"cpu":8000,"memMb":1}})";
+}
+
+/* An item of a page; key is the text of a JSON string. */
+std::string item(const std::string &key, const std::string &value)
+{
+	return R"({"key":")" + key + R"(","value":")" + base64(value) +
+	       R"(","revision":4})";
+}
+
+std::string page(const std::vector<std::string> &items, bool truncated = false)
+{
+	std::string text = R"({"items":[)";
+
+	for (const std::string &i : items)
+		text += (text.back() == '[' ? "" : ",") + i;
+	return text + R"(],"truncated":)" + (truncated ? "true" : "false") +
+	       R"(,"storeRevision":9})";
+}
+
+/* The ids that the pages give, or what the last page led to instead; sent_us of
+ * the pages counts from 1000. */
+class ListReader
+{
+      public:
+	ListReader()
+	{
+		ph_executor_list_init(&list, mem());
+	}
+	~ListReader()
+	{
+		ph_executor_list_free(&list);
+	}
+	ph_list_step read(const std::string &text)
+	{
+		return ph_executor_list_page(&list, sent_us++, text.data(),
+					     text.size());
+	}
+	std::string ids() const
+	{
+		std::string text;
+
+		for (size_t i = 0; i < list.count; i++)
+			text += std::string(i ? " " : "") + list.list[i].id;
+		return text;
+	}
+	std::string path() const
+	{
+		ph_buf buf;
+		std::string text;
+
+		ph_buf_init(&buf, mem());
+		ph_executor_list_put_path(&list, &buf);
+		text = buf.data;
+		ph_buf_free(&buf);
+		return text;
+	}
+	ph_executor_list list;
+	uint64_t sent_us = 1000;
+};
+
+/* Guards against a page that fails and leaves its part of the list, its time or
+ * its key to the next read. */
+TEST(Wire, AListWithAPageThatCannotBeReadIsReadAnew)
+{
+	const std::string bad[] = {
+		"", "[]", "{\"items\":[",
+		page({ item("servers/c", entry()) }).substr(0, 60)
+	};
+
+	for (const std::string &text : bad) {
+		SCOPED_TRACE(text);
+		ListReader reader;
+
+		EXPECT_EQ(
+			reader.read(page({ item("servers/a", entry()) }, true)),
+			PH_LIST_NEXT);
+		EXPECT_EQ(reader.path(),
+			  "/kv-range?prefix=servers/&after=servers/a");
+		EXPECT_EQ(reader.read(text), PH_LIST_FAILED);
+		EXPECT_EQ(reader.path(), "/kv-range?prefix=servers/");
+		EXPECT_EQ(reader.read(page({ item("servers/b", entry()) })),
+			  PH_LIST_COMPLETE);
+		EXPECT_EQ(reader.ids(), "b");
+		EXPECT_EQ(reader.list.requested_us, 1002U);
+	}
+}
+
+/* Guards against a next page that is asked for by an altered key, and against
+ * one that is asked for again and again. */
+TEST(Wire, TheNextPageBeginsAfterTheLastKeyWhateverItIs)
+{
+	const std::string longest = "servers/" + std::string(192, ' ');
+	std::string encoded = "servers/";
+	const struct {
+		const char *description;
+		std::string key;
+		std::string after;
+	} cases[] = {
+		{ "a usual key", "servers/i-1.b_c~", "servers/i-1.b_c~" },
+		{ "separators of a URL", "servers/a b&c#?=+%",
+		  "servers/a%20b%26c%23%3F%3D%2B%25" },
+		{ "not ASCII", "servers/\\u00e9", "servers/%C3%A9" },
+		{ "the longest key, to be encoded whole", longest,
+		  [&] {
+			  for (int i = 0; i < 192; i++)
+				  encoded += "%20";
+			  return encoded;
+		  }() },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.description);
+		ListReader reader;
+		const std::string last = page({ item(c.key, "odd") }, true);
+
+		EXPECT_EQ(reader.read(last), PH_LIST_NEXT);
+		EXPECT_EQ(reader.path(),
+			  "/kv-range?prefix=servers/&after=" + c.after);
+		EXPECT_EQ(reader.read(last), PH_LIST_FAILED)
+			<< "the store sent the same page again";
+	}
+}
+
+/* Guards against a list that is taken for whole, without the executors of its
+ * later pages. */
+TEST(Wire, ATruncatedPageWithoutAReadableItemIsNotTheEndOfTheList)
+{
+	for (const std::string &text :
+	     { page({}, true), page({ item("\\ud800", "") }, true) }) {
+		ListReader reader;
+
+		EXPECT_EQ(reader.read(text), PH_LIST_FAILED) << text;
+	}
+}
+
 /* Replaces each byte of a valid document in turn. The results are not checked:
  * every decoder has to return without a memory error. */
 TEST(Wire, DecodersReturnOnCorruptDocuments)
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -13,7 +13,7 @@
 		-o "$OUT/fuzz_$name" "fuzz/fuzz_$name.c" src/msg.c src/spec.c \
 		src/config.c src/roster.c src/buf.c src/mem.c src/ident.c \
 		src/error.c src/poolmsg.c src/pool_types.c src/routing.c \
-		platform/wire_job.c platform/wire_json.c platform/wire_run.c \
+		platform/executor_list.c platform/wire_job.c platform/wire_json.c platform/wire_run.c \
 		platform/wire_store.c $LIBS || exit 1
 	if "$OUT/fuzz_$name" -max_total_time="$SECS" -max_len=4096 -seed=1 \
 		"$OUT/$name" "fuzz/corpus/$name" >"$OUT/$name.log" 2>&1; then
