One odd key among the store's no longer hides the others

Cause: a page of the store was decoded as one JSON document. A key with a NUL ("\u0000"), with half of a surrogate pair, or with bytes that are not UTF-8 made the whole page unreadable: none of the executors on it was listed as long as that key stayed, and no line said so.

--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -311,6 +311,53 @@
 	uint64_t sent_us = 1000;
 };
 
+struct OddItemCase {
+	const char *description;
+	std::string item;
+};
+
+/* Guards against one odd item that makes the whole list unreadable. */
+TEST(Wire, AnItemThatCannotBeReadDoesNotHideTheOthers)
+{
+	const OddItemCase cases[] = {
+		{ "a key with a NUL", item("servers/x\\u0000y", entry()) },
+		{ "a key that ends with a NUL",
+		  item("servers/x\\u0000", entry()) },
+		{ "half of a surrogate pair",
+		  item("servers/\\ud800", entry()) },
+		{ "a key that is not UTF-8", item("servers/\xff", entry()) },
+		{ "a key with a control character",
+		  item("servers/a\nb", entry()) },
+		{ "a NUL in the name of a field", R"({"\u0000":1})" },
+		{ "a revision of 30 digits",
+		  R"({"key":"servers/x","revision":123456789012345678901234567890})" },
+		{ "a revision of 1e999",
+		  R"({"key":"servers/x","revision":1e999})" },
+		{ "nested deeply",
+		  std::string(100000, '[') + std::string(100000, ']') },
+		{ "braces and escapes in a string",
+		  R"({"key":"servers/}]\"\\{\ud800"})" },
+		{ "no key", R"({"value":""})" },
+		{ "not an object", "7" },
+	};
+
+	for (const OddItemCase &c : cases) {
+		SCOPED_TRACE(c.description);
+		for (size_t at = 0; at < 3; at++) {
+			std::vector<std::string> items = {
+				item("servers/a", entry()),
+				item("servers/b", entry())
+			};
+			ListReader reader;
+
+			items.insert(items.begin() + (long)at, c.item);
+			EXPECT_EQ(reader.read(page(items)), PH_LIST_COMPLETE);
+			EXPECT_EQ(reader.ids(), "a b");
+			EXPECT_EQ(reader.list.skipped, 1U);
+		}
+	}
+}
+
 /* Guards against a page that fails and leaves its part of the list, its time or
  * its key to the next read. */
 TEST(Wire, AListWithAPageThatCannotBeReadIsReadAnew)
@@ -352,6 +399,8 @@
 		{ "a usual key", "servers/i-1.b_c~", "servers/i-1.b_c~" },
 		{ "separators of a URL", "servers/a b&c#?=+%",
 		  "servers/a%20b%26c%23%3F%3D%2B%25" },
+		{ "a NUL and a newline", "servers/\\u0000\\n",
+		  "servers/%00%0A" },
 		{ "not ASCII", "servers/\\u00e9", "servers/%C3%A9" },
 		{ "the longest key, to be encoded whole", longest,
 		  [&] {
