Entries of executors are checked before they are used

Cause: the list took what another writer had put into an entry as it was: an address with a port out of range, a path or a host name (polled for ever, each poll of a name looked it up); a capacity above 32 bits, which was cut to the low ones; an id with spaces, "&" or a newline, which went into a header and into the log; a failure domain with the separator of shards. Such an entry counted among the listed executors that a pool has to reach. It was skipped without a line if it could not be decoded at all.

Change: an entry names an executor only if its address is an IPv4 address with a port from 1 to 65535, its id, service, failure domain, state and labels are names that are safe in a header and in the log, its capacity is in range, and the fields that are not used here are of their type.

Tests, each fails without its rule: Wire.ExecutorEntryWithAnInvalidFieldIsRefused (check of the address, of names, of ranges or of the other fields' types taken out), Wire.ExecutorEntryWithAnIdThatIsNotSafeIsRefused (only the length checked), Wire.ASkippedEntryIsDecodedAgainOnlyIfItWasWrittenAnew (not remembered).

--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -118,6 +118,10 @@
 				    uint64_t now_us);
 /** Counts an answer of the platform that can't be decoded. */
 void ph_dispatcher_count_unreadable(struct ph_dispatcher *dispatcher);
+/** Sets the number of entries of the last list of executors that were skipped
+ * as they name none that can be used. */
+void ph_dispatcher_set_skipped(struct ph_dispatcher *dispatcher,
+			       size_t entries);
 /** Adds the "ip:port" of an instance that the platform knows; it gets
  * heartbeats. */
 void ph_dispatcher_contact(struct ph_dispatcher *dispatcher, const char *addr);
--- a/src/dispatcher_executors.c
+++ b/src/dispatcher_executors.c
@@ -125,6 +125,11 @@
 	d->counters.unreadable++;
 }
 
+void ph_dispatcher_set_skipped(struct ph_dispatcher *d, size_t entries)
+{
+	d->counters.skipped = entries;
+}
+
 void ph_dispatcher_list_changed(struct ph_dispatcher *d,
 				const struct ph_poolmsg *msg, uint64_t now_us)
 {
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -50,6 +50,8 @@
 	uint64_t disconnects;
 	/** Answers of the platform that couldn't be decoded. */
 	uint64_t unreadable;
+	/** Entries of the last list of executors that were skipped. */
+	size_t skipped;
 	/** Answers and response times, by enum ph_job_outcome. */
 	uint64_t answers[4];
 	struct ph_histogram response[4];
--- a/src/dispatcher_report.c
+++ b/src/dispatcher_report.c
@@ -81,10 +81,11 @@
 	ph_buf_printf(out,
 		      "peridothall_ready %d\n"
 		      "peridothall_config_version %llu\n"
-		      "peridothall_jobs_under_way %zu\n",
+		      "peridothall_jobs_under_way %zu\n"
+		      "peridothall_entries_skipped %zu\n",
 		      ph_dispatcher_ready(d),
 		      d->routing ? (unsigned long long)d->routing->version : 0,
-		      ph_submitter_count(d->submitter));
+		      ph_submitter_count(d->submitter), d->counters.skipped);
 	for (i = 0; i < d->pool_count; i++)
 		put_pool_metrics(&d->pools[i], now_us, out);
 }
--- a/src/ident.c
+++ b/src/ident.c
@@ -1,9 +1,14 @@
+#include <arpa/inet.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <xxhash.h>
 
 #include "ident.h"
 
+/* Longest port, in digits. */
+#define PORT_DIGITS 5U
+
 /* Whether text has 1 to size - 1 characters, each of [a-z0-9] or of extra. */
 static bool in_alphabet(const char *text, size_t size, const char *extra)
 {
@@ -33,6 +38,31 @@
 	return in_alphabet(text, PH_ID_BYTES, "ABCDEFGHIJKLMNOPQRSTUVWXYZ._~-");
 }
 
+bool ph_platform_name_valid(const char *text, size_t size)
+{
+	return in_alphabet(text, size, "ABCDEFGHIJKLMNOPQRSTUVWXYZ._~:@+-");
+}
+
+bool ph_addr_valid(const char *text)
+{
+	char ip[INET_ADDRSTRLEN];
+	size_t ip_len = strcspn(text, ":");
+	const char *port = text + ip_len + 1;
+	struct in_addr addr;
+	size_t digits;
+	unsigned long number;
+
+	if (!text[ip_len] || ip_len >= sizeof(ip))
+		return false;
+	memcpy(ip, text, ip_len);
+	ip[ip_len] = '\0';
+	digits = strspn(port, "0123456789");
+	if (!digits || digits > PORT_DIGITS || port[digits] || port[0] == '0')
+		return false;
+	number = strtoul(port, NULL, 10);
+	return number <= UINT16_MAX && inet_pton(AF_INET, ip, &addr) == 1;
+}
+
 uint64_t ph_hash(const void *data, size_t len)
 {
 	return XXH3_64bits(data, len);
--- a/src/ident.h
+++ b/src/ident.h
@@ -13,6 +13,15 @@
 /** Whether text is a valid job id: 1 to 95 characters of [A-Za-z0-9._~-]. */
 bool ph_id_valid(const char *text);
 
+/** Whether text is a valid name given by the platform, such as that of an
+ * executor, a failure domain, a service or a label: 1 to size - 1 characters of
+ * [A-Za-z0-9._~:@+-]. Such a name may stand in a header, a line of the log or a
+ * metric as it is. */
+bool ph_platform_name_valid(const char *text, size_t size);
+
+/** Whether text is an IPv4 address, a colon and a port from 1 to 65535. */
+bool ph_addr_valid(const char *text);
+
 /** 64-bit hash of len bytes, the same on all instances. */
 uint64_t ph_hash(const void *data, size_t len);
 
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -121,47 +121,185 @@
 
 /* ## Executors */
 
-struct ExecutorCase {
-	const char *description;
-	const char *text;
-	bool usable;
-	bool draining;
-};
+/* A valid entry. */
+const char good_entry[] =
+	R"({"service":"s-1","address":"10.0.0.1:80","zone":"z.1_b","version":"1","slots":8,)"
+	R"("state":"ready","coldLeftMs":0,"seq":4,"born":1700000000000,)"
+	R"("capacity":{"cpu":16000,"memMb":64,"gpu":0},"labels":["a","r1-3"]})";
+
+/* The valid entry with one text replaced by another. */
+std::string altered_entry(const std::string &from, const std::string &to)
+{
+	std::string text = good_entry;
+	size_t at = text.find(from);
+
+	EXPECT_NE(at, std::string::npos) << from;
+	return text.replace(at, from.size(), to);
+}
+
+const char *entry_fault(const std::string &text, ph_executor_info *info,
+			const char *id = "i-1")
+{
+	const char *fault =
+		ph_wire_read_executor(id, text.data(), text.size(), info);
+
+	return fault ? fault : "";
+}
 
-TEST(Wire, IncompleteExecutorEntryIsRejected)
+TEST(Wire, ValidExecutorEntryIsTakenAsItIs)
 {
-	const ExecutorCase cases[] = {
-		{ "complete",
-		  R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready","capacity":{"cpu":16000,"memMb":1},"labels":["a","r1-3"],"slots":8})",
-		  true, false },
-		{ "draining",
-		  R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"draining","capacity":{"cpu":16000,"memMb":1}})",
-		  true, true },
-		{ "an unknown state",
-		  R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"odd","capacity":{"cpu":16000,"memMb":1}})",
-		  false, false },
-		{ "no address",
-		  R"({"service":"s","zone":"z","state":"ready","capacity":{"cpu":16000}})",
-		  false, false },
-		{ "an address of the wrong type",
-		  R"({"service":"s","address":5,"zone":"z","state":"ready","capacity":{"cpu":16000}})",
-		  false, false },
-		{ "no capacity",
-		  R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready"})",
-		  false, false },
-		{ "no JSON", "\x01\x02", false, false },
+	const struct {
+		const char *from;
+		const char *to;
+		bool draining;
+	} cases[] = {
+		{ "", "", false },
+		{ R"("ready")", R"("draining","remainingMs":40)", true },
+		{ R"(,"labels":["a","r1-3"])", "", false },
+		{ R"("version":"1","slots":8,)", "", false },
+		{ R"("coldLeftMs":0)", R"("coldLeftMs":0.5)", false },
+		{ R"(,"gpu":0)", "", false },
+		{ R"("seq":4)", R"("seq":4,"x":[[[{}]]])", false },
 	};
 
-	for (const ExecutorCase &c : cases) {
-		SCOPED_TRACE(c.description);
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.to);
 		ph_executor_info info;
 
-		EXPECT_EQ(!ph_wire_read_executor("i-1", c.text, strlen(c.text),
-						 &info),
-			  c.usable);
-		if (c.usable) {
-			EXPECT_EQ(info.draining, c.draining);
-		}
+		EXPECT_STREQ(entry_fault(altered_entry(c.from, c.to), &info),
+			     "");
+		EXPECT_EQ(info.draining, c.draining);
+		EXPECT_STREQ(info.id, "i-1");
+		EXPECT_STREQ(info.addr, "10.0.0.1:80");
+		EXPECT_STREQ(info.service, "s-1");
+		EXPECT_STREQ(info.domain, "z.1_b");
+		EXPECT_EQ(info.capacity.cpu_milli, 16000U);
+		EXPECT_EQ(info.capacity.mem_mb, 64U);
+	}
+}
+
+/* Guards against an entry of another writer that is taken for an executor: its
+ * address is polled for ever, and its texts go into headers and the log. */
+TEST(Wire, ExecutorEntryWithAnInvalidFieldIsRefused)
+{
+	const std::string deep = std::string(400000, '[');
+	const std::string digits(30, '9');
+	const struct {
+		const char *fault;
+		std::string from;
+		std::string to;
+	} cases[] = {
+		{ "service", R"("service":"s-1",)", "" },
+		{ "service", R"("s-1")", R"("")" },
+		{ "service", R"("s-1")", "7" },
+		{ "service", R"("s-1")", R"("a b")" },
+		{ "service", R"("s-1")",
+		  R"("012345678901234567890123456789xx")" },
+		{ "address", R"("address":"10.0.0.1:80",)", "" },
+		{ "address", R"("10.0.0.1:80")", "5" },
+		{ "address", ":80", ":0" },
+		{ "address", ":80", ":-1" },
+		{ "address", ":80", ":+1" },
+		{ "address", ":80", ": 1" },
+		{ "address", ":80", ":" },
+		{ "address", ":80", "" },
+		{ "address", ":80", ":65536" },
+		{ "address", ":80", ":99999" },
+		{ "address", ":80", ":080" },
+		{ "address", ":80", ":18446744073709551617" },
+		{ "address", ":80", ":80/x" },
+		{ "address", ":80", ":80 " },
+		{ "address", ":80", ":80:80" },
+		{ "address", "10.0.0.1", "10.0.0.256" },
+		{ "address", "10.0.0.1", "10.0.1" },
+		{ "address", "10.0.0.1", "" },
+		{ "address", "10.0.0.1", "user@10.0.0.1" },
+		{ "address", "10.0.0.1", " 10.0.0.1" },
+		{ "address", "10.0.0.1", "nosuch.example" },
+		{ "address", "10.0.0.1", "[::1]" },
+		{ "address", "10.0.0.1", "[::1]:80/@x y\\n" },
+		{ "address", "10.0.0.1", std::string(1000, '1') },
+		{ "zone", R"("z.1_b")", R"("x#4294967295")" },
+		{ "zone", R"("z.1_b")", R"("../..")" },
+		{ "zone", R"("z.1_b")", R"("a\"b")" },
+		{ "zone", R"("z.1_b")", R"("a\n")" },
+		{ "zone", R"("z.1_b")", R"("\u00e9")" },
+		{ "zone", R"("z.1_b")", "null" },
+		{ "state", R"("ready")", R"("odd")" },
+		{ "state", R"("ready")", "true" },
+		{ "state", R"("state":"ready",)", "" },
+		{ "capacity", R"({"cpu":16000,"memMb":64,"gpu":0})", "7" },
+		{ "capacity", R"("cpu":16000,)", "" },
+		{ "capacity", "16000", "0" },
+		{ "capacity", "16000", "0.9" },
+		{ "capacity", "16000", "-5" },
+		{ "capacity", "16000", "1e14" },
+		{ "capacity", "16000", "4294967297" },
+		{ "capacity", "16000", "9223372036854775807" },
+		{ "capacity", "16000", R"("16000")" },
+		{ "capacity", "64", "1e300" },
+		{ "capacity", "64", "[]" },
+		{ "capacity", R"("gpu":0)", R"("gpu":4294967296)" },
+		{ "labels", R"(["a","r1-3"])", R"("a")" },
+		{ "labels", R"("r1-3")", "7" },
+		{ "labels", R"("r1-3")", R"("r1 r2")" },
+		{ "other", R"("version":"1")", R"("version":1)" },
+		{ "other", R"("slots":8)", R"("slots":"8")" },
+		{ "other", R"("slots":8)", R"("slots":-8)" },
+		{ "other", R"("coldLeftMs":0)", R"("coldLeftMs":1e300)" },
+		{ "other", R"("born":1700000000000)", R"("born":[])" },
+		{ "json", R"("slots":8)", R"("slots":)" + digits },
+		{ "json", R"("coldLeftMs":0)", R"("coldLeftMs":1e400)" },
+		{ "json", R"("seq":4)", R"("seq":)" + deep },
+		{ "json", R"("seq":4)", R"("x":"\u0000")" },
+		{ "json", R"("seq":4)", "\xff\xfe" },
+		{ "json", good_entry, "" },
+		{ "json", good_entry, "null" },
+		{ "json", good_entry, "[]" },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.from.substr(0, 40) + " -> " +
+			     c.to.substr(0, 40));
+		ph_executor_info info;
+
+		EXPECT_STREQ(entry_fault(altered_entry(c.from, c.to), &info),
+			     c.fault);
+	}
+}
+
+/* Guards against an id that alters the header or the line of the log in which
+ * it stands, or that is longer than what holds it. */
+TEST(Wire, ExecutorEntryWithAnIdThatIsNotSafeIsRefused)
+{
+	const struct {
+		std::string id;
+		bool valid;
+	} cases[] = {
+		{ "i-7f3a91c2", true },
+		{ "A.b_c~d:e@f+1", true },
+		{ std::string(PH_NAME_BYTES - 1, 'a'), true },
+		{ std::string(PH_NAME_BYTES, 'a'), false },
+		{ "", false },
+		{ "a b", false },
+		{ "a\r\nX-Other: 1", false },
+		{ "a\n", false },
+		{ "a&b", false },
+		{ "a#b", false },
+		{ "a%00", false },
+		{ "a/b", false },
+		{ "a\"b", false },
+		{ "a=b", false },
+		{ "a\x7f", false },
+		{ "\xc3\xa9", false },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.id);
+		ph_executor_info info;
+
+		EXPECT_STREQ(entry_fault(good_entry, &info, c.id.c_str()),
+			     c.valid ? "" : "id");
 	}
 }
 
@@ -247,17 +385,12 @@
 	return out;
 }
 
-std::string entry(const std::string &addr = "10.0.0.1:80")
-{
-	return R"({"service":"s","address":")" + addr +
-	       R"(","zone":"z","state":"ready","capacity":{"cpu":8000,"memMb":1}})";
-}
-
 /* An item of a page; key is the text of a JSON string. */
-std::string item(const std::string &key, const std::string &value)
+std::string item(const std::string &key, const std::string &value,
+		 int revision = 4)
 {
 	return R"({"key":")" + key + R"(","value":")" + base64(value) +
-	       R"(","revision":4})";
+	       R"(","revision":)" + std::to_string(revision) + "}";
 }
 
 std::string page(const std::vector<std::string> &items, bool truncated = false)
@@ -320,14 +453,14 @@
 TEST(Wire, AnItemThatCannotBeReadDoesNotHideTheOthers)
 {
 	const OddItemCase cases[] = {
-		{ "a key with a NUL", item("servers/x\\u0000y", entry()) },
+		{ "a key with a NUL", item("servers/x\\u0000y", good_entry) },
 		{ "a key that ends with a NUL",
-		  item("servers/x\\u0000", entry()) },
+		  item("servers/x\\u0000", good_entry) },
 		{ "half of a surrogate pair",
-		  item("servers/\\ud800", entry()) },
-		{ "a key that is not UTF-8", item("servers/\xff", entry()) },
+		  item("servers/\\ud800", good_entry) },
+		{ "a key that is not UTF-8", item("servers/\xff", good_entry) },
 		{ "a key with a control character",
-		  item("servers/a\nb", entry()) },
+		  item("servers/a\nb", good_entry) },
 		{ "a NUL in the name of a field", R"({"\u0000":1})" },
 		{ "a revision of 30 digits",
 		  R"({"key":"servers/x","revision":123456789012345678901234567890})" },
@@ -345,8 +478,8 @@
 		SCOPED_TRACE(c.description);
 		for (size_t at = 0; at < 3; at++) {
 			std::vector<std::string> items = {
-				item("servers/a", entry()),
-				item("servers/b", entry())
+				item("servers/a", good_entry),
+				item("servers/b", good_entry)
 			};
 			ListReader reader;
 
@@ -358,27 +491,60 @@
 	}
 }
 
+/* Guards against a large odd entry that is decoded at each read. */
+TEST(Wire, ASkippedEntryIsDecodedAgainOnlyIfItWasWrittenAnew)
+{
+	const std::string odd = altered_entry(":80", ":0");
+	ListReader reader;
+	const struct {
+		const char *description;
+		std::string value;
+		int revision;
+		const char *ids;
+	} reads[] = {
+		{ "odd", odd, 5, "a" },
+		{ "as before, so that its value is not looked at", good_entry,
+		  5, "a" },
+		{ "written anew, odd again", odd, 6, "a" },
+		{ "written anew, good", good_entry, 7, "a b" },
+		{ "good ones are decoded each time", odd, 7, "a" },
+		{ "no revision given", odd, 0, "a" },
+		{ "no revision given, good", good_entry, 0, "a b" },
+	};
+
+	for (const auto &r : reads) {
+		SCOPED_TRACE(r.description);
+		EXPECT_EQ(reader.read(page(
+				  { item("servers/a", good_entry),
+				    item("servers/b", r.value, r.revision) })),
+			  PH_LIST_COMPLETE);
+		EXPECT_EQ(reader.ids(), r.ids);
+		EXPECT_EQ(reader.list.skipped, strlen(r.ids) == 1 ? 1U : 0U);
+		ph_executor_list_restart(&reader.list);
+	}
+}
+
 /* Guards against a page that fails and leaves its part of the list, its time or
  * its key to the next read. */
 TEST(Wire, AListWithAPageThatCannotBeReadIsReadAnew)
 {
 	const std::string bad[] = {
 		"", "[]", "{\"items\":[",
-		page({ item("servers/c", entry()) }).substr(0, 60)
+		page({ item("servers/c", good_entry) }).substr(0, 60)
 	};
 
 	for (const std::string &text : bad) {
 		SCOPED_TRACE(text);
 		ListReader reader;
 
-		EXPECT_EQ(
-			reader.read(page({ item("servers/a", entry()) }, true)),
-			PH_LIST_NEXT);
+		EXPECT_EQ(reader.read(page({ item("servers/a", good_entry) },
+					   true)),
+			  PH_LIST_NEXT);
 		EXPECT_EQ(reader.path(),
 			  "/kv-range?prefix=servers/&after=servers/a");
 		EXPECT_EQ(reader.read(text), PH_LIST_FAILED);
 		EXPECT_EQ(reader.path(), "/kv-range?prefix=servers/");
-		EXPECT_EQ(reader.read(page({ item("servers/b", entry()) })),
+		EXPECT_EQ(reader.read(page({ item("servers/b", good_entry) })),
 			  PH_LIST_COMPLETE);
 		EXPECT_EQ(reader.ids(), "b");
 		EXPECT_EQ(reader.list.requested_us, 1002U);
