--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -114,6 +115,69 @@
 	ph_routing_free(routing);
 }
 
+/* Guards against numbers that are converted to a type that does not hold them:
+ * a priority of 2^32 would be the highest. */
+TEST(Wire, NumbersOutOfRangeAreLimited)
+{
+	const uint64_t week_us = 604800000000;
+	const struct {
+		const char *field;
+		const char *number;
+		uint64_t expected;
+	} cases[] = {
+		{ "stretch", "1e300", 1000000 },
+		{ "stretch", "-1e300", 0 },
+		{ "stretch", "-1", 0 },
+		{ "stretch", "9223372036854775807", 1000000 },
+		{ "stretch", "[]", 100 },
+		{ "timeoutMs", "9223372036854775807", week_us },
+		{ "timeoutMs", "1e300", week_us },
+		{ "timeoutMs", "-1", 0 },
+		{ "targetDurationMs", "18446744073709552", week_us },
+		{ "priority", "4294967296", UINT32_MAX },
+		{ "priority", "1e18", UINT32_MAX },
+		{ "priority", "-1", 0 },
+		{ "maxAttempts", "4294967297", UINT32_MAX },
+		{ "maxAttempts", "null", 1 },
+		{ "estimateMs", "9223372036854775807", week_us },
+		{ "estimateMs", "1e18", week_us },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(std::string(c.field) + " " + c.number);
+		const std::string field =
+			std::string(",\"") + c.field + "\":" + c.number;
+		const std::string config =
+			R"({"version":7,"routes":[{"host":"h","prefix":"/p/","service":"s")" +
+			field + "}]}";
+		const std::string job =
+			R"({"spec":"x","bestEffort":true,"steps":[{"count":2)" +
+			field + "}]}";
+		ph_routing *routing = nullptr;
+		ph_batch_request *batch = nullptr;
+		const char *reason;
+
+		ASSERT_EQ(ph_wire_read_config(mem(), config.data(),
+					      config.size(), &routing),
+			  0);
+		ASSERT_EQ(ph_wire_read_job(mem(), job.data(), job.size(),
+					   &batch, &reason),
+			  PH_WIRE_JOB_OK);
+		const ph_route &r = routing->routes[0];
+		const std::map<std::string, uint64_t> got = {
+			{ "stretch", r.stretch_percent },
+			{ "timeoutMs", r.timeout_us },
+			{ "targetDurationMs", r.target_extra_us },
+			{ "priority", r.priority },
+			{ "maxAttempts", r.max_attempts },
+			{ "estimateMs", batch->estimate_us },
+		};
+		EXPECT_EQ(got.at(c.field), c.expected);
+		ph_routing_free(routing);
+		ph_batch_request_free(mem(), batch);
+	}
+}
+
 TEST(Wire, InvalidConfigurationIsRejected)
 {
 	for (const char *doc :
@@ -376,6 +440,81 @@
 	ph_wire_poll_clear(mem(), &reply);
 }
 
+/* Guards against a row that is taken for another run than it names. */
+TEST(Wire, RowsOfAPollReplyThatCannotBeOfAnInstanceAreSkipped)
+{
+	const struct {
+		const char *running;
+		bool taken;
+		uint32_t percent;
+		uint32_t cpu_milli;
+	} cases[] = {
+		{ R"(["5c0e7a21d94b36f8.0.0.17",2])", true, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.199",2,"",100,6800])", true, 100,
+		  6800 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",2,"",1e300,1e300])", true, 100,
+		  1 << 24 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",2,"",4294967297,9223372036854775807])",
+		  true, 100, 1 << 24 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",2,"",-1,"x"])", true, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",2.0,"",41.5,6800.0])", true, 41,
+		  6800 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",-2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",1e300])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",2.5])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17"])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.200",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.-1",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0. 1",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.1x",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.4294967297",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.18446744073709551617",2])", false,
+		  0, 0 },
+		{ R"(["5c0e7a21d94b36f8",2])", false, 0, 0 },
+		{ R"(["5c0e7a21 94b36f8.0.0.1",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8a.0.0.1",2])", false, 0, 0 },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.running);
+		const std::string body =
+			std::string(R"({"running":[[7],)") + c.running + "]}";
+		ph_poll_reply reply;
+
+		ph_wire_poll_reply(mem(), 200, body.data(), body.size(),
+				   &reply);
+		EXPECT_EQ(reply.running_count, c.taken ? 1U : 0U);
+		if (c.taken && reply.running_count) {
+			EXPECT_EQ(reply.running[0].run, 2U);
+			EXPECT_EQ(reply.running[0].percent, c.percent);
+			EXPECT_EQ(reply.running[0].cpu_milli, c.cpu_milli);
+		}
+		ph_wire_poll_clear(mem(), &reply);
+	}
+}
+
+/* Guards against the number of an end that is altered: all ends up to it would
+ * be acknowledged. */
+TEST(Wire, AnEndWithoutAWholeNumberIsSkipped)
+{
+	for (const char *number : { "1e300", "-1", "1.5", "\"1\"", "null" }) {
+		SCOPED_TRACE(number);
+		const std::string body =
+			std::string(R"({"ended":[[)") + number +
+			R"(,"5c0e7a21d94b36f8.0.0.9",1,"done",""],)"
+			R"([4,"5c0e7a21d94b36f8.0.0.8",1,"done",""]]})";
+		ph_poll_reply reply;
+
+		ph_wire_poll_reply(mem(), 200, body.data(), body.size(),
+				   &reply);
+		ASSERT_EQ(reply.ended_count, 1U);
+		EXPECT_EQ(reply.ended[0].end_number, 4U);
+		EXPECT_EQ(reply.ended[0].index, 8U);
+		ph_wire_poll_clear(mem(), &reply);
+	}
+}
+
 TEST(Wire, StoreItemsAreDecodedAndRemovedKeysHaveNoValue)
 {
 	const std::string body =
