Only an address in the store names another instance

Cause: the value under which an instance is registered went to the transport as it was. A host name is looked up there by the thread that serves all connections to other instances, which waits for the answer; anything else was tried at each interval.

--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -761,6 +761,43 @@
 	}
 }
 
+/* Guards against an odd registration of an instance: a name would be looked up
+ * by the thread that connects to the others. */
+TEST(Wire, OnlyAnAddressNamesAnotherInstance)
+{
+	const struct {
+		std::string value;
+		bool valid;
+	} cases[] = {
+		{ "10.0.0.1:7001", true },
+		{ "", false },
+		{ "10.0.0.1", false },
+		{ "10.0.0.1:99999", false },
+		{ "10.0.0.1:7001 ", false },
+		{ "nosuch.example:7001", false },
+		{ std::string("10.0.0.1:7001\0", 14), false },
+		{ std::string(5000, '1') + ":1", false },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.value.substr(0, 40));
+		std::string text =
+			page({ item("peridothall/members/n", c.value) });
+		ph_wire_items items;
+
+		ASSERT_EQ(ph_wire_read_items(mem(), text.data(), text.size(),
+					     &items),
+			  0);
+		ASSERT_EQ(items.count, 1U);
+		if (c.valid)
+			EXPECT_STREQ(ph_wire_read_member(&items.list[0]),
+				     c.value.c_str());
+		else
+			EXPECT_EQ(ph_wire_read_member(&items.list[0]), nullptr);
+		ph_wire_items_clear(mem(), &items);
+	}
+}
+
 /* Replaces each byte of a valid document in turn. The results are not checked:
  * every decoder has to return without a memory error. */
 TEST(Wire, DecodersReturnOnCorruptDocuments)
