Own interface: an odd instance does not hide the others of its service

Cause: the list of a service's instances was decoded as one JSON document, so that one instance with a number too large, nested too deeply or with text that is not UTF-8 made it unreadable: it was no longer followed. A port outside 1 to 65535 was cut to 16 bits or used as it was, and slots of "-1" counted as 2^32 - 1: the endpoint with the most free slots is called first.

Change: src/json_list.c, which the list of executors used already, drops what can't be parsed here too. Instances with an invalid id, address, port, number of slots or domain are skipped.

--- a/src/platform.c
+++ b/src/platform.c
@@ -1,10 +1,13 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <apr_base64.h>
 #include <jansson.h>
 
 #include "httpc.h"
+#include "ident.h"
+#include "json_list.h"
 #include "platform.h"
 
 #define URL_BYTES 512
@@ -14,6 +17,12 @@
 #define CONNECTIONS_PER_HOST 64U
 /* Slots of an instance whose service entry does not say how many it has. */
 #define DEFAULT_SLOTS 8
+/* Most slots of an instance, and most digits of their number. */
+#define SLOTS_MAX 100000U
+#define SLOTS_DIGITS 6U
+/* Sizes of an instance's id and host name, with their terminators. */
+#define ID_BYTES 256U
+#define HOST_BYTES (PH_ADDR_BYTES - 6U)
 
 enum call_type {
 	CALL_GET,
@@ -154,7 +163,8 @@
 		       struct ph_platform_reply *reply)
 {
 	const struct ph_mem *mem = c->platform->mem;
-	json_t *doc = json_loadb(result->body, result->body_len, 0, NULL);
+	json_t *doc = ph_json_load_list(mem, result->body, result->body_len,
+					PH_JSON_LIST_ROOT, 0);
 	struct ph_platform_item *items;
 	json_t *entry;
 	size_t i;
@@ -177,6 +187,26 @@
 	json_decref(doc);
 }
 
+/* Whether text is an IPv4 address or a host name. */
+static bool host_valid(const char *text)
+{
+	return ph_platform_name_valid(text, HOST_BYTES) &&
+	       !strpbrk(text, "_~:@+");
+}
+
+/* Reads a number of slots. Returns false if it is not one up to SLOTS_MAX. */
+static bool read_slots(const char *text, uint32_t *slots)
+{
+	size_t digits = strspn(text, "0123456789");
+	unsigned long number;
+
+	if (!digits || digits > SLOTS_DIGITS || text[digits])
+		return false;
+	number = strtoul(text, NULL, 10);
+	*slots = (uint32_t)number;
+	return number <= SLOTS_MAX;
+}
+
 /* Reads one instance of the health list; returns false if it is malformed. */
 static bool read_listed(json_t *entry, struct ph_endpoint_info *out)
 {
@@ -187,41 +217,60 @@
 	json_t *meta = json_object_get(service, "Meta");
 	const char *slots = json_string_value(json_object_get(meta, "slots"));
 	const char *state = json_string_value(json_object_get(meta, "state"));
+	const char *domain = json_string_value(json_object_get(meta, "domain"));
 
 	if (json_unpack(service, "{s:s,s:s,s:I}", "ID", &id, "Address",
 			&address, "Port", &port))
 		return false;
+	if (!ph_platform_name_valid(id, ID_BYTES) || !host_valid(address) ||
+	    port < 1 || port > UINT16_MAX ||
+	    (domain && domain[0] &&
+	     !ph_platform_name_valid(domain, sizeof(out->domain))))
+		return false;
 	ph_strcopy(out->name, sizeof(out->name), id);
 	snprintf(out->addr, sizeof(out->addr), "%s:%d", address, (int)port);
 	out->slots = DEFAULT_SLOTS;
-	if (slots && sscanf(slots, "%u", &out->slots) != 1)
+	if (slots && !read_slots(slots, &out->slots))
 		return false;
 	out->leaving = state && !strcmp(state, "leaving");
-	ph_strcopy(out->domain, sizeof(out->domain),
-		   json_string_value(json_object_get(meta, "domain")));
+	ph_strcopy(out->domain, sizeof(out->domain), domain);
 	return true;
 }
 
+int ph_platform_read_instances(const struct ph_mem *mem, const char *text,
+			       size_t len, struct ph_endpoint_info **out,
+			       size_t *count)
+{
+	json_t *doc = ph_json_load_list(mem, text, len, PH_JSON_LIST_ROOT, 0);
+	json_t *entry;
+	size_t i;
+
+	*count = 0;
+	if (!json_is_array(doc)) {
+		json_decref(doc);
+		return PH_ERR_SYNTAX;
+	}
+	*out = mem->calloc(json_array_size(doc), sizeof(**out));
+	json_array_foreach (doc, i, entry)
+		if (read_listed(entry, &(*out)[*count]))
+			(*count)++;
+	json_decref(doc);
+	return 0;
+}
+
 /* Reports the answer to list_instances. */
 static void finish_list(struct call *c, const struct ph_http_result *result,
 			struct ph_platform_reply *reply)
 {
 	const struct ph_mem *mem = c->platform->mem;
-	json_t *doc = json_loadb(result->body, result->body_len, 0, NULL);
-	struct ph_endpoint_info *listed =
-		mem->calloc(json_array_size(doc), sizeof(*listed));
-	json_t *entry;
-	size_t i;
+	struct ph_endpoint_info *listed = NULL;
 
-	if (!json_is_array(doc))
-		reply->err = PH_ERR_SYNTAX;
-	json_array_foreach (doc, i, entry)
-		if (read_listed(entry, &listed[reply->listed_count]))
-			reply->listed_count++;
+	reply->err =
+		ph_platform_read_instances(mem, result->body, result->body_len,
+					   &listed, &reply->listed_count);
 	reply->listed = listed;
 	c->done(c->ctx, reply);
 	mem->free(listed);
-	json_decref(doc);
 }
 
 static void on_done(void *ctx, void *user, const struct ph_http_result *result)
--- a/src/platform.h
+++ b/src/platform.h
@@ -82,6 +82,16 @@
 	uint64_t watch_wait_us;
 };
 
+/**
+ * Decodes a list of instances in the format of Consul's HTTP interface, which
+ * may come from any writer: instances with an invalid name, address, port,
+ * number of slots or domain are skipped. *out is allocated unless the result is
+ * an error. Returns 0 or PH_ERR_SYNTAX.
+ */
+int ph_platform_read_instances(const struct ph_mem *mem, const char *text,
+			       size_t len, struct ph_endpoint_info **out,
+			       size_t *count);
+
 /** Creates the implementation that uses Consul's HTTP interface. */
 struct ph_platform *
 ph_platform_http_new(const struct ph_platform_options *options);
