--- a/src/pool_crashes.c
+++ b/src/pool_crashes.c
@@ -5,9 +5,11 @@
 
 /* Entries kept; the oldest one makes room. */
 #define SUSPECTS_MAX 256U
-/* Crashes after which a task that ran alone when the last executor crashed is
- * given up. */
-#define CRASHES_ALONE 2U
+/* What a crash weighs: any one may have another cause than the task, least so
+ * if it follows the start of a task that ran alone. */
+#define WEIGHT_ALONE_PROMPT 3U
+#define WEIGHT_ALONE 2U
+#define WEIGHT_BESIDE_OTHERS 1U
 /* Losses from which on a task is to run alone also if each of them is doubtful.
  */
 #define LOSSES_SUSPECTED 2U
@@ -67,7 +69,7 @@
 {
 	const struct ph_suspect *s = ph_crashes_find(c, job, index);
 
-	return s && s->crashes >= PH_CRASHES_MAX;
+	return s && s->crash_weight >= PH_CRASH_WEIGHT_MAX;
 }
 
 bool ph_crashes_exhausted(const struct ph_crashes *c, uint64_t job,
@@ -108,12 +110,26 @@
 	return s;
 }
 
+static uint32_t crash_weight(const struct ph_loss *loss)
+{
+	if (!loss->begun)
+		return 0;
+	if (loss->runs > 1 || loss->doubtful)
+		return WEIGHT_BESIDE_OTHERS;
+	return loss->prompt ? WEIGHT_ALONE_PROMPT : WEIGHT_ALONE;
+}
+
 static void count_crash(struct ph_suspect *s)
 {
 	s->crashed = true;
-	s->crashes++;
-	if (s->to_blame && s->crashes >= CRASHES_ALONE)
-		s->crashes = PH_CRASHES_MAX;
+	s->crash_weight += s->last_weight;
+}
+
+static void uncount_crash(struct ph_suspect *s)
+{
+	s->crashed = false;
+	s->crash_weight -= s->crash_weight < s->last_weight ? s->crash_weight
+							    : s->last_weight;
 }
 
 void ph_crashes_add(struct ph_crashes *c, uint64_t now_us, uint64_t job,
@@ -125,7 +141,7 @@
 	s->executor = loss->executor;
 	s->lost_us = now_us;
 	s->crashed = false;
-	s->to_blame = loss->runs == 1 && !loss->doubtful;
+	s->last_weight = crash_weight(loss);
 	if (!loss->doubtful || s->losses >= LOSSES_SUSPECTED)
 		s->suspected = true;
 	if (loss->crashed)
@@ -146,7 +162,8 @@
 			count_crash(s);
 		} else if (!restarted && s->losses) {
 			s->losses--;
-			s->crashes -= s->crashed && s->crashes;
+			if (s->crashed)
+				uncount_crash(s);
 			s->executor = PH_EXECUTOR_NONE;
 		}
 	}
@@ -182,13 +199,14 @@
 {
 	struct ph_suspect *s = get(c, heard->job, heard->index);
 
-	if (heard->losses > s->losses || heard->crashes > s->crashes) {
+	if (heard->losses > s->losses ||
+	    heard->crash_weight > s->crash_weight) {
 		s->executor = PH_EXECUTOR_NONE;
 		s->lost_us = now_us;
 	}
 	if (heard->losses > s->losses)
 		s->losses = heard->losses;
-	if (heard->crashes > s->crashes)
-		s->crashes = heard->crashes;
+	if (heard->crash_weight > s->crash_weight)
+		s->crash_weight = heard->crash_weight;
 	s->suspected = s->suspected || heard->suspected;
 }
