Tests: simulated executors forget their lease and clock at a restart

The simulated executors kept one clock for all incarnations and their lease over a restart, so no test could show a start that outlives the incarnation it was sent to. Now the clock begins anew at 1, the lease is forgotten, calls that wait there break, a lease is shortened to the longest that executors grant, nothing is carried out while one is down, and delayed starts may outlive a restart (starts_outlive_restarts). Stops may be carried out late (stop_delay_us). Pool.AStartThatReachesARestartedExecutorIsKept keeps its old case (the new incarnation answers the waiting poll) and gets one in which the connection breaks.

--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -18,9 +18,20 @@
 	return n * 2654435761U >> 12;
 }
 
-static uint64_t clock_ms(const World *w)
+static uint64_t clock_ms(const World *w, const Executor *x)
 {
-	return w->now_us / kMs;
+	return (w->now_us - x->clock_began_us) / kMs + 1;
+}
+
+/* Extends the lease to a time on the executor's clock, but by no more than the
+ * executor grants. */
+static void extend_lease(const World *w, Executor *x, uint64_t until_ms)
+{
+	uint64_t end_us = x->clock_began_us + until_ms * kMs;
+
+	end_us = std::min(end_us, w->now_us + kLeaseMaxUs);
+	if (until_ms)
+		x->lease_until_us = std::max(x->lease_until_us, end_us);
 }
 
 static void end_run(Executor *x, size_t i, ph_end how)
@@ -46,9 +57,9 @@
 	if (token < x->token)
 		return PH_CALL_FENCED;
 	x->token = token;
-	if (until_ms && until_ms < clock_ms(w))
+	if (until_ms && until_ms < clock_ms(w, x))
 		return PH_CALL_LATE;
-	x->lease_until_us = std::max(x->lease_until_us, until_ms * kMs);
+	extend_lease(w, x, until_ms);
 	if (x->lease_until_us < w->now_us)
 		return PH_CALL_LATE;
 	if (x->highest_run[run.key] >= run.run)
@@ -105,7 +116,7 @@
 				  ph_call_status status)
 	{
 		reply(o, [=] {
-			ph_run_command_reply r = { status, clock_ms(o->world) };
+			ph_run_command_reply r = { status, 0 };
 
 			if (is_stop)
 				ph_pool_stop_done(o->pool, o->world->now_us, id,
@@ -145,6 +156,14 @@
 		});
 	}
 
+	/* Whether a delayed start, sent to the incarnation that started at
+	 * born, meets an executor that carries it out. */
+	static bool meets(const Executor *x, uint64_t born)
+	{
+		return x && !x->down &&
+		       (x->starts_outlive_restarts || x->started_ms == born);
+	}
+
 	static void on_start(void *ctx, const ph_run_command *command)
 	{
 		Owner *o = static_cast<Owner *>(ctx);
@@ -190,10 +209,16 @@
 								 ? 0
 								 : until;
 
+					uint64_t born = x->started_ms;
+
 					w->at(w->now_us + x->start_delay_us,
 					      [=] {
-						      carry_out(w->find(xid),
-								limit);
+						      Executor *y =
+							      w->find(xid);
+
+						      if (meets(y, born))
+							      carry_out(y,
+									limit);
 					      });
 					w->at(w->now_us + 200 * kMs, unknown);
 					return;
@@ -224,9 +249,22 @@
 		deliver(
 			o, command->executor, command->timeout_us,
 			[=](Executor *x) {
-				if (x->loses_stops)
+				std::string xid = x->id;
+				uint64_t delay = x->stop_delay_us;
+
+				if (x->loses_stops || delay)
 					w->at(w->now_us + timeout,
 					      [=] { lost(PH_CALL_UNKNOWN); });
+				if (x->loses_stops)
+					return;
+				if (delay)
+					w->at(w->now_us + delay, [=] {
+						Executor *y = w->find(xid);
+
+						if (y && !y->down)
+							stop(y, key, run,
+							     token);
+					});
 				else
 					command_reply(o, id, true,
 						      stop(x, key, run, token));
@@ -239,7 +277,7 @@
 	{
 		std::vector<ph_run_report> running;
 		std::vector<ph_run_report> ended;
-		uint64_t clock = x->hides_clock ? 0 : clock_ms(o->world);
+		uint64_t clock = x->hides_clock ? 0 : clock_ms(o->world, x);
 		uint64_t started = x->started_ms;
 
 		for (const Run &r : x->running) {
@@ -319,8 +357,7 @@
 					return;
 				}
 				x->token = token;
-				x->lease_until_us = std::max(x->lease_until_us,
-							     until * kMs);
+				extend_lease(w, x, until);
 				while (!x->ends.empty() &&
 				       x->ends[0].number <= seen_up_to)
 					x->ends.erase(x->ends.begin());
@@ -387,9 +424,8 @@
 {
 	std::string id = x->id;
 
-	x->crashes++;
+	x->down = true;
 	restart(x);
-	x->lease_until_us = 0;
 	x->refuses = !silent;
 	for (const Owner *o : owners)
 		x->unreachable_from.insert(o->number);
@@ -398,7 +434,8 @@
 
 		back->unreachable_from.clear();
 		back->refuses = false;
-		back->started_ms = clock_ms(this);
+		back->down = false;
+		restart(back);
 	});
 }
 
@@ -442,9 +479,12 @@
 	return ph_pool_update(owner->pool, now_us, infos.data(), infos.size());
 }
 
-void World::restart(Executor *x)
+void World::restart(Executor *x) const
 {
 	x->started_ms++;
+	x->crashes++;
+	x->clock_began_us = now_us;
+	x->lease_until_us = 0;
 	x->running.clear();
 	x->ends.clear();
 	x->next_end = 1;
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -27,6 +27,8 @@
 constexpr uint64_t kTickUs = 10 * kMs;
 constexpr uint64_t kLeaseUs = 700 * kMs;
 constexpr uint64_t kStopUs = 50 * kMs;
+/** Longest lease that an executor grants. */
+constexpr uint64_t kLeaseMaxUs = 2 * kLeaseUs;
 /** One-way network latency. */
 constexpr uint64_t kLatencyUs = 200;
 
@@ -51,6 +53,8 @@
 	std::string id;
 	uint32_t cpu = 16000;
 	uint64_t started_ms = 1;
+	/** When the clock of its incarnation began; it then reads 1. */
+	uint64_t clock_began_us = 0;
 	uint64_t token = 0;
 	uint64_t lease_until_us = 0;
 	uint64_t next_end = 1;
@@ -73,6 +77,9 @@
 	/** Start commands are carried out this much later, and not answered; 0:
 	 * none. */
 	uint64_t start_delay_us = 0;
+	/** A delayed start outlives the incarnation that it was sent to: the
+	 * next one carries it out. */
+	bool starts_outlive_restarts = true;
 	/** A delayed start is accepted when it arrives: it is carried out even
 	 * if the end of its lease has passed by then. */
 	bool accepts_on_arrival = false;
@@ -82,10 +89,15 @@
 	bool hides_clock = false;
 	/** Stop commands don't arrive, all other calls do. */
 	bool loses_stops = false;
+	/** Stop commands are carried out this much later, and not answered; 0:
+	 * none. */
+	uint64_t stop_delay_us = 0;
 	/** Factor on the run times. */
 	double slow = 1.0;
 	/** Crashes so far; the calls that waited there are not answered. */
 	uint32_t crashes = 0;
+	/** Has crashed and not started again: nothing is carried out. */
+	bool down = false;
 	/** Refuses connections. */
 	bool refuses = false;
 	/** Where it can't be reached, connections are not established, so that
@@ -152,8 +164,9 @@
 	bool ended(const Owner *owner, uint64_t seq, ph_verdict verdict) const;
 
 	Executor *find(const std::string &id);
-	/** The executor restarts with the same id and has forgotten all. */
-	static void restart(Executor *x);
+	/** The executor restarts with the same id and has forgotten all; its
+	 * clock begins anew. */
+	void restart(Executor *x) const;
 	/** Ends everything on an executor, which no call reaches for down_us
 	 * and which then is a new incarnation. Until then it refuses
 	 * connections, or, if silent, leaves calls unanswered. */
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -63,7 +63,7 @@
 	  "expires",
 	  [](World *, Executor *x) { x->unreachable_from = { 0 }; }, true },
 	{ "an executor that restarts with the same id",
-	  [](World *, Executor *x) { World::restart(x); }, true },
+	  [](World *w, Executor *x) { w->restart(x); }, true },
 	{ "an executor that fails all its runs",
 	  [](World *, Executor *x) { x->fails_all = true; }, true },
 	{ "starts that are carried out without an answer",
@@ -268,7 +268,7 @@
 		     [=] { x->unreachable_from.clear(); });
 		w.at(t0 + c.stops_lost_for, [=] { x->loses_stops = false; });
 		if (c.restart_after)
-			w.at(t0 + c.restart_after, [=] { World::restart(x); });
+			w.at(t0 + c.restart_after, [&w, x] { w.restart(x); });
 		w.run_until(t0 + 9000 * kMs);
 		EXPECT_EQ(w.concurrent_runs, 0);
 		EXPECT_EQ(w.starts, 1);
@@ -500,20 +500,21 @@
  * new incarnation carries them out before a poll shows that it restarted. */
 TEST(Pool, AStartThatReachesARestartedExecutorIsKept)
 {
-	for (uint64_t submit_after_us : { 0 * kMs, 5 * kMs, 60 * kMs }) {
-		SCOPED_TRACE(submit_after_us);
+	const uint64_t submit_after_us[] = { 0 * kMs, 5 * kMs, 60 * kMs };
+
+	for (int i = 0; i < 6; i++) {
+		SCOPED_TRACE(i);
 		World w(1, 16000);
 		Owner *o = ready_owner(&w);
 		Executor *x = &w.executors[0];
 		uint64_t seq;
 
 		w.run_until(w.now_us + 100 * kMs);
-		x->started_ms++;
-		x->token = 0;
-		x->next_end = 1;
-		x->ends.clear();
-		x->highest_run.clear();
-		w.run_until(w.now_us + submit_after_us);
+		w.restart(x);
+		/* The new incarnation answers the poll that was waiting. */
+		if (i % 2)
+			x->crashes--;
+		w.run_until(w.now_us + submit_after_us[i / 2]);
 		seq = w.submit(o, "j", 2, 400 * kMs, 400 * kMs, 800 * kMs,
 			       4000 * kMs);
 		w.run_until(w.now_us + 2000 * kMs);
@@ -1003,7 +1004,7 @@
 	w.resubmit(a, b, seq);
 	w.run_until(w.now_us + 50 * kMs);
 	ASSERT_EQ(ph_pool_counters(b->pool)->claimed_runs, 4U);
-	World::restart(&w.executors[0]);
+	w.restart(&w.executors[0]);
 	w.run_until(w.now_us + 1500 * kMs);
 	EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
 	EXPECT_EQ(w.concurrent_runs, 0);
