A start without an answer is stopped again at the next incarnation

Cause: a start without an answer is stopped before its task starts elsewhere. The executor that acknowledges the stop refuses the start from then on, but tokens and stops live in its memory. If it restarts under its id, the next incarnation carries the start out, up to seconds late, beside the task's second run. The acknowledged run was dropped from the owner's books after 60 ms or with the next poll, or its stop stayed 'acknowledged' over the restart.

Change: such a start is remembered for PH_LATE_START_US (20 s, moved from pool.c) after it was sent. A restart turns the remembered ones, and unconfirmed runs that are being stopped, into runs whose stop is not acknowledged. An answer to a stop that was sent before is ignored. An executor is not forgotten while it may carry out such a start, and a run whose start was never confirmed is dropped once it can't be alive.

Cost: at a restart one stop for each such start, before the first start there.

--- a/src/pool.c
+++ b/src/pool.c
@@ -18,10 +18,6 @@
 /* Interval of placement rounds without a change of state: a start may become
  * possible by time alone, as when a back-off ends. */
 #define PLACE_EVERY_US 10000U
-/* Longest time after which a start that was not answered counts as one that may
- * still be carried out on an unlisted executor: the platform's bound is
- * "seconds". */
-#define LATE_START_US 20000000U
 /* Time for which a closed batch is remembered. A submission that arrives later
  * is refused for its time in transit; until then the submitter repeats a
  * cancellation. */
@@ -623,6 +619,7 @@
 					 now_us);
 		while (x->runs)
 			ph_run_drop(pool, x, x->runs);
+		ph_late_starts_forget(pool, x, UINT64_MAX);
 		x->polled = false;
 		x->rejected_us = 0;
 		x->other_owner = false;
@@ -650,14 +647,7 @@
 /* Whether an executor may have runs, or still carry out the start of one. */
 static bool may_run(const struct ph_executor *x, uint64_t now_us)
 {
-	const struct ph_run *run;
-
-	if (ph_executor_followed(x, now_us))
-		return true;
-	for (run = x->runs; run; run = run->next)
-		if (!run->forgotten || now_us < x->unlisted_us + LATE_START_US)
-			return true;
-	return false;
+	return ph_executor_followed(x, now_us) || x->runs || x->late_starts;
 }
 
 /* Frees unlisted executors once no lease can last there, and no late start be
@@ -672,6 +662,7 @@
 		struct ph_executor *x = *at;
 
 		any_unlisted = any_unlisted || !x->listed;
+		ph_late_starts_forget(pool, x, now_us);
 		if (may_run(x, now_us)) {
 			at = &x->next;
 			continue;
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -12,6 +12,12 @@
 /* Longest wait for a call's answer: leaves time to repeat a poll before the
  * lease that it renews expires. */
 #define PH_CALL_TIMEOUT_MAX_US 200000U
+/* Longest time after which a start that was not answered may still be carried
+ * out: the platform's bound is "seconds". */
+#define PH_LATE_START_US 20000000U
+/* An executor grants a lease of at most this many lease durations to a command
+ * whose lease end makes no sense on its clock. */
+#define PH_RESTARTED_LEASES 2U
 
 enum ph_batch_task_state {
 	PH_BATCH_TASK_WAITING,
@@ -101,15 +107,16 @@
 	/** When the latest command was acknowledged, or a poll first reported
 	 * the start; 0: neither yet, or an orphaned run. */
 	uint64_t acked_us;
-	uint64_t stop_sent_us;
 	/** When the first stop command was sent; 0: none was. */
 	uint64_t first_stop_us;
 	/** Stop commands sent. */
 	uint32_t stops;
-	bool stop_pending;
+	/** The stop under way to the executor's present incarnation; 0: none.
+	 */
+	uint64_t stop_call;
 	/** The executor is known to have carried out the start. */
 	bool begun;
-	/** Stopping, and its task no longer waits for it: its lease has expired
+	/** Stopping, and its lease has expired or its executor has restarted,
 	 * but its start may still be carried out. */
 	bool forgotten;
 	/** Its task may crash the executor: nothing is started beside it. */
@@ -124,6 +131,16 @@
 	uint64_t until_us;
 };
 
+/** A start without an answer. The executor's present incarnation has
+ * acknowledged a stop of its run, but the next one would carry it out. */
+struct ph_late_start {
+	struct ph_late_start *next;
+	char job[PH_JOB_BYTES];
+	uint32_t index;
+	uint64_t run;
+	uint64_t sent_us;
+};
+
 struct ph_executor {
 	struct ph_executor *next;
 	struct ph_executor_info info;
@@ -132,6 +149,7 @@
 	uint64_t unlisted_us;
 	struct ph_capacity used;
 	struct ph_run *runs;
+	struct ph_late_start *late_starts;
 	/** Start time of its current incarnation, as it reported. */
 	uint64_t started_ms;
 	/** A poll has been answered since this instance acquired the pool. */
@@ -365,6 +383,22 @@
 /** Sends polls and stops that are due and drops runs whose lease expired. */
 void ph_lease_tick(struct ph_pool *pool, uint64_t now_us);
 
+/* ## pool_late.c */
+
+/** Whether a run's start has been carried out, or can't be any more. */
+bool ph_start_settled(const struct ph_run *run, uint64_t now_us);
+/** Remembers the start of a stopped run, if it may still be carried out by
+ * another incarnation. */
+void ph_late_start_remember(struct ph_pool *pool, struct ph_executor *executor,
+			    const struct ph_run *run, uint64_t now_us);
+/** Forgets the starts that can't be carried out any more. */
+void ph_late_starts_forget(struct ph_pool *pool, struct ph_executor *executor,
+			   uint64_t now_us);
+/** After a restart: adds the remembered starts to the runs that are to be
+ * stopped, and discards what the earlier incarnation acknowledged. */
+void ph_late_starts_stop_again(struct ph_pool *pool,
+			       struct ph_executor *executor, uint64_t now_us);
+
 /* ## pool_poll.c */
 
 /** Whether a run that a poll doesn't report is gone: it is orphaned, or its
--- /dev/null
+++ b/src/pool_late.c
@@ -0,0 +1,90 @@
+/* Starts without an answer whose run the executor has been told to stop. The
+ * incarnation that acknowledged the stop refuses them, but the next one, under
+ * the same id, has forgotten the stop and would carry them out. */
+
+#include <string.h>
+
+#include "log.h"
+#include "pool_impl.h"
+
+#define PART "lease"
+
+bool ph_start_settled(const struct ph_run *run, uint64_t now_us)
+{
+	return run->begun || now_us >= run->created_us + PH_LATE_START_US;
+}
+
+void ph_late_start_remember(struct ph_pool *pool, struct ph_executor *x,
+			    const struct ph_run *run, uint64_t now_us)
+{
+	struct ph_late_start *s;
+
+	if (ph_start_settled(run, now_us))
+		return;
+	s = pool->mem->calloc(1, sizeof(*s));
+	ph_strcopy(s->job, sizeof(s->job), run->job);
+	s->index = run->index;
+	s->run = run->run;
+	s->sent_us = run->created_us;
+	s->next = x->late_starts;
+	x->late_starts = s;
+}
+
+void ph_late_starts_forget(struct ph_pool *pool, struct ph_executor *x,
+			   uint64_t now_us)
+{
+	struct ph_late_start **at = &x->late_starts;
+
+	while (*at) {
+		struct ph_late_start *s = *at;
+
+		if (now_us < s->sent_us + PH_LATE_START_US) {
+			at = &s->next;
+			continue;
+		}
+		*at = s->next;
+		pool->mem->free(s);
+	}
+}
+
+/* Adds a run without capacity and task that is to be stopped. */
+static void add_to_stop(struct ph_pool *pool, struct ph_executor *x,
+			const struct ph_late_start *s, uint64_t now_us)
+{
+	const struct ph_capacity nothing = { 0 };
+	struct ph_run *run;
+
+	if (ph_run_find(x, s->job, s->index, s->run))
+		return;
+	run = ph_run_add(pool, x, s->job, s->index, s->run, &nothing,
+			 s->sent_us);
+	run->state = PH_RUN_STOPPING;
+	run->first_stop_us = now_us;
+	ph_event(PART,
+		 "event=start_may_outlive_restart job=%s task=%u run=%llu "
+		 "executor=%s sent_before_us=%llu",
+		 s->job, s->index, (unsigned long long)s->run, x->info.id,
+		 (unsigned long long)(now_us - s->sent_us));
+}
+
+void ph_late_starts_stop_again(struct ph_pool *pool, struct ph_executor *x,
+			       uint64_t now_us)
+{
+	struct ph_run *run;
+
+	while (x->late_starts) {
+		struct ph_late_start *s = x->late_starts;
+
+		x->late_starts = s->next;
+		add_to_stop(pool, x, s, now_us);
+		pool->mem->free(s);
+	}
+	for (run = x->runs; run; run = run->next) {
+		if (run->state != PH_RUN_STOPPING || run->begun)
+			continue;
+		run->acked_us = 0;
+		run->stop_call = 0;
+		/* Nothing of it is lost if the executor gets lost. */
+		run->forgotten = true;
+	}
+}
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -259,7 +259,16 @@
 static bool stop_due(const struct ph_executor *x, const struct ph_run *run)
 {
 	return run->state == PH_RUN_STOPPING && !run->acked_us &&
-	       !run->stop_pending && !(run->forgotten && x->poll_failures);
+	       !run->stop_call && !(run->forgotten && x->poll_failures);
+}
+
+/* True if a run that has not been reported can't be alive, even if its start
+ * was carried out as late as possible, under the longest lease. */
+static bool late_run_over(const struct ph_pool *pool, const struct ph_run *run,
+			  uint64_t now_us)
+{
+	return now_us >= run->created_us + PH_LATE_START_US +
+				 PH_RESTARTED_LEASES * pool->opt.lease_us;
 }
 
 static void update_stops_overdue(struct ph_executor *x, uint64_t now_us)
@@ -294,9 +303,12 @@
 				 run->job, run->index,
 				 (unsigned long long)run->run, x->info.id);
 			ph_run_stop(pool, x, run, now_us);
+		} else if (run->forgotten && late_run_over(pool, run, now_us)) {
+			ph_run_drop_requeue(pool, x, run);
 		} else if (stop_due(x, run)) {
 			ph_run_stop(pool, x, run, now_us);
 		} else if (stop_completed(pool, run, now_us)) {
+			ph_late_start_remember(pool, x, run, now_us);
 			ph_run_drop_requeue(pool, x, run);
 		}
 		run = next;
@@ -308,6 +320,7 @@
 	struct ph_executor *x;
 
 	for (x = pool->executors; x; x = x->next) {
+		ph_late_starts_forget(pool, x, now_us);
 		expire_runs(pool, x, now_us);
 		update_stops_overdue(x, now_us);
 		if (!x->poll_call && now_us >= x->next_poll_us &&
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -33,9 +33,6 @@
 /* A task is moved off a slow executor at most once, as the next executor may be
  * no faster. */
 #define MAX_MOVES 1U
-/* An executor grants a lease of at most this many lease durations to a start
- * command whose lease end makes no sense on its clock. */
-#define RESTARTED_LEASES 2U
 #define PERMILLE 1000U
 
 /* Longest wait of a poll: until the progress of one of the executor's runs has
@@ -136,16 +133,18 @@
  * may have reached the new incarnation, which shortens a lease end that was
  * computed for the earlier incarnation's clock. */
 static void executor_restarted(struct ph_pool *pool, struct ph_executor *x,
-			       const struct ph_poll_reply *reply)
+			       const struct ph_poll_reply *reply,
+			       uint64_t now_us)
 {
 	ph_event(PART, "event=executor_restarted executor=%s started_ms=%llu",
 		 x->info.id, (unsigned long long)reply->started_ms);
 	x->ends_seen = 0;
 	x->lease_sent_ms = 0;
 	x->lease_ms = reply->clock_ms +
-		      RESTARTED_LEASES * pool->opt.lease_us / PH_US_PER_MS;
+		      PH_RESTARTED_LEASES * pool->opt.lease_us / PH_US_PER_MS;
 	memset(&x->faults, 0, sizeof(x->faults));
 	memset(&x->unanswered, 0, sizeof(x->unanswered));
+	ph_late_starts_stop_again(pool, x, now_us);
 }
 
 /* An earlier owner may have renewed the lease until its token was refused. */
@@ -341,6 +340,7 @@
 
 		if (ph_run_gone(x, run, reply)) {
 			log_lost(x, run, restarted, now_us);
+			ph_late_start_remember(pool, x, run, now_us);
 			ph_run_drop_requeue(pool, x, run);
 		}
 		run = next;
@@ -383,7 +383,7 @@
 	if (restarted && !x->poll_failures)
 		x->unreachable_us = now_us;
 	if (restarted)
-		executor_restarted(pool, x, reply);
+		executor_restarted(pool, x, reply, now_us);
 	if (x->poll_failures)
 		ph_crashes_executor_back(pool->crashes,
 					 ph_executor_hash(x->info.id),
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -149,6 +149,7 @@
 {
 	while (x->runs)
 		ph_run_drop(pool, x, x->runs);
+	ph_late_starts_forget(pool, x, UINT64_MAX);
 	pool->mem->free(x);
 }
 
@@ -275,13 +276,12 @@
 
 	run->state = PH_RUN_STOPPING;
 	run->acked_us = 0;
-	run->stop_sent_us = now_us;
 	if (!run->first_stop_us)
 		run->first_stop_us = now_us;
 	run->stops++;
-	run->stop_pending = true;
 	command_init(pool, x, run, &command);
 	command.call_id = call_new(pool, x, run, true, now_us)->id;
+	run->stop_call = command.call_id;
 	pool->opt.sink->stop(pool->opt.ctx, &command);
 }
 
@@ -424,9 +424,11 @@
 	struct ph_executor *x;
 	struct ph_run *run;
 
-	if (!call_ended(pool, now_us, call_id, reply->status, &x, &run))
+	/* An answer to an earlier stop may come from an earlier incarnation. */
+	if (!call_ended(pool, now_us, call_id, reply->status, &x, &run) ||
+	    run->stop_call != call_id)
 		return;
-	run->stop_pending = false;
+	run->stop_call = 0;
 	if (reply->status == PH_CALL_OK) {
 		run->acked_us = now_us;
 		x->next_poll_us = now_us;
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -242,7 +242,7 @@
 		uint64_t token = command->token;
 		uint64_t id = command->call_id;
 		uint64_t timeout = command->timeout_us;
-		auto lost = [=](ph_call_status status) {
+		auto answer = [=](ph_call_status status) {
 			command_reply(o, id, true, status);
 		};
 
@@ -254,7 +254,7 @@
 
 				if (x->loses_stops || delay)
 					w->at(w->now_us + timeout,
-					      [=] { lost(PH_CALL_UNKNOWN); });
+					      [=] { answer(PH_CALL_UNKNOWN); });
 				if (x->loses_stops)
 					return;
 				if (delay)
@@ -265,11 +265,14 @@
 							stop(y, key, run,
 							     token);
 					});
-				else
-					command_reply(o, id, true,
-						      stop(x, key, run, token));
+				if (delay)
+					return;
+				ph_call_status s = stop(x, key, run, token);
+
+				w->at(w->now_us + x->stop_answer_delay_us,
+				      [=] { answer(s); });
 			},
-			lost);
+			answer);
 	}
 
 	static void poll_reply(Owner *o, Executor *x, uint64_t id,
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -92,6 +92,8 @@
 	/** Stop commands are carried out this much later, and not answered; 0:
 	 * none. */
 	uint64_t stop_delay_us = 0;
+	/** Stop commands are carried out, but answered this much later. */
+	uint64_t stop_answer_delay_us = 0;
 	/** Factor on the run times. */
 	double slow = 1.0;
 	/** Crashes so far; the calls that waited there are not answered. */
--- /dev/null
+++ b/test/test_pool_incarnations.cc
@@ -0,0 +1,153 @@
+/*
+ * Executors that restart under their id while calls are on their way: the new
+ * incarnation has forgotten tokens, stops and runs, and its clock begins anew.
+ */
+#include <gtest/gtest.h>
+
+#include "pool_world.h"
+
+namespace
+{
+
+using namespace world;
+
+constexpr uint64_t kLong = 60000 * kMs;
+
+Owner *ready_owner(World *w)
+{
+	Owner *o = w->add_owner();
+
+	ph_pool_acquire(o->pool, w->now_us, 1000);
+	w->run_until(w->now_us + 50 * kMs);
+	return o;
+}
+
+/* A long run on another executor, where the next task fits more tightly. */
+void fill_another(World *w, Owner *o)
+{
+	w->submit(o, "filler", 1, 30000 * kMs, 30000 * kMs, kLong, kLong);
+}
+
+/* Times of one start that is not answered, all counted from the start. */
+struct LateStart {
+	/** Its executor is unreachable from then on, for how long; 0: not. */
+	uint64_t cut_after;
+	uint64_t cut_for;
+	uint64_t restart_after;
+	/** When it is carried out. */
+	uint64_t delay;
+	bool loses_stops;
+};
+
+/** Plays one late start. Returns whether a task ran twice at once. */
+bool runs_twice(const LateStart &c)
+{
+	World w(4, 16000);
+	Owner *o = ready_owner(&w);
+	/* Placement fills this executor first. */
+	Executor *x = &w.executors.back();
+	uint64_t t0 = w.now_us;
+
+	x->start_delay_us = c.delay;
+	x->loses_stops = c.loses_stops;
+	w.submit(o, "a", 1, 9000 * kMs, 9000 * kMs, kLong, kLong);
+	w.at(t0 + 5 * kMs, [=] { x->start_delay_us = 0; });
+	w.at(t0 + 203 * kMs, [&w, o] { fill_another(&w, o); });
+	if (c.cut_for) {
+		w.at(t0 + c.cut_after, [=] { x->unreachable_from = { 0 }; });
+		w.at(t0 + c.cut_after + c.cut_for,
+		     [=] { x->unreachable_from.clear(); });
+	}
+	w.at(t0 + c.restart_after, [&w, x] { w.restart(x); });
+	w.run_until(t0 + c.delay + 4000 * kMs);
+	return w.concurrent_runs;
+}
+
+/* Guards against a start whose stop one incarnation of an executor acknowledges
+ * and that the next one carries out, beside a second run of its task. */
+TEST(PoolIncarnations, AStopIsRepeatedAtTheNextIncarnation)
+{
+	const uint64_t restarts[] = { 210 * kMs, 250 * kMs,  600 * kMs,
+				      900 * kMs, 1500 * kMs, 2900 * kMs };
+	const uint64_t delays[] = { 400 * kMs,	800 * kMs,  1550 * kMs,
+				    3000 * kMs, 6000 * kMs, 12000 * kMs };
+
+	for (uint64_t restart : restarts)
+		for (uint64_t delay : delays)
+			EXPECT_FALSE(
+				runs_twice({ 0, 0, restart, delay, false }))
+				<< "restart " << restart << " delay " << delay;
+}
+
+/* Guards against an acknowledgement by the earlier incarnation that is taken
+ * for one of the present incarnation. */
+TEST(PoolIncarnations, AStopAnsweredByAnEarlierIncarnationIsRepeated)
+{
+	World w(4, 16000);
+	Owner *o = ready_owner(&w);
+	Executor *x = &w.executors.back();
+	uint64_t t0 = w.now_us;
+
+	/* The start gets no answer within 200 ms; then its stop is sent. */
+	x->start_delay_us = 400 * kMs;
+	x->stop_answer_delay_us = 60 * kMs;
+	w.at(t0 + 5 * kMs, [=] { x->start_delay_us = 0; });
+	w.submit(o, "a", 1, 2000 * kMs, 2000 * kMs, kLong, kLong);
+	w.at(t0 + 203 * kMs, [&w, o] { fill_another(&w, o); });
+	w.at(t0 + 205 * kMs, [&w, x] {
+		w.restart(x);
+		x->loses_stops = true;
+	});
+	w.at(t0 + 700 * kMs, [=] { x->loses_stops = false; });
+	w.run_until(t0 + 6000 * kMs);
+	EXPECT_EQ(w.concurrent_runs, 0);
+	EXPECT_EQ(w.done["a.0"], 1);
+}
+
+/* Guards against a stopped start that is forgotten as soon as a poll, sent
+ * after the acknowledgement, does not report the run. */
+TEST(PoolIncarnations, AStopIsRepeatedAlsoIfAPollHasShownThatNothingRuns)
+{
+	World w(4, 32000);
+	Owner *o = ready_owner(&w);
+	Executor *x = &w.executors.back();
+	uint64_t t0;
+
+	/* Their ends let polls return at about 212 and 235 ms. */
+	w.submit(o, "b", 1, 222 * kMs, 222 * kMs, kLong, kLong);
+	w.submit(o, "c", 1, 245 * kMs, 245 * kMs, kLong, kLong);
+	w.run_until(w.now_us + 10 * kMs);
+	t0 = w.now_us;
+	x->start_delay_us = 800 * kMs;
+	w.submit(o, "a", 1, 9000 * kMs, 9000 * kMs, kLong, kLong);
+	w.at(t0 + 5 * kMs, [=] { x->start_delay_us = 0; });
+	w.at(t0 + 203 * kMs, [&w, o] { fill_another(&w, o); });
+	w.at(t0 + 300 * kMs, [&w, x] { w.restart(x); });
+	w.run_until(t0 + 3000 * kMs);
+	EXPECT_EQ(w.concurrent_runs, 0);
+}
+
+/* Guards against a task that counts as lost with an executor on which it has
+ * never begun. */
+TEST(PoolIncarnations, AStartToBeStoppedAgainIsNotLostWithItsExecutor)
+{
+	World w(4, 16000);
+	Owner *o = ready_owner(&w);
+	Executor *x = &w.executors.back();
+	uint64_t t0 = w.now_us;
+
+	x->start_delay_us = 19000 * kMs;
+	w.submit(o, "a", 1, 9000 * kMs, 9000 * kMs, kLong, kLong);
+	w.at(t0 + 5 * kMs, [=] { x->start_delay_us = 0; });
+	w.at(t0 + 203 * kMs, [&w, o] { fill_another(&w, o); });
+	w.at(t0 + 600 * kMs, [&w, x] {
+		w.restart(x);
+		x->loses_stops = true;
+	});
+	w.at(t0 + 700 * kMs, [=] { x->unreachable_from = { 0 }; });
+	w.run_until(t0 + 6000 * kMs);
+	EXPECT_EQ(ph_pool_counters(o->pool)->lost_executors, 0U);
+	EXPECT_EQ(ph_pool_counters(o->pool)->expired_runs, 0U);
+}
+
+} // namespace
