A task waits while a start of it may still be carried out

Cause: when the lease of an unreachable executor expired, the task of a start without an answer was started elsewhere. An expired lease says nothing of a start that has not begun: an executor that has restarted under its id carries it out, seconds late, under a lease of its new clock.

Change: such a task waits until the executor's present incarnation has acknowledged the stop, or reports the run, or the start can't be carried out any more (20 s after it was sent, and the longest lease). has_run() counts such runs, so that a later submission of the job waits too. Starts that were refused or not sent don't count. An executor that leaves the list is no exception: its entry also expires behind a cut.

Cost: a task whose start was sent to an executor that was already silent waits for the executor, or to its caller's timeout, instead of 0.74 s. These are the tasks started between the executor's loss and its notice; what ran there is not affected.

Tests: PoolIncarnations.AnUnansweredStartThatOutlivesARestartIsNoSecondRun fails without the rule.

--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -191,20 +191,14 @@
 
 /* An executor that is reached again may carry out a start that was never
  * confirmed. Until it acknowledges the stop, which makes it refuse the start,
- * the stop is overdue, so no lease is renewed there. The task itself need not
- * wait. */
-static void run_forget(struct ph_pool *pool, struct ph_run *run,
-		       uint64_t now_us)
+ * the stop is overdue, so no lease is renewed there. The task waits too: if the
+ * executor has restarted, it carries the start out under a new lease. */
+static void run_forget(struct ph_run *run, uint64_t now_us)
 {
-	struct ph_batch *batch = run->batch;
-
 	run->forgotten = true;
-	run->batch = NULL;
 	run->state = PH_RUN_STOPPING;
 	if (!run->first_stop_us)
 		run->first_stop_us = now_us;
-	if (batch)
-		ph_batch_task_requeue(pool, batch, run->index);
 }
 
 /* True if the start may be carried out after the run's lease has expired. */
@@ -237,7 +231,7 @@
 			log_expired(x, run, runs_there, now_us);
 			pool->counters.expired_runs++;
 			if (may_begin(run))
-				run_forget(pool, run, now_us);
+				run_forget(run, now_us);
 			else
 				ph_run_drop_requeue(pool, x, run);
 		}
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -347,8 +347,7 @@
 }
 
 /* True if a run of the task is left, from an earlier submission of the job or
- * being stopped. A forgotten one has no lease until its stop is acknowledged.
- */
+ * being stopped, or may still be started. */
 static bool has_run(const struct ph_pool *pool, const char *job, uint32_t index)
 {
 	const struct ph_executor *x;
@@ -356,8 +355,7 @@
 
 	for (x = pool->executors; x; x = x->next)
 		for (r = x->runs; r; r = r->next)
-			if (!r->forgotten && r->index == index &&
-			    !strcmp(r->job, job))
+			if (r->index == index && !strcmp(r->job, job))
 				return true;
 	return false;
 }
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -150,4 +150,61 @@
 	EXPECT_EQ(ph_pool_counters(o->pool)->expired_runs, 0U);
 }
 
+/* Whether the stop, which is sent after 200 ms, reaches the first incarnation.
+ */
+bool stopped_before(uint64_t cut_after, uint64_t cut_for, uint64_t restart)
+{
+	return restart > 200 * kMs &&
+	       (cut_after > 200 * kMs || restart > cut_after + cut_for);
+}
+
+/* Plays starts that are not answered, on an executor that is then cut off and
+ * restarts; either the earlier incarnation acknowledges the stop, or none does
+ * before the cut. Returns how many of the plays ran the task twice at once. */
+int unseen_restarts_that_run_twice(bool acknowledged)
+{
+	const uint64_t cuts_after[] = { 2 * kMs, 205 * kMs };
+	const uint64_t cuts_for[] = { 300 * kMs, 900 * kMs, 5000 * kMs };
+	const uint64_t restarts[] = { 10 * kMs, 150 * kMs, 600 * kMs,
+				      1500 * kMs };
+	const uint64_t delays[] = { 400 * kMs, 800 * kMs, 1550 * kMs,
+				    3000 * kMs, 6000 * kMs };
+	int twice = 0;
+	int played = 0;
+
+	for (uint64_t cut_after : cuts_after)
+		for (uint64_t cut_for : cuts_for)
+			for (uint64_t restart : restarts)
+				for (uint64_t delay : delays)
+					for (bool lost : { false }) {
+						if (acknowledged !=
+						    (!lost &&
+						     stopped_before(cut_after,
+								    cut_for,
+								    restart)))
+							continue;
+						twice += runs_twice(
+							{ cut_after, cut_for,
+							  restart, delay,
+							  lost });
+						played++;
+					}
+	EXPECT_GE(played, 20);
+	return twice;
+}
+
+/* Guards against a start that outlives the incarnation it was sent to, and runs
+ * beside a second run of its task that began when the lease had expired. */
+TEST(PoolIncarnations, AnUnansweredStartThatOutlivesARestartIsNoSecondRun)
+{
+	EXPECT_EQ(unseen_restarts_that_run_twice(false), 0);
+}
+
+/* The same, if the earlier incarnation has acknowledged the stop, and the start
+ * is carried out before the owner reaches the next incarnation. */
+TEST(PoolIncarnations, AStoppedStartThatOutlivesAnUnseenRestartIsNoSecondRun)
+{
+	EXPECT_EQ(unseen_restarts_that_run_twice(true), 0);
+}
+
 } // namespace
