--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -211,20 +211,14 @@
 
 /* An executor that is reached again may carry out a start that was never
  * confirmed. Until it acknowledges the stop, which makes it refuse the start,
- * the stop is overdue, so no lease is renewed there. The task itself need not
- * wait. */
-static void run_forget(struct ph_pool *pool, struct ph_run *run,
-		       uint64_t now_us)
+ * the stop is overdue, so no lease is renewed there. The task waits too: if the
+ * executor has restarted, it carries the start out under a new lease. */
+static void run_forget(struct ph_run *run, uint64_t now_us)
 {
-	struct ph_batch *batch = run->batch;
-
 	run->forgotten = true;
-	run->batch = NULL;
 	run->state = PH_RUN_STOPPING;
 	if (!run->first_stop_us)
 		run->first_stop_us = now_us;
-	if (batch)
-		ph_batch_task_requeue(pool, batch, run->index);
 }
 
 /* True if the start may be carried out after the run's lease has expired. */
@@ -257,7 +251,7 @@
 			log_expired(x, run, runs_there, now_us);
 			pool->counters.expired_runs++;
 			if (may_begin(run))
-				run_forget(pool, run, now_us);
+				run_forget(run, now_us);
 			else
 				ph_run_drop_requeue(pool, x, run);
 		}
@@ -279,7 +273,16 @@
 static bool stop_due(const struct ph_executor *x, const struct ph_run *run)
 {
 	return run->state == PH_RUN_STOPPING && !run->acked_us &&
-	       !run->stop_pending && !(run->forgotten && x->poll_failures);
+	       !run->stop_call && !(run->forgotten && x->poll_failures);
+}
+
+/* True if a run that has not been reported can't be alive, even if its start
+ * was carried out as late as possible, under the longest lease. */
+static bool late_run_over(const struct ph_pool *pool, const struct ph_run *run,
+			  uint64_t now_us)
+{
+	return now_us >= run->created_us + PH_LATE_START_US +
+				 PH_RESTARTED_LEASES * pool->opt.lease_us;
 }
 
 static void update_stops_overdue(struct ph_executor *x, uint64_t now_us)
@@ -314,9 +317,12 @@
 				 run->job, run->index,
 				 (unsigned long long)run->run, x->info.id);
 			ph_run_stop(pool, x, run, now_us);
+		} else if (run->forgotten && late_run_over(pool, run, now_us)) {
+			ph_run_drop_requeue(pool, x, run);
 		} else if (stop_due(x, run)) {
 			ph_run_stop(pool, x, run, now_us);
 		} else if (stop_completed(pool, run, now_us)) {
+			ph_late_start_remember(pool, x, run, now_us);
 			ph_run_drop_requeue(pool, x, run);
 		}
 		run = next;
@@ -328,6 +334,7 @@
 	struct ph_executor *x;
 
 	for (x = pool->executors; x; x = x->next) {
+		ph_late_starts_forget(pool, x, now_us);
 		expire_runs(pool, x, now_us);
 		update_stops_overdue(x, now_us);
 		if (!x->poll_call && now_us >= x->next_poll_us &&
