A task whose start is refused as old waits for a poll

Cause: an executor refuses a start with 'old' if it has seen this run number or a higher one of the task. Such a run may be alive there, started by another owner or for another submission of the job. The owner dropped its own run and started the task elsewhere at once.

Change: the refused run stays until a poll that is sent after the refusal has been answered; it is sent at once and does not wait there. If it reports a run of the task, the task waits until that one is over; else it starts. Without an answer the lease has to expire. Cost: one round trip for each such refusal.

Tests: Pool.ATaskWhoseStartIsRefusedAsOldIsNoSecondRun fails without the rule (a task twice at once in each of its three cases); Pool.ATaskWhoseStartIsRefusedAsOldStartsAfterOnePoll bounds the delay.

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -119,6 +119,9 @@
 	/** Stopping, and its lease has expired or its executor has restarted,
 	 * but its start may still be carried out. */
 	bool forgotten;
+	/** Its start was refused since this run or a later one has been there:
+	 * a poll has to show whether one still runs. */
+	bool refused_as_old;
 	/** Its task may crash the executor: nothing is started beside it. */
 	bool alone;
 	/** Progress as last reported. */
--- a/src/pool_late.c
+++ b/src/pool_late.c
@@ -11,7 +11,8 @@
 
 bool ph_start_settled(const struct ph_run *run, uint64_t now_us)
 {
-	return run->begun || now_us >= run->created_us + PH_LATE_START_US;
+	return run->begun || run->refused_as_old ||
+	       now_us >= run->created_us + PH_LATE_START_US;
 }
 
 void ph_late_start_remember(struct ph_pool *pool, struct ph_executor *x,
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -204,7 +204,7 @@
 /* True if the start may be carried out after the run's lease has expired. */
 static bool may_begin(const struct ph_run *run)
 {
-	return !run->begun && !run->acked_us &&
+	return !run->begun && !run->refused_as_old && !run->acked_us &&
 	       (run->state == PH_RUN_STARTING || run->state == PH_RUN_STOPPING);
 }
 
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -36,7 +36,7 @@
 #define PERMILLE 1000U
 
 /* Longest wait of a poll: until the progress of one of the executor's runs has
- * to be looked at. */
+ * to be looked at. None if a task waits for what the poll shows. */
 static uint64_t wait_us(const struct ph_pool *pool, const struct ph_executor *x,
 			uint64_t now_us)
 {
@@ -48,6 +48,8 @@
 	for (run = x->runs; run; run = run->next) {
 		uint64_t check_us;
 
+		if (run->refused_as_old)
+			return 0;
 		if (!ph_mechanism_on(pool->opt.off,
 				     PH_MECHANISM_PROGRESS_CHECKS) ||
 		    !run->batch || run->state == PH_RUN_STOPPING)
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -318,6 +318,19 @@
 		pool->fenced = true;
 }
 
+/* Another run of the task may be alive there, started by another owner or for
+ * another submission: the task waits for a poll that is sent from now on. */
+static void refused_as_old(struct ph_executor *x, struct ph_run *run,
+			   uint64_t now_us)
+{
+	if (run->batch)
+		run->batch->tasks[run->index].next_run += OLD_RUN_STEP;
+	run->refused_as_old = true;
+	run->acked_us = now_us;
+	x->poll_call = 0;
+	x->next_poll_us = now_us;
+}
+
 static void start_refused(struct ph_pool *pool, struct ph_executor *x,
 			  struct ph_run *run, enum ph_call_status status,
 			  uint64_t now_us)
@@ -328,8 +341,7 @@
 		x->next_poll_us = now_us;
 		break;
 	case PH_CALL_OLD_RUN:
-		if (run->batch)
-			run->batch->tasks[run->index].next_run += OLD_RUN_STEP;
+		refused_as_old(x, run, now_us);
 		break;
 	case PH_CALL_FENCED:
 		ph_pool_fenced_by(pool, x, now_us);
@@ -350,7 +362,8 @@
 		 "call_status=%d",
 		 run->job, run->index, (unsigned long long)run->run, x->info.id,
 		 (int)status);
-	ph_run_drop_requeue(pool, x, run);
+	if (status != PH_CALL_OLD_RUN)
+		ph_run_drop_requeue(pool, x, run);
 }
 
 /* Removes an ended call from the list and finds its executor and run. Returns
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -1488,6 +1488,48 @@
 /* A few executors refuse the token: they have moved to another pool, whose
  * owner has polled them, by a newer list than this owner has. The others go on.
  * If the refusals last, the token has to be raised. */
+/* An executor refuses a start as it has seen a later run of the task, which
+ * another owner has started and which still runs: the task does not start
+ * elsewhere beside it. */
+TEST(Pool, ATaskWhoseStartIsRefusedAsOldIsNoSecondRun)
+{
+	for (uint64_t after_poll_ms : { 5, 60, 170 }) {
+		SCOPED_TRACE(after_poll_ms);
+		World w(4, 16000);
+		Owner *o = ready_owner(&w);
+		Executor *x = &w.executors.back();
+		uint64_t seq;
+
+		w.run_until(w.now_us + after_poll_ms * kMs);
+		x->running.push_back({ "a.0", "a", 0, 105, 6800, w.now_us,
+				       w.now_us + 3000 * kMs, false });
+		x->highest_run["a.0"] = 105;
+		seq = w.submit(o, "a", 1, 100 * kMs, 100 * kMs, kTarget,
+			       kCallerTimeout);
+		/* The next task fits more tightly on another executor. */
+		w.submit(o, "filler", 3, 5000 * kMs, 5000 * kMs, 9000 * kMs,
+			 20000 * kMs);
+		w.run_until(w.now_us + 500 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+	}
+}
+
+/* The same, but nothing runs there: the task is delayed by a poll at most. */
+TEST(Pool, ATaskWhoseStartIsRefusedAsOldStartsAfterOnePoll)
+{
+	World w(4, 16000);
+	Owner *o = ready_owner(&w);
+	uint64_t seq;
+
+	w.run_until(w.now_us + 100 * kMs);
+	w.executors.back().highest_run["a.0"] = 105;
+	seq = w.submit(o, "a", 1, 100 * kMs, 100 * kMs, kTarget,
+		       kCallerTimeout);
+	w.run_until(w.now_us + 130 * kMs);
+	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+}
+
 TEST(Pool, AFewRefusalsOfTheTokenDoNotStopThePool)
 {
 	World w(6, 16000);
