--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -1201,6 +1201,31 @@
 	}
 }
 
+/* The same, if the stops that the other instance sends get lost: without them
+ * only the lease that it does not renew ends the runs in time. */
+TEST(Pool, AFoundRunWhoseStopsGetLostEndsBeforeItsTaskStartsElsewhere)
+{
+	for (uint64_t found_ms = 0; found_ms <= 700; found_ms += 20) {
+		SCOPED_TRACE("found after " + std::to_string(found_ms) + " ms");
+		World w(6, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		uint64_t t0 = w.now_us;
+		uint64_t seq = w.submit(a, "a", 2, 2500 * kMs, 2500 * kMs,
+					3000 * kMs, 8000 * kMs);
+
+		w.run_until(t0 + 100 * kMs);
+		cut_apart(&w, a, b);
+		for (Executor &x : w.executors)
+			x.loses_stops = true;
+		w.run_until(w.now_us + found_ms * kMs);
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		w.run_until(t0 + 7500 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(a, seq, PH_VERDICT_DONE));
+	}
+}
+
 /* The same with runs of two batches, one of which is resumed at the other
  * instance and cancelled here. */
 TEST(Pool, AFoundRunBesideAClaimedOneEndsBeforeItsTaskStartsElsewhere)
@@ -1376,6 +1401,83 @@
 	}
 }
 
+/* An owner whose token is refused, and that learns of no other owner, renews
+ * the lease of no executor, also not of those that accept its token. */
+TEST(Pool, AFencedOwnerRenewsNoLease)
+{
+	World w(3, 16000);
+	Owner *a = ready_owner(&w);
+	Owner *b = w.add_owner();
+	Executor *cut = &w.executors[2];
+
+	cut->unreachable_from = { b->number };
+	w.submit(a, "a", 2, 5000 * kMs, 5000 * kMs, 6000 * kMs, 9000 * kMs);
+	w.run_until(w.now_us + 300 * kMs);
+	ASSERT_EQ(cut->running.size(), 2U);
+	ph_pool_acquire(b->pool, w.now_us, 2000);
+	while (!ph_pool_fenced(a->pool))
+		w.run_until(w.now_us + kTickUs);
+	w.run_until(w.now_us + kLeaseUs + kTickUs);
+	EXPECT_TRUE(cut->running.empty());
+}
+
+/* An executor's lease is not renewed, since a stop that is sent there gets
+ * lost. A task does not start under the rest of it, which would end the run. */
+TEST(Pool, NoTaskStartsUnderALeaseThatIsAboutToExpire)
+{
+	for (uint64_t submit_ms = 0; submit_ms < 700; submit_ms += 20) {
+		SCOPED_TRACE(submit_ms);
+		World w(1, 16000);
+		Owner *o = ready_owner(&w);
+		uint64_t stopped = w.submit(o, "a", 1, 5000 * kMs, 5000 * kMs,
+					    6000 * kMs, 9000 * kMs);
+		uint64_t seq;
+
+		w.run_until(w.now_us + 100 * kMs);
+		w.executors[0].loses_stops = true;
+		ph_pool_cancel(o->pool, w.now_us, "submitter", stopped);
+		w.run_until(w.now_us + 110 * kMs + submit_ms * kMs);
+		/* Fits beside the other, and into half a lease. */
+		seq = w.submit(o, "b", 1, 300 * kMs, 300 * kMs, 4000 * kMs,
+			       9000 * kMs);
+		w.run_until(w.now_us + 3000 * kMs);
+		EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+		EXPECT_EQ(w.starts, 2);
+	}
+}
+
+/* A start that is refused for lack of room lengthens the lease all the same,
+ * and its executor can't be reached any more: the runs there count as over no
+ * sooner than that lease. */
+TEST(Pool, ARefusedStartLengthensTheKnownLease)
+{
+	for (uint64_t start_ms = 0; start_ms <= 180; start_ms += 20) {
+		SCOPED_TRACE(start_ms);
+		World w(4, 16000);
+		Owner *o = ready_owner(&w);
+		Executor *x = &w.executors.back();
+		uint64_t t0 = w.now_us;
+		uint64_t seq = w.submit(o, "a", 1, 2500 * kMs, 2500 * kMs,
+					3000 * kMs, 9000 * kMs);
+
+		w.run_until(t0 + 200 * kMs);
+		/* Its capacity has shrunk, and its owner does not know yet. */
+		x->cpu = 6800;
+		w.at(t0 + (200 + start_ms) * kMs + 2 * kLatencyUs, [=] {
+			x->unreachable_from = { 0 };
+			/* The poll that waits there is not answered. */
+			x->crashes++;
+		});
+		w.run_until(t0 + (200 + start_ms) * kMs);
+		w.submit(o, "b", 1, 100 * kMs, 100 * kMs, kTarget,
+			 kCallerTimeout);
+		w.run_until(t0 + 6000 * kMs);
+		EXPECT_EQ(ph_pool_counters(o->pool)->no_room, 1U);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+	}
+}
+
 /* The token of the only owner is refused for a while and raised: no run is
  * interrupted. */
 TEST(Pool, AnOwnerThatRaisesItsTokenInTimeInterruptsNoRuns)
