Tests of two rules that none guarded

Both rules are needed; neither bears on a task that runs twice. - A new process of an instance is heard before the next tick reports the loss of the one before, by its name. A batch taken in between would end with that report, and its caller would be told that its instance is silent. Cluster.ANewProcessIsNotHeardBeforeTheLossOfTheOneBeforeIsReported - An executor that left the list is kept for up to 20 s if the start of a run there may still be carried out, but polled for 3.5 s only. A resumed batch must not wait for its poll. Resubmission.AnExecutorThatIsNotPolledAnyMoreHoldsUpNoResumedBatch

--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -1000,6 +1000,24 @@
 	}
 }
 
+/* The next tick reports the loss of the process before by its name, which would
+ * also end the batches of the new one. */
+TEST(Cluster, ANewProcessIsNotHeardBeforeTheLossOfTheOneBeforeIsReported)
+{
+	Echoes e;
+	int lost;
+
+	e.run_for(1000 * kMs, 200 * kMs);
+	lost = e.lost;
+	e.incarnation++;
+	e.heartbeat(0);
+	EXPECT_FALSE(e.hears());
+	EXPECT_EQ(e.lost, lost);
+	e.run_for(kTickUs, 200 * kMs);
+	EXPECT_TRUE(e.hears());
+	EXPECT_EQ(e.lost, lost + 1);
+}
+
 /* Two instances that run only for a part of each period of the CPU scheduler,
  * as the owner of a pool and a submitter. */
 struct Throttled {
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -983,6 +983,34 @@
 	}
 }
 
+/* An executor that has left the list, and is kept only since the start of a run
+ * there may still be carried out, holds up no resumed batch. */
+TEST(Resubmission, AnExecutorThatIsNotPolledAnyMoreHoldsUpNoResumedBatch)
+{
+	World w(3, 16000);
+	Owner *first = w.add_owner();
+	Owner *o = w.add_owner();
+	Executor *x = &w.executors.back();
+	uint64_t seq;
+
+	ph_pool_acquire(o->pool, w.now_us, 1000);
+	w.run_until(w.now_us + 50 * kMs);
+	w.submit(o, "a", 1, 20000 * kMs, 20000 * kMs, 30000 * kMs, 60000 * kMs);
+	x->unreachable_from = { first->number, o->number };
+	w.run_until(w.now_us + 1500 * kMs);
+	x->unlisted = true;
+	EXPECT_TRUE(w.list(o));
+	w.run_until(w.now_us + 5000 * kMs);
+	EXPECT_TRUE(w.list(o));
+	ph_pool_acquire(o->pool, w.now_us, 2000);
+	seq = w.submit(first, "b", 1, 100 * kMs, 100 * kMs, 400 * kMs,
+		       4000 * kMs);
+	first->results.clear();
+	w.resubmit(first, o, seq);
+	w.run_until(w.now_us + 200 * kMs);
+	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+}
+
 /* ## Random disruptions */
 
 enum Kind {
