A resumed task waits for a list that holds the executors of the owner before

The next owner's list is older: up to 0.6 s of the own reads, 1.3 s where another instance reads for the domain. It has polled "all" executors, finds no run, and starts the task elsewhere 0.15 s after the death, while the first run's lease lasts for 0.7 s.

Cause: "all executors have been polled" was "all that I have listed".

Change: a task whose location is unknown starts again only if the list was read no earlier than 0.1 s before its batch arrived, which is after the loss of the owner before (a pool is claimed 0.1 s after it at the earliest), or once the leases of that owner have surely expired, as ever. An instance with such a batch reads the list at once instead of at its interval, unless reads fail.

Test: Resubmission.ARunOnAnExecutorThatTheNextOwnerHasNotListedIsNotStartedTwice, a task twice without the rule. If the list comes within 0.4 s, the run is claimed and nothing starts again.

Not covered: an owner that is alive, cut off from both the submitter and the next owner, and lists a new executor within 0.3 s after the next one's read.

--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -109,6 +109,9 @@
  * reads for its domain, or its copy of the list is too old. */
 bool ph_dispatcher_wants_list(struct ph_dispatcher *dispatcher,
 			      uint64_t now_us);
+/** True if that read must not wait for its interval: batches of an owner that
+ * was lost wait for it. */
+bool ph_dispatcher_needs_list(struct ph_dispatcher *dispatcher);
 /** The list of executors was read; requested_us is when the read was sent. */
 void ph_dispatcher_list_read(struct ph_dispatcher *dispatcher, uint64_t now_us,
 			     uint64_t requested_us,
--- a/src/dispatcher_executors.c
+++ b/src/dispatcher_executors.c
@@ -129,6 +129,12 @@
 
 void ph_dispatcher_list_tick(struct ph_dispatcher *d, uint64_t now_us)
 {
+	uint64_t age_us = ph_directory_age_us(d->directory, now_us);
+	uint64_t read_us = age_us < now_us ? now_us - age_us : 0;
+	size_t i;
+
+	for (i = 0; i < d->pool_count; i++)
+		ph_pool_list_read(d->pools[i].pool, read_us);
 	if (d->has_unlisted_executors &&
 	    now_us > d->list_split_us + UNLISTED_CHECK_INTERVAL_US)
 		split_executors(d, now_us);
@@ -136,11 +142,22 @@
 
 /* ## Reads from the platform */
 
+bool ph_dispatcher_needs_list(struct ph_dispatcher *d)
+{
+	size_t i;
+
+	for (i = 0; i < d->pool_count; i++)
+		if (ph_pool_needs_list(d->pools[i].pool))
+			return true;
+	return false;
+}
+
 bool ph_dispatcher_wants_list(struct ph_dispatcher *d, uint64_t now_us)
 {
 	const struct ph_member *reader;
 
-	if (!ph_cluster_list_reader(d->cluster, now_us, &reader))
+	if (ph_dispatcher_needs_list(d) ||
+	    !ph_cluster_list_reader(d->cluster, now_us, &reader))
 		return true;
 	if (reader->list_digest == ph_directory_digest(d->directory))
 		ph_directory_confirm(d->directory, reader->list_read_us);
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -163,7 +163,8 @@
 /** Applies a change of the list of executors that another instance sent. */
 void ph_dispatcher_list_changed(struct ph_dispatcher *d,
 				const struct ph_poolmsg *msg, uint64_t now_us);
-/** Splits the list again when due, until no pool has unlisted executors. */
+/** Tells the pools how old the list is, and splits it again when due, until no
+ * pool has unlisted executors. */
 void ph_dispatcher_list_tick(struct ph_dispatcher *d, uint64_t now_us);
 
 /* ## dispatcher.c */
--- a/src/pool.c
+++ b/src/pool.c
@@ -29,6 +29,10 @@
 /* Longest time in transit of a batch: less than the time after which its
  * submitter abandons it and the caller may submit the job elsewhere. */
 #define TRANSIT_MAX_US 350000U
+/* An instance claims a pool no sooner than this after the loss of the owner
+ * before (CLAIM_AFTER_US in cluster_ownership.c), and its batches are resumed
+ * later still. */
+#define LIST_AHEAD_US 100000U
 
 struct ph_pool *ph_pool_new(const struct ph_pool_options *options)
 {
@@ -39,6 +43,7 @@
 	pool->opt.name = pool->name;
 	pool->mem = options->mem;
 	pool->last_call = options->first_call;
+	pool->list_read_us = UINT64_MAX;
 	pool->own_crashes = !options->crashes;
 	pool->crashes = options->crashes ? options->crashes
 					 : ph_crashes_new(options->mem);
@@ -719,6 +724,29 @@
 	return drop_unlisted(pool, now_us);
 }
 
+void ph_pool_list_read(struct ph_pool *pool, uint64_t read_us)
+{
+	pool->dirty = pool->dirty || read_us != pool->list_read_us;
+	pool->list_read_us = read_us;
+}
+
+bool ph_batch_list_recent(const struct ph_pool *pool, const struct ph_batch *b)
+{
+	return pool->list_read_us >= b->received_us ||
+	       pool->list_read_us + LIST_AHEAD_US >= b->received_us;
+}
+
+bool ph_pool_needs_list(const struct ph_pool *pool)
+{
+	const struct ph_batch *b;
+
+	for (b = pool->batches; b; b = b->next)
+		if (b->request->resumed && b->waiting &&
+		    !ph_batch_list_recent(pool, b))
+			return true;
+	return false;
+}
+
 void ph_pool_tick(struct ph_pool *pool, uint64_t now_us)
 {
 	struct ph_batch *b = pool->batches;
--- a/src/pool.h
+++ b/src/pool.h
@@ -114,6 +114,14 @@
 void ph_pool_submitter_lost(struct ph_pool *pool, uint64_t now_us,
 			    const char *submitter);
 
+/** The read that gave or confirmed the present list of executors was sent at
+ * read_us; 0: there is no list. Without a call every list counts as recent. */
+void ph_pool_list_read(struct ph_pool *pool, uint64_t read_us);
+/** True if tasks of a resumed batch wait for a list that is read anew: the
+ * present one may lack an executor on which the owner before has started them.
+ */
+bool ph_pool_needs_list(const struct ph_pool *pool);
+
 /** Asks for each batch whether its submitter still relies on this instance. One
  * whose submitter may not starts no task, and keeps leases from being renewed,
  * until the answer changes or its submitter is lost. */
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -257,6 +257,8 @@
 	bool widespread_loss;
 	/** Polls get lost, so long polls wait for a shorter time. */
 	bool short_polls;
+	/** When the read that gave or confirmed the list was sent. */
+	uint64_t list_read_us;
 	/** The state changed since the last placement round. */
 	bool dirty;
 	/** Time of the last placement round. */
@@ -281,6 +283,10 @@
 void ph_batch_task_failed(struct ph_pool *pool, struct ph_batch *batch,
 			  uint32_t index, uint64_t now_us);
 
+/** Whether the list was read late enough to hold each executor on which an
+ * earlier owner may have started tasks of a resumed batch. */
+bool ph_batch_list_recent(const struct ph_pool *pool,
+			  const struct ph_batch *batch);
 /** Lets resumed batches claim the orphaned runs and ends reported so far. */
 void ph_pool_claim_orphans(struct ph_pool *pool, uint64_t now_us);
 
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -342,7 +342,8 @@
 	    now_us >= orphans_expired_us(pool, b))
 		return true;
 	return executor == PH_EXECUTOR_UNKNOWN
-		       ? all_polled(pool, now_us)
+		       ? all_polled(pool, now_us) &&
+				 ph_batch_list_recent(pool, b)
 		       : executor_polled(pool, executor);
 }
 
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -983,6 +983,61 @@
 	}
 }
 
+/* An executor is new, and the next owner does not have it in its list yet when
+ * the first one dies: the run there must be over, or the list be read anew,
+ * before its task starts elsewhere. */
+TEST(Resubmission,
+     ARunOnAnExecutorThatTheNextOwnerHasNotListedIsNotStartedTwice)
+{
+	constexpr uint64_t kNever = 9000;
+
+	for (bool dark : { false, true })
+		for (uint64_t listed_ms :
+		     { (uint64_t)120, (uint64_t)200, (uint64_t)300,
+		       (uint64_t)500, (uint64_t)700, kNever }) {
+			SCOPED_TRACE(listed_ms);
+			Group g({ "north" }, 4);
+			Executor *added = &g.w.executors[3];
+			std::string first;
+			Owner *next;
+			size_t caller;
+
+			added->unlisted = true;
+			g.add("n1", "north");
+			g.add("n2", "north");
+			g.add("s1", "south");
+			g.run_for(1500 * kMs);
+			ASSERT_NE(g.owner_of("north"), nullptr);
+			first = g.owner_of("north")->name;
+			next = g.find(first == "n1" ? "n2" : "n1")
+				       ->pools["north"];
+			ph_pool_list_read(next->pool, g.w.now_us);
+			added->unlisted = false;
+			g.w.list(g.find(first)->pools["north"]);
+			g.run_for(50 * kMs);
+			caller = g.submit(g.find("s1"), 4, 2000 * kMs,
+					  9000 * kMs);
+			g.run_for(200 * kMs);
+			ASSERT_FALSE(added->running.empty());
+			if (dark)
+				g.dark.insert(first);
+			g.kill(g.find(first));
+			g.w.at(g.w.now_us + listed_ms * kMs, [&] {
+				g.w.list(next);
+				ph_pool_list_read(next->pool, g.w.now_us);
+			});
+			g.run_for(5000 * kMs);
+			EXPECT_EQ(g.w.concurrent_runs, 0);
+			ASSERT_EQ(g.callers[caller].answers.size(), 1U);
+			EXPECT_EQ(g.callers[caller].answers[0],
+				  PH_JOB_COMPLETED);
+			/* Its run is claimed if it is found in time. */
+			if (listed_ms < 400 && !dark) {
+				EXPECT_EQ(g.w.starts, 4);
+			}
+		}
+}
+
 /* An executor that has left the list, and is kept only since the start of a run
  * there may still be carried out, holds up no resumed batch. */
 TEST(Resubmission, AnExecutorThatIsNotPolledAnyMoreHoldsUpNoResumedBatch)
