A new instance may lack executors that an owner before still followed

Seen by reading, and by a test: an executor's entry leaves the list while it runs on, as after an outage of the store. Its owner goes on renewing its lease for a while. An instance that starts now never lists it. If it takes the pool over, its list may be recent and all its executors polled, and it starts the task again beside the run there.

A planned hand-over tells the locations and does not wait.

Test: Resubmission.ARunOnAnExecutorThatANewInstanceNeverListedIsNotStartedTwice, a task twice without the rule.

--- a/src/pool.c
+++ b/src/pool.c
@@ -727,22 +727,31 @@
 void ph_pool_list_read(struct ph_pool *pool, uint64_t read_us)
 {
 	pool->dirty = pool->dirty || read_us != pool->list_read_us;
+	if (!pool->first_list_us)
+		pool->first_list_us = read_us;
 	pool->list_read_us = read_us;
 }
 
-bool ph_batch_list_recent(const struct ph_pool *pool, const struct ph_batch *b)
+static bool list_recent(const struct ph_pool *pool, const struct ph_batch *b)
 {
 	return pool->list_read_us >= b->received_us ||
 	       pool->list_read_us + LIST_AHEAD_US >= b->received_us;
 }
 
+bool ph_batch_executors_known(const struct ph_pool *pool,
+			      const struct ph_batch *b)
+{
+	return list_recent(pool, b) &&
+	       (!pool->first_list_us ||
+		b->received_us >= pool->first_list_us + PH_UNLISTED_US);
+}
+
 bool ph_pool_needs_list(const struct ph_pool *pool)
 {
 	const struct ph_batch *b;
 
 	for (b = pool->batches; b; b = b->next)
-		if (b->request->resumed && b->waiting &&
-		    !ph_batch_list_recent(pool, b))
+		if (b->request->resumed && b->waiting && !list_recent(pool, b))
 			return true;
 	return false;
 }
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -12,6 +12,13 @@
 /* Longest wait for a call's answer: leaves time to repeat a poll before the
  * lease that it renews expires. */
 #define PH_CALL_TIMEOUT_MAX_US 200000U
+/* Time for which the lease of an unlisted executor is still renewed: its entry
+ * may be back soon. */
+#define PH_UNLISTED_RENEWED_US 1000000U
+/* Time for which an unlisted executor is still polled: while another owner may
+ * have renewed a lease there, plus the longest lease, plus the time by which
+ * two instances may differ in their lists. */
+#define PH_UNLISTED_US (PH_UNLISTED_RENEWED_US + 1000000U + 1500000U)
 
 enum ph_batch_task_state {
 	PH_BATCH_TASK_WAITING,
@@ -257,8 +264,10 @@
 	bool widespread_loss;
 	/** Polls get lost, so long polls wait for a shorter time. */
 	bool short_polls;
-	/** When the read that gave or confirmed the list was sent. */
+	/** When the read that gave or confirmed the list was sent, and the one
+	 * that gave the first list. */
 	uint64_t list_read_us;
+	uint64_t first_list_us;
 	/** The state changed since the last placement round. */
 	bool dirty;
 	/** Time of the last placement round. */
@@ -283,10 +292,12 @@
 void ph_batch_task_failed(struct ph_pool *pool, struct ph_batch *batch,
 			  uint32_t index, uint64_t now_us);
 
-/** Whether the list was read late enough to hold each executor on which an
- * earlier owner may have started tasks of a resumed batch. */
-bool ph_batch_list_recent(const struct ph_pool *pool,
-			  const struct ph_batch *batch);
+/** Whether this instance polls each executor on which an earlier owner may have
+ * started tasks of a resumed batch: the list was read late enough to hold new
+ * ones, and lists have been read for long enough to have held those that have
+ * left it and still have a lease. */
+bool ph_batch_executors_known(const struct ph_pool *pool,
+			      const struct ph_batch *batch);
 /** Lets resumed batches claim the orphaned runs and ends reported so far. */
 void ph_pool_claim_orphans(struct ph_pool *pool, uint64_t now_us);
 
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -35,13 +35,6 @@
  * once, the tasks on them are hardly the cause. */
 #define WIDESPREAD_EXECUTORS 3U
 #define WIDESPREAD_PERCENT 15U
-/* Time for which the lease of an unlisted executor is still renewed: its entry
- * may be back soon. */
-#define UNLISTED_RENEWED_US 1000000U
-/* Time for which an unlisted executor is still polled: while another owner may
- * have renewed a lease there, plus the longest lease, plus the time by which
- * two instances may differ in their lists. */
-#define UNLISTED_US (UNLISTED_RENEWED_US + 1000000U + 1500000U)
 
 uint64_t ph_run_claim_us(const struct ph_executor *x)
 {
@@ -50,7 +43,7 @@
 
 bool ph_executor_followed(const struct ph_executor *x, uint64_t now_us)
 {
-	return x->listed || now_us < x->unlisted_us + UNLISTED_US;
+	return x->listed || now_us < x->unlisted_us + PH_UNLISTED_US;
 }
 
 /* Whether a run there belongs to a batch that its submitter may have resumed
@@ -71,7 +64,7 @@
 {
 	return !x->stops_overdue && !pool->fenced &&
 	       !ph_executor_has_unclaimed(x) && !has_maybe_resumed(x) &&
-	       (x->listed || now_us < x->unlisted_us + UNLISTED_RENEWED_US);
+	       (x->listed || now_us < x->unlisted_us + PH_UNLISTED_RENEWED_US);
 }
 
 bool ph_lease_allows_start(const struct ph_pool *pool,
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -343,7 +343,7 @@
 		return true;
 	return executor == PH_EXECUTOR_UNKNOWN
 		       ? all_polled(pool, now_us) &&
-				 ph_batch_list_recent(pool, b)
+				 ph_batch_executors_known(pool, b)
 		       : executor_polled(pool, executor);
 }
 
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -858,6 +858,35 @@
 		}
 }
 
+/* The first owner has lost an executor, and soon after is not heard any more.
+ * The next owner finds and claims the run there just before its lease expires,
+ * while the first one still takes the submitter to rely on it. */
+TEST(Resubmission, ATaskIsNotStartedAgainOnceItsSubmitterMayHaveResumedIt)
+{
+	for (uint64_t cut_ms = 0; cut_ms <= 700; cut_ms += 10) {
+		SCOPED_TRACE(cut_ms);
+		Trio t;
+		Executor *shared = nullptr;
+
+		ASSERT_NE(t.first, nullptr);
+		t.submit(t.submitter, 1, 3500 * kMs, 12000 * kMs);
+		t.run_for(100 * kMs);
+		for (Executor &x : t.w.executors)
+			if (x.running.empty())
+				t.unreachable.insert({ t.next->name, x.id });
+			else
+				shared = &x;
+		ASSERT_NE(shared, nullptr);
+		t.cancel_delay_us = 2400 * kMs;
+		t.unreachable.insert({ t.first->name, shared->id });
+		t.run_for(cut_ms * kMs);
+		t.separate(t.first->name, t.next->name);
+		t.cut.insert({ t.first->name, t.submitter->name });
+		t.run_for(3000 * kMs);
+		EXPECT_EQ(t.w.concurrent_runs, 0);
+	}
+}
+
 /* Messages of an instance take ever longer, as on a link whose queue fills. Its
  * heartbeats go on arriving after its end, and a cancellation arrives late. */
 TEST(Resubmission, RunsEndInTimeIfMessagesAreLongInTransit)
@@ -1038,6 +1067,40 @@
 		}
 }
 
+/* An executor has left the list a short time ago, its first owner still follows
+ * it, and the next one has started since and never had it in its list. */
+TEST(Resubmission, ARunOnAnExecutorThatANewInstanceNeverListedIsNotStartedTwice)
+{
+	for (uint64_t listed_ms : { 600, 1500, 3000 }) {
+		SCOPED_TRACE(listed_ms);
+		Group g({ "north" }, 4);
+		Executor *left = &g.w.executors[3];
+		Instance *next;
+		size_t caller;
+
+		g.add("n1", "north");
+		g.add("s1", "south");
+		g.run_for(1500 * kMs);
+		ASSERT_NE(g.owner_of("north"), nullptr);
+		caller = g.submit(g.find("s1"), 4, 6000 * kMs, 20000 * kMs);
+		g.run_for(50 * kMs);
+		left->unlisted = true;
+		next = g.add("n2", "north");
+		ph_pool_list_read(next->pools["north"]->pool, g.w.now_us);
+		g.run_for(listed_ms * kMs);
+		ASSERT_FALSE(left->running.empty());
+		g.kill(g.find("n1"));
+		g.w.at(g.w.now_us + 120 * kMs, [&] {
+			ph_pool_list_read(next->pools["north"]->pool,
+					  g.w.now_us);
+		});
+		g.run_for(9000 * kMs);
+		EXPECT_EQ(g.w.concurrent_runs, 0);
+		ASSERT_EQ(g.callers[caller].answers.size(), 1U);
+		EXPECT_EQ(g.callers[caller].answers[0], PH_JOB_COMPLETED);
+	}
+}
+
 /* An executor that has left the list, and is kept only since the start of a run
  * there may still be carried out, holds up no resumed batch. */
 TEST(Resubmission, AnExecutorThatIsNotPolledAnyMoreHoldsUpNoResumedBatch)
