Test: owners whose lists overlap run no task twice at once

No task ran twice in 102 combinations: an executor serves one token at a time, the owner with the higher one finds the other's runs, renews nothing beside them, starts no task of which it has found a run, and stops them after 0.15 s.

--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -1129,6 +1129,76 @@
 	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
 }
 
+/* A domain is split into shards, and the owner of its pool still has the older
+ * list: two owners use the same executors, under tokens that are in no order to
+ * each other. The job is submitted to the one, and later to the other. */
+TEST(Resubmission, OwnersWhoseListsOverlapRunNoTaskTwiceAtOnce)
+{
+	constexpr size_t kShared = 2;
+	constexpr int64_t kRetryMs = kResendUs / kMs;
+	const struct {
+		const char *what;
+		uint64_t shard_token;
+		/** From the end of the first submission on. */
+		bool cut_off;
+		bool stops_lost;
+	} cases[] = {
+		{ "higher token", 2000, false, false },
+		{ "higher token, first owner cut off", 2000, true, false },
+		{ "higher token, stops lost", 2000, false, true },
+		{ "lower token", 500, false, false },
+		{ "lower token, first owner cut off", 500, true, false },
+		{ "lower token, stops lost", 500, false, true },
+	};
+
+	for (const auto &c : cases)
+		for (int64_t at_ms = -400; at_ms < kRetryMs; at_ms += 100) {
+			SCOPED_TRACE(std::string(c.what) + " " +
+				     std::to_string(at_ms));
+			World w(2 * kShared, 16000);
+			Owner *whole = w.add_owner();
+			Owner *shard;
+			uint64_t seq;
+			uint64_t t0;
+
+			for (size_t i = 0; i < kShared; i++)
+				w.executors[i].unlisted = true;
+			shard = w.add_owner();
+			for (size_t i = 0; i < kShared; i++)
+				w.executors[i].unlisted = false;
+			ph_pool_acquire(whole->pool, w.now_us, 1000);
+			w.run_until(w.now_us + 50 * kMs);
+			seq = w.submit(whole, "a", 4, 5000 * kMs, 5000 * kMs,
+				       8000 * kMs, 20000 * kMs);
+			t0 = w.now_us + 600 * kMs;
+			w.at(t0 + (uint64_t)(at_ms * (int64_t)kMs), [&] {
+				ph_pool_acquire(shard->pool, w.now_us,
+						c.shard_token);
+			});
+			w.at(t0, [&] {
+				for (Executor &x : w.executors) {
+					if (c.cut_off)
+						x.unreachable_from = {
+							whole->number
+						};
+					x.loses_stops = c.stops_lost;
+				}
+				ph_pool_cancel(whole->pool, w.now_us,
+					       "submitter", seq);
+			});
+			w.run_until(t0 + kResendUs);
+			for (Executor &x : w.executors)
+				x.loses_stops = false;
+			/* An owner whose token is refused raises it. */
+			if (ph_pool_fenced(shard->pool))
+				ph_pool_acquire(shard->pool, w.now_us, 3000);
+			w.submit(shard, "a", 4, 1000 * kMs, 1000 * kMs,
+				 4000 * kMs, 8000 * kMs);
+			w.run_until(t0 + kResendUs + 3000 * kMs);
+			EXPECT_EQ(w.concurrent_runs, 0);
+		}
+}
+
 /* ## Random disruptions */
 
 enum Kind {
