--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	@$(BUILD)/fault-matrix --whole --pairs 20000 --seed $(SEED)
 	@$(BUILD)/fault-matrix --variants
 
-# Checks all states of the ledger's model.
+# Checks all states of the models: the ledger, one run, two owners.
 model: setup
 	@BUILD=$(BUILD) tools/model.sh
 
