Messages between instances are checked for values that are used as they are

Cause: a heartbeat's number of shards is the number of pools that its receiver creates; above 1000 their names repeat. The sender's address goes to the transport, which looks up a host name on the thread of all connections. A need of 2^32 - 1 millicores plus what is in use wraps around and fits.

Change: the decoder limits the capacity, the number of shards (also as computed here) and the interval of heartbeats; names and addresses of the sender and of listed executors have to be valid before a message is handled.

PoolMsg.EveryTypeIsDecodedAsEncoded names an address of its executor now.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -59,6 +59,10 @@
 	int err = ph_poolmsg_decode(d->mem, data, len, msg);
 	struct mail *m;
 
+	if (!err && !ph_poolmsg_names_valid(msg)) {
+		ph_poolmsg_clear(d->mem, msg);
+		err = PH_ERR_SYNTAX;
+	}
 	if (err) {
 		d->mem->free(msg);
 		return err;
--- a/src/pool_shard.c
+++ b/src/pool_shard.c
@@ -16,6 +16,8 @@
 {
 	uint32_t wanted = (executors + SHARD_EXECUTORS - 1) / SHARD_EXECUTORS;
 
+	if (wanted > PH_POOL_SHARDS_MAX)
+		wanted = PH_POOL_SHARDS_MAX;
 	if (!before)
 		before = 1;
 	return executors > before * SHARD_EXECUTORS_MAX ? wanted : before;
@@ -44,7 +46,8 @@
 			char name[PH_NAME_BYTES])
 {
 	if (shard)
-		snprintf(name, PH_NAME_BYTES, "%.24s#%u", domain, shard % 1000);
+		snprintf(name, PH_NAME_BYTES, "%.24s#%u", domain,
+			 shard % PH_POOL_SHARDS_MAX);
 	else
 		snprintf(name, PH_NAME_BYTES, "%s", domain);
 }
--- a/src/pool_shard.h
+++ b/src/pool_shard.h
@@ -11,6 +11,9 @@
 
 #include "peridothall.h"
 
+/** Most shards of a domain. */
+#define PH_POOL_SHARDS_MAX 1000U
+
 /**
  * Number of shards for a domain with this many executors that had "before"
  * shards so far (0: none yet). The number never falls: instances that disagree
--- a/src/pool_types.h
+++ b/src/pool_types.h
@@ -24,6 +24,12 @@
 	uint32_t gpu;
 };
 
+/** Most of each resource that an executor has or a task needs; far above any
+ * machine, and sums over a pool fit into 32 bits. */
+#define PH_CPU_MILLI_MAX (1U << 24)
+#define PH_MEM_MB_MAX (1U << 28)
+#define PH_GPU_MAX (1U << 16)
+
 /** True if need fits into total minus used. */
 bool ph_capacity_fits(const struct ph_capacity *total,
 		      const struct ph_capacity *used,
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -3,7 +3,9 @@
 #include <arpa/inet.h>
 #include <msgpack.h>
 
+#include "ident.h"
 #include "msg.h"
+#include "pool_shard.h"
 #include "poolmsg.h"
 
 /* Numbers of array elements: of the header, of the body of a heartbeat and of a
@@ -17,6 +19,8 @@
 #define RESULT_FIELDS 5U
 #define LIST_FIELDS 5U
 #define EXECUTOR_FIELDS 9U
+/* Longest interval of an instance's heartbeats. */
+#define INTERVAL_MAX_US 60000000U
 
 /* ## Encoding */
 
@@ -267,6 +271,13 @@
 	return get_uint(r, UINT64_MAX);
 }
 
+static void get_capacity(struct reader *r, struct ph_capacity *c)
+{
+	c->cpu_milli = (uint32_t)get_uint(r, PH_CPU_MILLI_MAX);
+	c->mem_mb = (uint32_t)get_uint(r, PH_MEM_MB_MAX);
+	c->gpu = (uint32_t)get_uint(r, PH_GPU_MAX);
+}
+
 static const char *get_bytes(struct reader *r, size_t *len)
 {
 	const char *data;
@@ -349,10 +360,10 @@
 	m->leaving = get_u32(r) != 0;
 	m->config_version = get_u64(r);
 	m->heard_ago_us = get_u64(r);
-	m->interval_us = get_u64(r);
+	m->interval_us = get_uint(r, INTERVAL_MAX_US);
 	m->clock_us = get_u64(r);
 	m->cpu_milli = get_u32(r);
-	m->shards = get_u32(r);
+	m->shards = (uint32_t)get_uint(r, PH_POOL_SHARDS_MAX);
 	m->list_digest = get_u64(r);
 	m->list_age_us = get_u64(r);
 	m->claim_count = (uint32_t)get_uint(r, PH_CLAIMS_MAX);
@@ -376,9 +387,7 @@
 	spec = get_bytes(r, &w->spec_len);
 	w->spec = ph_memdup(mem, spec, w->spec_len);
 	w->count = (uint32_t)get_uint(r, PH_MAX_TASKS);
-	w->need.cpu_milli = get_u32(r);
-	w->need.mem_mb = get_u32(r);
-	w->need.gpu = get_u32(r);
+	get_capacity(r, &w->need);
 	w->estimate_us = get_u64(r);
 	w->age_us = get_u64(r);
 	w->target_us = get_u64(r);
@@ -412,9 +421,7 @@
 	get_str(r, x->domain, sizeof(x->domain));
 	get_str(r, x->service, sizeof(x->service));
 	get_str(r, x->labels, sizeof(x->labels));
-	x->capacity.cpu_milli = get_u32(r);
-	x->capacity.mem_mb = get_u32(r);
-	x->capacity.gpu = get_u32(r);
+	get_capacity(r, &x->capacity);
 	x->draining = get_u32(r) != 0;
 }
 
@@ -509,6 +516,25 @@
 	return err;
 }
 
+static bool executor_valid(const struct ph_executor_info *x)
+{
+	return ph_platform_name_valid(x->id, sizeof(x->id)) &&
+	       ph_platform_name_valid(x->domain, sizeof(x->domain)) &&
+	       ph_addr_valid(x->addr);
+}
+
+bool ph_poolmsg_names_valid(const struct ph_poolmsg *m)
+{
+	size_t i;
+
+	for (i = 0; m->change && i < m->change->updated_count; i++)
+		if (!executor_valid(&m->change->updated[i]))
+			return false;
+	return ph_platform_name_valid(m->name, sizeof(m->name)) &&
+	       ph_platform_name_valid(m->domain, sizeof(m->domain)) &&
+	       ph_addr_valid(m->addr);
+}
+
 void ph_poolmsg_clear(const struct ph_mem *mem, struct ph_poolmsg *m)
 {
 	ph_batch_request_free(mem, m->batch_request);
--- a/src/poolmsg.h
+++ b/src/poolmsg.h
@@ -110,6 +110,10 @@
 int ph_poolmsg_decode(const struct ph_mem *mem, const char *data, size_t len,
 		      struct ph_poolmsg *msg);
 
+/** Whether the names and addresses of the sender and of the executors in a
+ * decoded message are valid: only then it may be handled. */
+bool ph_poolmsg_names_valid(const struct ph_poolmsg *msg);
+
 /** Frees what a decoded message owns. */
 void ph_poolmsg_clear(const struct ph_mem *mem, struct ph_poolmsg *msg);
 
--- a/test/test_poolmsg.cc
+++ b/test/test_poolmsg.cc
@@ -1,11 +1,13 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <functional>
 #include <memory>
 #include <string>
 
 extern "C" {
 #include "msg.h"
+#include "pool_shard.h"
 #include "poolmsg.h"
 }
 
@@ -73,6 +75,8 @@
 	change->digest_after = UINT64_MAX;
 	change->updated_count = 1;
 	snprintf(change->updated[0].id, PH_NAME_BYTES, "x1");
+	snprintf(change->updated[0].addr, PH_ADDR_BYTES, "10.0.0.9:80");
+	snprintf(change->updated[0].domain, PH_NAME_BYTES, "north");
 	change->updated[0].capacity.cpu_milli = 16000;
 	change->updated[0].draining = true;
 	change->removed_count = 1;
@@ -134,6 +138,79 @@
 	}
 }
 
+bool accepted(const ph_poolmsg &m)
+{
+	ph_poolmsg got;
+	bool valid = !decode(encode(m), &got) && ph_poolmsg_names_valid(&got);
+
+	ph_poolmsg_clear(ph_mem_default(), &got);
+	return valid;
+}
+
+/* Guards against a message whose values are used as they are: a number of
+ * shards is a number of pools to create, and an address is connected to. */
+TEST(PoolMsg, MessagesWithValuesOutOfRangeAreRejected)
+{
+	const struct {
+		const char *what;
+		ph_poolmsg_type type;
+		std::function<void(ph_poolmsg &)> alter;
+	} cases[] = {
+		{ "an address without a port", PH_POOLMSG_HEARTBEAT,
+		  [](ph_poolmsg &m) { strcpy(m.addr, "10.0.0.1"); } },
+		{ "a host name", PH_POOLMSG_ACCEPTED,
+		  [](ph_poolmsg &m) { strcpy(m.addr, "n1.example:7"); } },
+		{ "a name with a space", PH_POOLMSG_HEARTBEAT,
+		  [](ph_poolmsg &m) { strcpy(m.name, "n 1"); } },
+		{ "a domain with the separator of shards", PH_POOLMSG_HEARTBEAT,
+		  [](ph_poolmsg &m) { strcpy(m.domain, "north#2"); } },
+		{ "too many shards", PH_POOLMSG_HEARTBEAT,
+		  [](ph_poolmsg &m) { m.shards = PH_POOL_SHARDS_MAX + 1; } },
+		{ "an interval of an hour", PH_POOLMSG_HEARTBEAT,
+		  [](ph_poolmsg &m) { m.interval_us = 3600000000; } },
+		{ "CPU that overflows a sum", PH_POOLMSG_SUBMIT,
+		  [](ph_poolmsg &m) {
+			  m.batch_request->need.cpu_milli = UINT32_MAX;
+		  } },
+		{ "memory that overflows a sum", PH_POOLMSG_SUBMIT,
+		  [](ph_poolmsg &m) {
+			  m.batch_request->need.mem_mb = UINT32_MAX;
+		  } },
+		{ "an executor with a host name", PH_POOLMSG_LIST,
+		  [](ph_poolmsg &m) {
+			  strcpy(m.change->updated[0].addr, "x.example:1");
+		  } },
+		{ "an executor with an unsafe id", PH_POOLMSG_LIST,
+		  [](ph_poolmsg &m) {
+			  strcpy(m.change->updated[0].id, "a\nb");
+		  } },
+		{ "an executor with too much CPU", PH_POOLMSG_LIST,
+		  [](ph_poolmsg &m) {
+			  m.change->updated[0].capacity.cpu_milli = UINT32_MAX;
+		  } },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.what);
+		char spec[] = "text";
+		ph_batch_request request = sample_batch_request(spec);
+		auto change = std::make_unique<ph_list_change>();
+		ph_poolmsg m = message(c.type);
+
+		change->updated_count = 1;
+		strcpy(change->updated[0].id, "x1");
+		strcpy(change->updated[0].addr, "10.0.0.9:80");
+		strcpy(change->updated[0].domain, "north");
+		if (c.type == PH_POOLMSG_SUBMIT)
+			m.batch_request = &request;
+		if (c.type == PH_POOLMSG_LIST)
+			m.change = change.get();
+		ASSERT_TRUE(accepted(m));
+		c.alter(m);
+		EXPECT_FALSE(accepted(m));
+	}
+}
+
 /* Truncated messages are rejected, and altered bytes cause no memory errors,
  * also if they decode. */
 TEST(PoolMsg, TruncatedMessagesAreRejectedAndAlteredOnesAreSafe)
