A change of the list that is older than the clock does not make it newer

Cause: the age in a change that another instance sends was subtracted from the present time without a check; if it is greater, the list counts as read far in the future and is never read here again.

Change: such a change is applied, and the age of the list stays.

Test: Directory.AChangeOlderThanTheClockDoesNotMakeTheListNewer, fails without.

--- a/src/directory.c
+++ b/src/directory.c
@@ -278,7 +278,9 @@
 		return false;
 	}
 	log_changes(d, next, n, false);
-	ph_directory_confirm(d, now_us - change->age_us);
+	/* The sender's clock may have run for longer than the one here. */
+	if (change->age_us < now_us)
+		ph_directory_confirm(d, now_us - change->age_us);
 	return replace_list(d, next, n);
 }
 
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -176,6 +176,36 @@
 	}
 }
 
+/* Guards against a list that never counts as old: the age of a change is
+ * greater than the time for which the receiver's clock has run. */
+TEST(Directory, AChangeOlderThanTheClockDoesNotMakeTheListNewer)
+{
+	for (uint64_t age_us : { (uint64_t)2000, UINT64_MAX }) {
+		SCOPED_TRACE(age_us);
+		ph_directory *sender = ph_directory_new(ph_mem_default());
+		ph_directory *receiver = ph_directory_new(ph_mem_default());
+		auto change = std::make_unique<ph_list_change>();
+
+		for (const char *ids : { "ab", "abc" }) {
+			auto list = list_of(ids);
+
+			ph_directory_read(sender, 100, 100, list.data(),
+					  list.size());
+			if (!strcmp(ids, "ab"))
+				ph_directory_read(receiver, 100, 100,
+						  list.data(), list.size());
+		}
+		ASSERT_TRUE(
+			ph_directory_last_change(sender, 1000, change.get()));
+		change->age_us = age_us;
+		EXPECT_TRUE(ph_directory_apply(receiver, 1000, change.get()));
+		EXPECT_EQ(current_ids(receiver), "abc");
+		EXPECT_EQ(ph_directory_age_us(receiver, 1000), 900U);
+		ph_directory_free(sender);
+		ph_directory_free(receiver);
+	}
+}
+
 /* A change of PH_LIST_CHANGES_MAX entries can be sent, one with an entry more
  * cannot. */
 TEST(Directory, AChangeOfTooManyEntriesIsNotSent)
