--- a/fuzz/replay.c
+++ b/fuzz/replay.c
@@ -14,6 +14,7 @@
 int fuzz_roster(const uint8_t *data, size_t size);
 int fuzz_poolmsg(const uint8_t *data, size_t size);
 int fuzz_wire(const uint8_t *data, size_t size);
+int fuzz_list(const uint8_t *data, size_t size);
 
 struct target {
 	const char *name;
@@ -24,6 +25,7 @@
 	{ "msg", fuzz_msg },	     { "spec", fuzz_spec },
 	{ "config", fuzz_config },   { "roster", fuzz_roster },
 	{ "poolmsg", fuzz_poolmsg }, { "wire", fuzz_wire },
+	{ "list", fuzz_list },
 };
 
 /* Runs a target on the files of DIR/NAME and returns their number. */
