--- a/src/dispatcher_report.c
+++ b/src/dispatcher_report.c
@@ -65,6 +65,8 @@
 	put_counter(out, "peridothall_hangups_total", d->counters.disconnects);
 	put_counter(out, "peridothall_log_lines_dropped_total",
 		    ph_log_dropped());
+	put_counter(out, "peridothall_store_unreadable_total",
+		    d->counters.unreadable);
 	for (i = 0; i < 4; i++)
 		ph_buf_printf(out,
 			      "peridothall_answers_total{outcome=\"%s\"} "
@@ -79,10 +81,11 @@
 	ph_buf_printf(out,
 		      "peridothall_ready %d\n"
 		      "peridothall_config_version %llu\n"
-		      "peridothall_jobs_under_way %zu\n",
+		      "peridothall_jobs_under_way %zu\n"
+		      "peridothall_entries_skipped %zu\n",
 		      ph_dispatcher_ready(d),
 		      d->routing ? (unsigned long long)d->routing->version : 0,
-		      ph_submitter_count(d->submitter));
+		      ph_submitter_count(d->submitter), d->counters.skipped);
 	for (i = 0; i < d->pool_count; i++)
 		put_pool_metrics(&d->pools[i], now_us, out);
 }
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -35,13 +35,9 @@
  * once, the tasks on them are hardly the cause. */
 #define WIDESPREAD_EXECUTORS 3U
 #define WIDESPREAD_PERCENT 15U
-/* Time for which the lease of an unlisted executor is still renewed: its entry
- * may be back soon. */
-#define UNLISTED_RENEWED_US 1000000U
-/* Time for which an unlisted executor is still polled: while another owner may
- * have renewed a lease there, plus the longest lease, plus the time by which
- * two instances may differ in their lists. */
-#define UNLISTED_US (UNLISTED_RENEWED_US + 1000000U + 1500000U)
+/* A task that crashes its executor does so within this time of its start, with
+ * the round trip of the start and the failure of the poll. */
+#define PROMPT_CRASH_US 100000U
 
 uint64_t ph_run_claim_us(const struct ph_executor *x)
 {
@@ -50,15 +46,28 @@
 
 bool ph_executor_followed(const struct ph_executor *x, uint64_t now_us)
 {
-	return x->listed || now_us < x->unlisted_us + UNLISTED_US;
+	return x->listed || now_us < x->unlisted_us + PH_UNLISTED_US;
+}
+
+/* Whether a run there belongs to a batch that its submitter may have resumed
+ * elsewhere, and its stop is not acknowledged. */
+static bool has_maybe_resumed(const struct ph_executor *x)
+{
+	const struct ph_run *run;
+
+	for (run = x->runs; run; run = run->next)
+		if (run->batch ? run->batch->maybe_resumed
+			       : run->maybe_resumed && !run->acked_us)
+			return true;
+	return false;
 }
 
 bool ph_lease_renewed(const struct ph_pool *pool, const struct ph_executor *x,
 		      uint64_t now_us)
 {
 	return !x->stops_overdue && !pool->fenced &&
-	       !ph_executor_has_unclaimed(x) &&
-	       (x->listed || now_us < x->unlisted_us + UNLISTED_RENEWED_US);
+	       !ph_executor_has_unclaimed(x) && !has_maybe_resumed(x) &&
+	       (x->listed || now_us < x->unlisted_us + PH_UNLISTED_RENEWED_US);
 }
 
 bool ph_lease_allows_start(const struct ph_pool *pool,
@@ -171,11 +180,15 @@
 		 "doubtful=%d crashed=%d",
 		 x->info.id, causes[cause], loss.runs, loss.doubtful,
 		 loss.crashed);
-	for (run = x->runs; run; run = run->next)
-		if (lost_with(x, run, reply))
-			ph_crashes_add(pool->crashes, now_us,
-				       ph_hash_str(run->job), run->index,
-				       &loss);
+	for (run = x->runs; run; run = run->next) {
+		if (!lost_with(x, run, reply))
+			continue;
+		loss.begun = run->begun;
+		loss.prompt =
+			x->unreachable_us < run->created_us + PROMPT_CRASH_US;
+		ph_crashes_add(pool->crashes, now_us, ph_hash_str(run->job),
+			       run->index, &loss);
+	}
 }
 
 /* True if no lease that this owner or another one has sent to the executor can
@@ -191,26 +204,20 @@
 
 /* An executor that is reached again may carry out a start that was never
  * confirmed. Until it acknowledges the stop, which makes it refuse the start,
- * the stop is overdue, so no lease is renewed there. The task itself need not
- * wait. */
-static void run_forget(struct ph_pool *pool, struct ph_run *run,
-		       uint64_t now_us)
+ * the stop is overdue, so no lease is renewed there. The task waits too: if the
+ * executor has restarted, it carries the start out under a new lease. */
+static void run_forget(struct ph_run *run, uint64_t now_us)
 {
-	struct ph_batch *batch = run->batch;
-
 	run->forgotten = true;
-	run->batch = NULL;
 	run->state = PH_RUN_STOPPING;
 	if (!run->first_stop_us)
 		run->first_stop_us = now_us;
-	if (batch)
-		ph_batch_task_requeue(pool, batch, run->index);
 }
 
 /* True if the start may be carried out after the run's lease has expired. */
 static bool may_begin(const struct ph_run *run)
 {
-	return !run->begun && !run->acked_us &&
+	return !run->begun && !run->refused_as_old && !run->acked_us &&
 	       (run->state == PH_RUN_STARTING || run->state == PH_RUN_STOPPING);
 }
 
@@ -237,7 +244,7 @@
 			log_expired(x, run, runs_there, now_us);
 			pool->counters.expired_runs++;
 			if (may_begin(run))
-				run_forget(pool, run, now_us);
+				run_forget(run, now_us);
 			else
 				ph_run_drop_requeue(pool, x, run);
 		}
@@ -259,7 +266,16 @@
 static bool stop_due(const struct ph_executor *x, const struct ph_run *run)
 {
 	return run->state == PH_RUN_STOPPING && !run->acked_us &&
-	       !run->stop_pending && !(run->forgotten && x->poll_failures);
+	       !run->stop_call && !(run->forgotten && x->poll_failures);
+}
+
+/* True if a run that has not been reported can't be alive, even if its start
+ * was carried out as late as possible, under the longest lease. */
+static bool late_run_over(const struct ph_pool *pool, const struct ph_run *run,
+			  uint64_t now_us)
+{
+	return now_us >= run->created_us + PH_LATE_START_US +
+				 PH_RESTARTED_LEASES * pool->opt.lease_us;
 }
 
 static void update_stops_overdue(struct ph_executor *x, uint64_t now_us)
@@ -294,9 +310,12 @@
 				 run->job, run->index,
 				 (unsigned long long)run->run, x->info.id);
 			ph_run_stop(pool, x, run, now_us);
+		} else if (run->forgotten && late_run_over(pool, run, now_us)) {
+			ph_run_drop_requeue(pool, x, run);
 		} else if (stop_due(x, run)) {
 			ph_run_stop(pool, x, run, now_us);
 		} else if (stop_completed(pool, run, now_us)) {
+			ph_late_start_remember(pool, x, run, now_us);
 			ph_run_drop_requeue(pool, x, run);
 		}
 		run = next;
@@ -308,6 +327,7 @@
 	struct ph_executor *x;
 
 	for (x = pool->executors; x; x = x->next) {
+		ph_late_starts_forget(pool, x, now_us);
 		expire_runs(pool, x, now_us);
 		update_stops_overdue(x, now_us);
 		if (!x->poll_call && now_us >= x->next_poll_us &&
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -149,6 +149,7 @@
 {
 	while (x->runs)
 		ph_run_drop(pool, x, x->runs);
+	ph_late_starts_forget(pool, x, UINT64_MAX);
 	pool->mem->free(x);
 }
 
@@ -275,18 +276,18 @@
 
 	run->state = PH_RUN_STOPPING;
 	run->acked_us = 0;
-	run->stop_sent_us = now_us;
 	if (!run->first_stop_us)
 		run->first_stop_us = now_us;
 	run->stops++;
-	run->stop_pending = true;
 	command_init(pool, x, run, &command);
 	command.call_id = call_new(pool, x, run, true, now_us)->id;
+	run->stop_call = command.call_id;
 	pool->opt.sink->stop(pool->opt.ctx, &command);
 }
 
 void ph_run_abandon(struct ph_pool *pool, struct ph_run *run, uint64_t now_us)
 {
+	run->maybe_resumed = run->batch && run->batch->maybe_resumed;
 	run->batch = NULL;
 	if (run->state != PH_RUN_STOPPING)
 		ph_run_stop(pool, run->executor, run, now_us);
@@ -318,6 +319,19 @@
 		pool->fenced = true;
 }
 
+/* Another run of the task may be alive there, started by another owner or for
+ * another submission: the task waits for a poll that is sent from now on. */
+static void refused_as_old(struct ph_executor *x, struct ph_run *run,
+			   uint64_t now_us)
+{
+	if (run->batch)
+		run->batch->tasks[run->index].next_run += OLD_RUN_STEP;
+	run->refused_as_old = true;
+	run->acked_us = now_us;
+	x->poll_call = 0;
+	x->next_poll_us = now_us;
+}
+
 static void start_refused(struct ph_pool *pool, struct ph_executor *x,
 			  struct ph_run *run, enum ph_call_status status,
 			  uint64_t now_us)
@@ -328,8 +342,7 @@
 		x->next_poll_us = now_us;
 		break;
 	case PH_CALL_OLD_RUN:
-		if (run->batch)
-			run->batch->tasks[run->index].next_run += OLD_RUN_STEP;
+		refused_as_old(x, run, now_us);
 		break;
 	case PH_CALL_FENCED:
 		ph_pool_fenced_by(pool, x, now_us);
@@ -350,7 +363,8 @@
 		 "call_status=%d",
 		 run->job, run->index, (unsigned long long)run->run, x->info.id,
 		 (int)status);
-	ph_run_drop_requeue(pool, x, run);
+	if (status != PH_CALL_OLD_RUN)
+		ph_run_drop_requeue(pool, x, run);
 }
 
 /* Removes an ended call from the list and finds its executor and run. Returns
@@ -424,9 +438,11 @@
 	struct ph_executor *x;
 	struct ph_run *run;
 
-	if (!call_ended(pool, now_us, call_id, reply->status, &x, &run))
+	/* An answer to an earlier stop may come from an earlier incarnation. */
+	if (!call_ended(pool, now_us, call_id, reply->status, &x, &run) ||
+	    run->stop_call != call_id)
 		return;
-	run->stop_pending = false;
+	run->stop_call = 0;
 	if (reply->status == PH_CALL_OK) {
 		run->acked_us = now_us;
 		x->next_poll_us = now_us;
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -109,6 +109,8 @@
 	 * the sender's system sends again, even after the process was killed.
 	 */
 	std::map<std::pair<std::string, std::string>, uint64_t> delay_us;
+	/** Added to the latency of cancellations. */
+	uint64_t cancel_delay_us = 0;
 	/** Instances that have lost power: their addresses refuse nothing. */
 	std::set<std::string> dark;
 	/** (instance, executor): calls in this direction are lost. */
@@ -156,11 +158,14 @@
 
 	/* Delivers a message after the latency, if its way is not cut then. */
 	void deliver(Instance *from, const std::string &to,
-		     std::function<void(Instance *)> what)
+		     std::function<void(Instance *)> what,
+		     uint64_t extra_us = 0)
 	{
 		std::string sender = from->name;
+		uint64_t took_us =
+			kPeerLatencyUs + extra_us + delay_us[{ sender, to }];
 
-		w.at(w.now_us + kPeerLatencyUs + delay_us[{ sender, to }], [=] {
+		w.at(w.now_us + took_us, [=] {
 			Instance *i = find(to);
 
 			if (i && !cut.count({ sender, to }))
@@ -231,6 +236,7 @@
 		msg->interval_us = m ? ph_cluster_interval_us(i->cluster, m)
 				     : kHeartbeatUs;
 		msg->clock_us = g->w.now_us;
+		msg->echo_us = m ? m->clock_us : 0;
 		msg->cpu_milli = 250;
 		msg->heard_ago_us = m && m->heard_us ? g->w.now_us - m->heard_us
 						     : UINT64_MAX;
@@ -267,6 +273,14 @@
 					       i->group->w.now_us, name);
 	}
 
+	static bool relies(void *ctx, const char *submitter)
+	{
+		const Instance *i = static_cast<const Instance *>(ctx);
+
+		return ph_cluster_relied_on(i->cluster, i->group->w.now_us,
+					    submitter);
+	}
+
 	/* ## Callbacks of the submitter */
 
 	static void on_send(void *ctx, const ph_owner *owner,
@@ -282,9 +296,12 @@
 		std::shared_ptr<ph_batch_request> batch;
 
 		if (msg->type == PH_POOLMSG_CANCEL) {
-			g->deliver(i, owner->name, [=](Instance *to) {
-				g->handle_cancel(to, from, seq);
-			});
+			g->deliver(
+				i, owner->name,
+				[=](Instance *to) {
+					g->handle_cancel(to, from, seq);
+				},
+				g->cancel_delay_us);
 			return;
 		}
 		batch.reset(ph_batch_request_copy(ph_mem_default(),
@@ -361,6 +378,7 @@
 		ph_pool_submit(to->pools[pool]->pool, w.now_us, from.c_str(),
 			       seq,
 			       ph_batch_request_copy(ph_mem_default(), batch));
+		ph_pool_check_submitters(to->pools[pool]->pool, relies, to);
 		ph_pool_handle_changes(to->pools[pool]->pool, w.now_us);
 	}
 
@@ -541,6 +559,8 @@
 				ph_cluster_fenced(i->cluster, w.now_us,
 						  unix_ms(i), p.first.c_str(),
 						  cluster_sink(), i);
+		for (const auto &p : i->pools)
+			ph_pool_check_submitters(p.second->pool, relies, i);
 		ph_submitter_tick(i->submitter, w.now_us);
 		send_results(i);
 	}
@@ -800,6 +820,73 @@
 	}
 }
 
+/* The first owner is not heard any more, and has seen nothing of the next one,
+ * which claims a run. Then it can't reach the run's executor, and takes the
+ * lease for expired, while the cancellation is on its way. */
+TEST(Resubmission, ARunThatAnUnknownOwnerHasClaimedIsNotTakenForExpired)
+{
+	for (uint64_t cancel_ms : { 700, 2400 })
+		for (uint64_t lost_ms = 0; lost_ms <= 600; lost_ms += 20) {
+			SCOPED_TRACE(std::to_string(cancel_ms) + " " +
+				     std::to_string(lost_ms));
+			Trio t;
+			const ph_pool *next;
+			Executor *shared = nullptr;
+
+			ASSERT_NE(t.first, nullptr);
+			next = t.next->pools["north"]->pool;
+			t.submit(t.submitter, 1, 3500 * kMs, 12000 * kMs);
+			t.run_for(100 * kMs);
+			for (Executor &x : t.w.executors)
+				if (x.running.empty())
+					t.unreachable.insert(
+						{ t.next->name, x.id });
+				else
+					shared = &x;
+			ASSERT_NE(shared, nullptr);
+			t.cancel_delay_us = cancel_ms * kMs;
+			t.separate(t.first->name, t.next->name);
+			t.cut.insert({ t.first->name, t.submitter->name });
+			while (t.w.now_us < 5000 * kMs &&
+			       !ph_pool_counters(next)->claimed_runs)
+				t.run_for(kTickUs);
+			ASSERT_EQ(ph_pool_counters(next)->claimed_runs, 1U);
+			t.run_for(lost_ms * kMs);
+			t.unreachable.insert({ t.first->name, shared->id });
+			t.run_for(2500 * kMs);
+			EXPECT_EQ(t.w.concurrent_runs, 0);
+		}
+}
+
+/* The first owner has lost an executor, and soon after is not heard any more.
+ * The next owner finds and claims the run there just before its lease expires,
+ * while the first one still takes the submitter to rely on it. */
+TEST(Resubmission, ATaskIsNotStartedAgainOnceItsSubmitterMayHaveResumedIt)
+{
+	for (uint64_t cut_ms = 0; cut_ms <= 700; cut_ms += 10) {
+		SCOPED_TRACE(cut_ms);
+		Trio t;
+		Executor *shared = nullptr;
+
+		ASSERT_NE(t.first, nullptr);
+		t.submit(t.submitter, 1, 3500 * kMs, 12000 * kMs);
+		t.run_for(100 * kMs);
+		for (Executor &x : t.w.executors)
+			if (x.running.empty())
+				t.unreachable.insert({ t.next->name, x.id });
+			else
+				shared = &x;
+		ASSERT_NE(shared, nullptr);
+		t.cancel_delay_us = 2400 * kMs;
+		t.unreachable.insert({ t.first->name, shared->id });
+		t.run_for(cut_ms * kMs);
+		t.separate(t.first->name, t.next->name);
+		t.cut.insert({ t.first->name, t.submitter->name });
+		t.run_for(3000 * kMs);
+		EXPECT_EQ(t.w.concurrent_runs, 0);
+	}
+}
+
 /* Messages of an instance take ever longer, as on a link whose queue fills. Its
  * heartbeats go on arriving after its end, and a cancellation arrives late. */
 TEST(Resubmission, RunsEndInTimeIfMessagesAreLongInTransit)
@@ -829,6 +916,68 @@
 	}
 }
 
+/* Heartbeats of a submitter that has died go on arriving, and all stops get
+ * lost: the leases have to expire before the caller retries. */
+TEST(Resubmission, LeasesExpireInTimeIfHeartbeatsAreLongInTransit)
+{
+	for (uint64_t transit_ms = 0; transit_ms <= 800; transit_ms += 50) {
+		SCOPED_TRACE(transit_ms);
+		Trio t;
+		std::pair<std::string, std::string> way = { t.submitter->name,
+							    t.first->name };
+
+		ASSERT_NE(t.first, nullptr);
+		t.submit(t.submitter, 4, 6000 * kMs, 24000 * kMs);
+		t.run_for(200 * kMs);
+		ASSERT_EQ(t.running(), 4U);
+		while (t.delay_us[way] < transit_ms * kMs) {
+			t.delay_us[way] += 50 * kMs;
+			t.run_for(100 * kMs);
+		}
+		for (Executor &x : t.w.executors)
+			x.loses_stops = true;
+		t.dark.insert(t.submitter->name);
+		t.kill(t.submitter);
+		t.run_for(kResendUs - 2 * kTickUs);
+		EXPECT_EQ(t.running(), 0U);
+	}
+}
+
+/* In a large cluster an owner notices late that a submitter of another domain
+ * has died. If all stops get lost, the leases have to expire before the caller
+ * retries. */
+TEST(Resubmission, LeasesExpireInTimeInALargeCluster)
+{
+	for (uint64_t phase_ms = 0; phase_ms < 200; phase_ms += 100) {
+		SCOPED_TRACE(phase_ms);
+		Group g({ "north" }, 4);
+		Instance *submitter = g.add("s", "south");
+		const ph_member *m;
+
+		for (int i = 0; i < 2; i++)
+			g.add("n" + std::to_string(i), "north");
+		for (int i = 0; i < 100; i++)
+			g.add("w" + std::to_string(i), "west");
+		g.run_for(2000 * kMs);
+		ASSERT_NE(g.owner_of("north"), nullptr);
+		for (m = ph_cluster_first_member(submitter->cluster); m;
+		     m = m->next)
+			if (g.owner_of("north")->name == m->name)
+				break;
+		ASSERT_NE(m, nullptr);
+		ASSERT_EQ(m->interval_us, 2 * kHeartbeatUs);
+		g.submit(submitter, 4, 3000 * kMs, 12000 * kMs);
+		g.run_for((300 + phase_ms) * kMs);
+		ASSERT_EQ(g.running(), 4U);
+		for (Executor &x : g.w.executors)
+			x.loses_stops = true;
+		g.dark.insert(submitter->name);
+		g.kill(submitter);
+		g.run_for(kResendUs - 2 * kTickUs);
+		EXPECT_EQ(g.running(), 0U);
+	}
+}
+
 /* Incarnations, sequence numbers and run numbers come from the time of day,
  * which may have been set back: the next process of an instance has lower ones,
  * and so has a job that is submitted again there. */
@@ -863,6 +1012,193 @@
 	}
 }
 
+/* An executor is new, and the next owner does not have it in its list yet when
+ * the first one dies: the run there must be over, or the list be read anew,
+ * before its task starts elsewhere. */
+TEST(Resubmission,
+     ARunOnAnExecutorThatTheNextOwnerHasNotListedIsNotStartedTwice)
+{
+	constexpr uint64_t kNever = 9000;
+
+	for (bool dark : { false, true })
+		for (uint64_t listed_ms :
+		     { (uint64_t)120, (uint64_t)200, (uint64_t)300,
+		       (uint64_t)500, (uint64_t)700, kNever }) {
+			SCOPED_TRACE(listed_ms);
+			Group g({ "north" }, 4);
+			Executor *added = &g.w.executors[3];
+			std::string first;
+			Owner *next;
+			size_t caller;
+
+			added->unlisted = true;
+			g.add("n1", "north");
+			g.add("n2", "north");
+			g.add("s1", "south");
+			g.run_for(1500 * kMs);
+			ASSERT_NE(g.owner_of("north"), nullptr);
+			first = g.owner_of("north")->name;
+			next = g.find(first == "n1" ? "n2" : "n1")
+				       ->pools["north"];
+			ph_pool_list_read(next->pool, g.w.now_us);
+			added->unlisted = false;
+			g.w.list(g.find(first)->pools["north"]);
+			g.run_for(50 * kMs);
+			caller = g.submit(g.find("s1"), 4, 2000 * kMs,
+					  9000 * kMs);
+			g.run_for(200 * kMs);
+			ASSERT_FALSE(added->running.empty());
+			if (dark)
+				g.dark.insert(first);
+			g.kill(g.find(first));
+			g.w.at(g.w.now_us + listed_ms * kMs, [&] {
+				g.w.list(next);
+				ph_pool_list_read(next->pool, g.w.now_us);
+			});
+			g.run_for(5000 * kMs);
+			EXPECT_EQ(g.w.concurrent_runs, 0);
+			ASSERT_EQ(g.callers[caller].answers.size(), 1U);
+			EXPECT_EQ(g.callers[caller].answers[0],
+				  PH_JOB_COMPLETED);
+			/* Its run is claimed if it is found in time. */
+			if (listed_ms < 400 && !dark) {
+				EXPECT_EQ(g.w.starts, 4);
+			}
+		}
+}
+
+/* An executor has left the list a short time ago, its first owner still follows
+ * it, and the next one has started since and never had it in its list. */
+TEST(Resubmission, ARunOnAnExecutorThatANewInstanceNeverListedIsNotStartedTwice)
+{
+	for (uint64_t listed_ms : { 600, 1500, 3000 }) {
+		SCOPED_TRACE(listed_ms);
+		Group g({ "north" }, 4);
+		Executor *left = &g.w.executors[3];
+		Instance *next;
+		size_t caller;
+
+		g.add("n1", "north");
+		g.add("s1", "south");
+		g.run_for(1500 * kMs);
+		ASSERT_NE(g.owner_of("north"), nullptr);
+		caller = g.submit(g.find("s1"), 4, 6000 * kMs, 20000 * kMs);
+		g.run_for(50 * kMs);
+		left->unlisted = true;
+		next = g.add("n2", "north");
+		ph_pool_list_read(next->pools["north"]->pool, g.w.now_us);
+		g.run_for(listed_ms * kMs);
+		ASSERT_FALSE(left->running.empty());
+		g.kill(g.find("n1"));
+		g.w.at(g.w.now_us + 120 * kMs, [&] {
+			ph_pool_list_read(next->pools["north"]->pool,
+					  g.w.now_us);
+		});
+		g.run_for(9000 * kMs);
+		EXPECT_EQ(g.w.concurrent_runs, 0);
+		ASSERT_EQ(g.callers[caller].answers.size(), 1U);
+		EXPECT_EQ(g.callers[caller].answers[0], PH_JOB_COMPLETED);
+	}
+}
+
+/* An executor that has left the list, and is kept only since the start of a run
+ * there may still be carried out, holds up no resumed batch. */
+TEST(Resubmission, AnExecutorThatIsNotPolledAnyMoreHoldsUpNoResumedBatch)
+{
+	World w(3, 16000);
+	Owner *first = w.add_owner();
+	Owner *o = w.add_owner();
+	Executor *x = &w.executors.back();
+	uint64_t seq;
+
+	ph_pool_acquire(o->pool, w.now_us, 1000);
+	w.run_until(w.now_us + 50 * kMs);
+	w.submit(o, "a", 1, 20000 * kMs, 20000 * kMs, 30000 * kMs, 60000 * kMs);
+	x->unreachable_from = { first->number, o->number };
+	w.run_until(w.now_us + 1500 * kMs);
+	x->unlisted = true;
+	EXPECT_TRUE(w.list(o));
+	w.run_until(w.now_us + 5000 * kMs);
+	EXPECT_TRUE(w.list(o));
+	ph_pool_acquire(o->pool, w.now_us, 2000);
+	seq = w.submit(first, "b", 1, 100 * kMs, 100 * kMs, 400 * kMs,
+		       4000 * kMs);
+	first->results.clear();
+	w.resubmit(first, o, seq);
+	w.run_until(w.now_us + 200 * kMs);
+	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+}
+
+/* A domain is split into shards, and the owner of its pool still has the older
+ * list: two owners use the same executors, under tokens that are in no order to
+ * each other. The job is submitted to the one, and later to the other. */
+TEST(Resubmission, OwnersWhoseListsOverlapRunNoTaskTwiceAtOnce)
+{
+	constexpr size_t kShared = 2;
+	constexpr int64_t kRetryMs = kResendUs / kMs;
+	const struct {
+		const char *what;
+		uint64_t shard_token;
+		/** From the end of the first submission on. */
+		bool cut_off;
+		bool stops_lost;
+	} cases[] = {
+		{ "higher token", 2000, false, false },
+		{ "higher token, first owner cut off", 2000, true, false },
+		{ "higher token, stops lost", 2000, false, true },
+		{ "lower token", 500, false, false },
+		{ "lower token, first owner cut off", 500, true, false },
+		{ "lower token, stops lost", 500, false, true },
+	};
+
+	for (const auto &c : cases)
+		for (int64_t at_ms = -400; at_ms < kRetryMs; at_ms += 100) {
+			SCOPED_TRACE(std::string(c.what) + " " +
+				     std::to_string(at_ms));
+			World w(2 * kShared, 16000);
+			Owner *whole = w.add_owner();
+			Owner *shard;
+			uint64_t seq;
+			uint64_t t0;
+
+			for (size_t i = 0; i < kShared; i++)
+				w.executors[i].unlisted = true;
+			shard = w.add_owner();
+			for (size_t i = 0; i < kShared; i++)
+				w.executors[i].unlisted = false;
+			ph_pool_acquire(whole->pool, w.now_us, 1000);
+			w.run_until(w.now_us + 50 * kMs);
+			seq = w.submit(whole, "a", 4, 5000 * kMs, 5000 * kMs,
+				       8000 * kMs, 20000 * kMs);
+			t0 = w.now_us + 600 * kMs;
+			w.at(t0 + (uint64_t)(at_ms * (int64_t)kMs), [&] {
+				ph_pool_acquire(shard->pool, w.now_us,
+						c.shard_token);
+			});
+			w.at(t0, [&] {
+				for (Executor &x : w.executors) {
+					if (c.cut_off)
+						x.unreachable_from = {
+							whole->number
+						};
+					x.loses_stops = c.stops_lost;
+				}
+				ph_pool_cancel(whole->pool, w.now_us,
+					       "submitter", seq);
+			});
+			w.run_until(t0 + kResendUs);
+			for (Executor &x : w.executors)
+				x.loses_stops = false;
+			/* An owner whose token is refused raises it. */
+			if (ph_pool_fenced(shard->pool))
+				ph_pool_acquire(shard->pool, w.now_us, 3000);
+			w.submit(shard, "a", 4, 1000 * kMs, 1000 * kMs,
+				 4000 * kMs, 8000 * kMs);
+			w.run_until(t0 + kResendUs + 3000 * kMs);
+			EXPECT_EQ(w.concurrent_runs, 0);
+		}
+}
+
 /* ## Random disruptions */
 
 enum Kind {
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -1,10 +1,14 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <map>
 #include <string>
+#include <vector>
+
+#include <apr_base64.h>
 
 extern "C" {
-#include "wire.h"
+#include "executor_list.h"
 }
 
 namespace
@@ -47,6 +51,15 @@
 		{ "a count of the wrong type",
 		  R"({"spec":"x","bestEffort":true,"steps":[{"count":"2"}]})",
 		  PH_WIRE_JOB_INVALID },
+		{ "more CPU than 32 bits hold",
+		  R"({"spec":"x","bestEffort":true,"steps":[{"count":2,"cpu":4294967396}]})",
+		  PH_WIRE_JOB_INVALID },
+		{ "a negative size",
+		  R"({"spec":"x","bestEffort":true,"steps":[{"count":2,"memMb":-1}]})",
+		  PH_WIRE_JOB_INVALID },
+		{ "a GPU count of the wrong type",
+		  R"({"spec":"x","bestEffort":true,"steps":[{"count":2,"gpu":"1"}]})",
+		  PH_WIRE_JOB_INVALID },
 		{ "no spec", R"({"bestEffort":true,"steps":[{"count":1}]})",
 		  PH_WIRE_JOB_INVALID },
 		{ "truncated JSON", R"({"spec":)", PH_WIRE_JOB_INVALID },
@@ -102,6 +115,69 @@
 	ph_routing_free(routing);
 }
 
+/* Guards against numbers that are converted to a type that does not hold them:
+ * a priority of 2^32 would be the highest. */
+TEST(Wire, NumbersOutOfRangeAreLimited)
+{
+	const uint64_t week_us = 604800000000;
+	const struct {
+		const char *field;
+		const char *number;
+		uint64_t expected;
+	} cases[] = {
+		{ "stretch", "1e300", 1000000 },
+		{ "stretch", "-1e300", 0 },
+		{ "stretch", "-1", 0 },
+		{ "stretch", "9223372036854775807", 1000000 },
+		{ "stretch", "[]", 100 },
+		{ "timeoutMs", "9223372036854775807", week_us },
+		{ "timeoutMs", "1e300", week_us },
+		{ "timeoutMs", "-1", 0 },
+		{ "targetDurationMs", "18446744073709552", week_us },
+		{ "priority", "4294967296", UINT32_MAX },
+		{ "priority", "1e18", UINT32_MAX },
+		{ "priority", "-1", 0 },
+		{ "maxAttempts", "4294967297", UINT32_MAX },
+		{ "maxAttempts", "null", 1 },
+		{ "estimateMs", "9223372036854775807", week_us },
+		{ "estimateMs", "1e18", week_us },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(std::string(c.field) + " " + c.number);
+		const std::string field =
+			std::string(",\"") + c.field + "\":" + c.number;
+		const std::string config =
+			R"({"version":7,"routes":[{"host":"h","prefix":"/p/","service":"s")" +
+			field + "}]}";
+		const std::string job =
+			R"({"spec":"x","bestEffort":true,"steps":[{"count":2)" +
+			field + "}]}";
+		ph_routing *routing = nullptr;
+		ph_batch_request *batch = nullptr;
+		const char *reason;
+
+		ASSERT_EQ(ph_wire_read_config(mem(), config.data(),
+					      config.size(), &routing),
+			  0);
+		ASSERT_EQ(ph_wire_read_job(mem(), job.data(), job.size(),
+					   &batch, &reason),
+			  PH_WIRE_JOB_OK);
+		const ph_route &r = routing->routes[0];
+		const std::map<std::string, uint64_t> got = {
+			{ "stretch", r.stretch_percent },
+			{ "timeoutMs", r.timeout_us },
+			{ "targetDurationMs", r.target_extra_us },
+			{ "priority", r.priority },
+			{ "maxAttempts", r.max_attempts },
+			{ "estimateMs", batch->estimate_us },
+		};
+		EXPECT_EQ(got.at(c.field), c.expected);
+		ph_routing_free(routing);
+		ph_batch_request_free(mem(), batch);
+	}
+}
+
 TEST(Wire, InvalidConfigurationIsRejected)
 {
 	for (const char *doc :
@@ -118,47 +194,197 @@
 
 /* ## Executors */
 
-struct ExecutorCase {
-	const char *description;
-	const char *text;
-	bool usable;
-	bool draining;
-};
+/* A valid entry. */
+const char good_entry[] =
+	R"({"service":"s-1","address":"10.0.0.1:80","zone":"z.1_b","version":"1","slots":8,)"
+	R"("state":"ready","coldLeftMs":0,"seq":4,"born":1700000000000,)"
+	R"("capacity":{"cpu":16000,"memMb":64,"gpu":0},"labels":["a","r1-3"]})";
+
+/* The valid entry with one text replaced by another. */
+std::string altered_entry(const std::string &from, const std::string &to)
+{
+	std::string text = good_entry;
+	size_t at = text.find(from);
 
-TEST(Wire, IncompleteExecutorEntryIsRejected)
+	EXPECT_NE(at, std::string::npos) << from;
+	return text.replace(at, from.size(), to);
+}
+
+const char *entry_fault(const std::string &text, ph_executor_info *info,
+			const char *id = "i-1")
 {
-	const ExecutorCase cases[] = {
-		{ "complete",
-		  R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready","capacity":{"cpu":16000,"memMb":1},"labels":["a","r1-3"],"slots":8})",
-		  true, false },
-		{ "draining",
-		  R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"draining","capacity":{"cpu":16000,"memMb":1}})",
-		  true, true },
-		{ "an unknown state",
-		  R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"odd","capacity":{"cpu":16000,"memMb":1}})",
-		  false, false },
-		{ "no address",
-		  R"({"service":"s","zone":"z","state":"ready","capacity":{"cpu":16000}})",
-		  false, false },
-		{ "an address of the wrong type",
-		  R"({"service":"s","address":5,"zone":"z","state":"ready","capacity":{"cpu":16000}})",
-		  false, false },
-		{ "no capacity",
-		  R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready"})",
-		  false, false },
-		{ "no JSON", "\x01\x02", false, false },
+	const char *fault =
+		ph_wire_read_executor(id, text.data(), text.size(), info);
+
+	return fault ? fault : "";
+}
+
+std::string nested(size_t depth)
+{
+	return std::string(depth, '[') + std::string(depth, ']');
+}
+
+TEST(Wire, ValidExecutorEntryIsTakenAsItIs)
+{
+	const std::string nested_field = R"("x":)" + nested(15);
+	const struct {
+		const char *from;
+		const char *to;
+		bool draining;
+	} cases[] = {
+		{ "", "", false },
+		{ R"("ready")", R"("draining","remainingMs":40)", true },
+		{ R"(,"labels":["a","r1-3"])", "", false },
+		{ R"("version":"1","slots":8,)", "", false },
+		{ R"("coldLeftMs":0)", R"("coldLeftMs":0.5)", false },
+		{ R"(,"gpu":0)", "", false },
+		{ R"("seq":4)", R"("seq":4,"x":[[[{}]]])", false },
+		{ R"("seq":4)", nested_field.c_str(), false },
+		{ R"("seq":4)", R"("x":"\"[[[[[[[[[[[[[[[[[[[[[[[[[[")",
+		  false },
 	};
 
-	for (const ExecutorCase &c : cases) {
-		SCOPED_TRACE(c.description);
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.to);
 		ph_executor_info info;
 
-		EXPECT_EQ(!ph_wire_read_executor("i-1", c.text, strlen(c.text),
-						 &info),
-			  c.usable);
-		if (c.usable) {
-			EXPECT_EQ(info.draining, c.draining);
-		}
+		EXPECT_STREQ(entry_fault(altered_entry(c.from, c.to), &info),
+			     "");
+		EXPECT_EQ(info.draining, c.draining);
+		EXPECT_STREQ(info.id, "i-1");
+		EXPECT_STREQ(info.addr, "10.0.0.1:80");
+		EXPECT_STREQ(info.service, "s-1");
+		EXPECT_STREQ(info.domain, "z.1_b");
+		EXPECT_EQ(info.capacity.cpu_milli, 16000U);
+		EXPECT_EQ(info.capacity.mem_mb, 64U);
+	}
+}
+
+/* Guards against an entry of another writer that is taken for an executor: its
+ * address is polled for ever, and its texts go into headers and the log. */
+TEST(Wire, ExecutorEntryWithAnInvalidFieldIsRefused)
+{
+	const std::string deep = std::string(40000, '[');
+	const std::string digits(30, '9');
+	const struct {
+		const char *fault;
+		std::string from;
+		std::string to;
+	} cases[] = {
+		{ "service", R"("service":"s-1",)", "" },
+		{ "service", R"("s-1")", R"("")" },
+		{ "service", R"("s-1")", "7" },
+		{ "service", R"("s-1")", R"("a b")" },
+		{ "service", R"("s-1")",
+		  R"("012345678901234567890123456789xx")" },
+		{ "address", R"("address":"10.0.0.1:80",)", "" },
+		{ "address", R"("10.0.0.1:80")", "5" },
+		{ "address", ":80", ":0" },
+		{ "address", ":80", ":-1" },
+		{ "address", ":80", ":+1" },
+		{ "address", ":80", ": 1" },
+		{ "address", ":80", ":" },
+		{ "address", ":80", "" },
+		{ "address", ":80", ":65536" },
+		{ "address", ":80", ":99999" },
+		{ "address", ":80", ":080" },
+		{ "address", ":80", ":18446744073709551617" },
+		{ "address", ":80", ":80/x" },
+		{ "address", ":80", ":80 " },
+		{ "address", ":80", ":80:80" },
+		{ "address", "10.0.0.1", "10.0.0.256" },
+		{ "address", "10.0.0.1", "10.0.1" },
+		{ "address", "10.0.0.1", "" },
+		{ "address", "10.0.0.1", "user@10.0.0.1" },
+		{ "address", "10.0.0.1", " 10.0.0.1" },
+		{ "address", "10.0.0.1", "nosuch.example" },
+		{ "address", "10.0.0.1", "[::1]" },
+		{ "address", "10.0.0.1", "[::1]:80/@x y\\n" },
+		{ "address", "10.0.0.1", std::string(1000, '1') },
+		{ "zone", R"("z.1_b")", R"("x#4294967295")" },
+		{ "zone", R"("z.1_b")", R"("../..")" },
+		{ "zone", R"("z.1_b")", R"("a\"b")" },
+		{ "zone", R"("z.1_b")", R"("a\n")" },
+		{ "zone", R"("z.1_b")", R"("\u00e9")" },
+		{ "zone", R"("z.1_b")", "null" },
+		{ "state", R"("ready")", R"("odd")" },
+		{ "state", R"("ready")", "true" },
+		{ "state", R"("state":"ready",)", "" },
+		{ "capacity", R"({"cpu":16000,"memMb":64,"gpu":0})", "7" },
+		{ "capacity", R"("cpu":16000,)", "" },
+		{ "capacity", "16000", "0" },
+		{ "capacity", "16000", "0.9" },
+		{ "capacity", "16000", "-5" },
+		{ "capacity", "16000", "1e14" },
+		{ "capacity", "16000", "4294967297" },
+		{ "capacity", "16000", "9223372036854775807" },
+		{ "capacity", "16000", R"("16000")" },
+		{ "capacity", "64", "1e300" },
+		{ "capacity", "64", "[]" },
+		{ "capacity", R"("gpu":0)", R"("gpu":4294967296)" },
+		{ "labels", R"(["a","r1-3"])", R"("a")" },
+		{ "labels", R"("r1-3")", "7" },
+		{ "labels", R"("r1-3")", R"("r1 r2")" },
+		{ "other", R"("version":"1")", R"("version":1)" },
+		{ "other", R"("slots":8)", R"("slots":"8")" },
+		{ "other", R"("slots":8)", R"("slots":-8)" },
+		{ "other", R"("coldLeftMs":0)", R"("coldLeftMs":1e300)" },
+		{ "other", R"("born":1700000000000)", R"("born":[])" },
+		{ "json", R"("slots":8)", R"("slots":)" + digits },
+		{ "json", R"("coldLeftMs":0)", R"("coldLeftMs":1e400)" },
+		{ "depth", R"("seq":4)", R"("seq":)" + deep },
+		{ "depth", R"("seq":4)", R"("x":)" + nested(16) },
+		{ "size", R"("version":"1")",
+		  R"("version":")" + std::string(1 << 16, ' ') + "\"" },
+		{ "json", R"("seq":4)", R"("x":"\u0000")" },
+		{ "json", R"("seq":4)", "\xff\xfe" },
+		{ "json", good_entry, "" },
+		{ "json", good_entry, "null" },
+		{ "json", good_entry, "[]" },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.from.substr(0, 40) + " -> " +
+			     c.to.substr(0, 40));
+		ph_executor_info info;
+
+		EXPECT_STREQ(entry_fault(altered_entry(c.from, c.to), &info),
+			     c.fault);
+	}
+}
+
+/* Guards against an id that alters the header or the line of the log in which
+ * it stands, or that is longer than what holds it. */
+TEST(Wire, ExecutorEntryWithAnIdThatIsNotSafeIsRefused)
+{
+	const struct {
+		std::string id;
+		bool valid;
+	} cases[] = {
+		{ "i-7f3a91c2", true },
+		{ "A.b_c~d:e@f+1", true },
+		{ std::string(PH_NAME_BYTES - 1, 'a'), true },
+		{ std::string(PH_NAME_BYTES, 'a'), false },
+		{ "", false },
+		{ "a b", false },
+		{ "a\r\nX-Other: 1", false },
+		{ "a\n", false },
+		{ "a&b", false },
+		{ "a#b", false },
+		{ "a%00", false },
+		{ "a/b", false },
+		{ "a\"b", false },
+		{ "a=b", false },
+		{ "a\x7f", false },
+		{ "\xc3\xa9", false },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.id);
+		ph_executor_info info;
+
+		EXPECT_STREQ(entry_fault(good_entry, &info, c.id.c_str()),
+			     c.valid ? "" : "id");
 	}
 }
 
@@ -214,6 +440,81 @@
 	ph_wire_poll_clear(mem(), &reply);
 }
 
+/* Guards against a row that is taken for another run than it names. */
+TEST(Wire, RowsOfAPollReplyThatCannotBeOfAnInstanceAreSkipped)
+{
+	const struct {
+		const char *running;
+		bool taken;
+		uint32_t percent;
+		uint32_t cpu_milli;
+	} cases[] = {
+		{ R"(["5c0e7a21d94b36f8.0.0.17",2])", true, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.199",2,"",100,6800])", true, 100,
+		  6800 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",2,"",1e300,1e300])", true, 100,
+		  1 << 24 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",2,"",4294967297,9223372036854775807])",
+		  true, 100, 1 << 24 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",2,"",-1,"x"])", true, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",2.0,"",41.5,6800.0])", true, 41,
+		  6800 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",-2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",1e300])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17",2.5])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.17"])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.200",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.-1",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0. 1",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.1x",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.4294967297",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8.0.0.18446744073709551617",2])", false,
+		  0, 0 },
+		{ R"(["5c0e7a21d94b36f8",2])", false, 0, 0 },
+		{ R"(["5c0e7a21 94b36f8.0.0.1",2])", false, 0, 0 },
+		{ R"(["5c0e7a21d94b36f8a.0.0.1",2])", false, 0, 0 },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.running);
+		const std::string body =
+			std::string(R"({"running":[[7],)") + c.running + "]}";
+		ph_poll_reply reply;
+
+		ph_wire_poll_reply(mem(), 200, body.data(), body.size(),
+				   &reply);
+		EXPECT_EQ(reply.running_count, c.taken ? 1U : 0U);
+		if (c.taken && reply.running_count) {
+			EXPECT_EQ(reply.running[0].run, 2U);
+			EXPECT_EQ(reply.running[0].percent, c.percent);
+			EXPECT_EQ(reply.running[0].cpu_milli, c.cpu_milli);
+		}
+		ph_wire_poll_clear(mem(), &reply);
+	}
+}
+
+/* Guards against the number of an end that is altered: all ends up to it would
+ * be acknowledged. */
+TEST(Wire, AnEndWithoutAWholeNumberIsSkipped)
+{
+	for (const char *number : { "1e300", "-1", "1.5", "\"1\"", "null" }) {
+		SCOPED_TRACE(number);
+		const std::string body =
+			std::string(R"({"ended":[[)") + number +
+			R"(,"5c0e7a21d94b36f8.0.0.9",1,"done",""],)"
+			R"([4,"5c0e7a21d94b36f8.0.0.8",1,"done",""]]})";
+		ph_poll_reply reply;
+
+		ph_wire_poll_reply(mem(), 200, body.data(), body.size(),
+				   &reply);
+		ASSERT_EQ(reply.ended_count, 1U);
+		EXPECT_EQ(reply.ended[0].end_number, 4U);
+		EXPECT_EQ(reply.ended[0].index, 8U);
+		ph_wire_poll_clear(mem(), &reply);
+	}
+}
+
 TEST(Wire, StoreItemsAreDecodedAndRemovedKeysHaveNoValue)
 {
 	const std::string body =
@@ -227,11 +528,276 @@
 	EXPECT_EQ(std::string(items.list[0].value, items.list[0].len),
 		  "node-1");
 	EXPECT_EQ(items.list[1].value, nullptr);
+	EXPECT_EQ(items.skipped, 1U);
 	EXPECT_TRUE(items.truncated);
 	EXPECT_EQ(items.store_revision, 9U);
 	ph_wire_items_clear(mem(), &items);
 }
 
+/* ## List of executors */
+
+std::string base64(const std::string &text)
+{
+	std::string out((size_t)apr_base64_encode_len((int)text.size()), '\0');
+
+	apr_base64_encode(&out[0], text.data(), (int)text.size());
+	out.pop_back();
+	return out;
+}
+
+/* An item of a page; key is the text of a JSON string. */
+std::string item(const std::string &key, const std::string &value,
+		 int revision = 4)
+{
+	return R"({"key":")" + key + R"(","value":")" + base64(value) +
+	       R"(","revision":)" + std::to_string(revision) + "}";
+}
+
+std::string page(const std::vector<std::string> &items, bool truncated = false)
+{
+	std::string text = R"({"items":[)";
+
+	for (const std::string &i : items)
+		text += (text.back() == '[' ? "" : ",") + i;
+	return text + R"(],"truncated":)" + (truncated ? "true" : "false") +
+	       R"(,"storeRevision":9})";
+}
+
+/* The ids that the pages give, or what the last page led to instead; sent_us of
+ * the pages counts from 1000. */
+class ListReader
+{
+      public:
+	ListReader()
+	{
+		ph_executor_list_init(&list, mem());
+	}
+	~ListReader()
+	{
+		ph_executor_list_free(&list);
+	}
+	ph_list_step read(const std::string &text)
+	{
+		return ph_executor_list_page(&list, sent_us++, text.data(),
+					     text.size());
+	}
+	std::string ids() const
+	{
+		std::string text;
+
+		for (size_t i = 0; i < list.count; i++)
+			text += std::string(i ? " " : "") + list.list[i].id;
+		return text;
+	}
+	std::string path() const
+	{
+		ph_buf buf;
+		std::string text;
+
+		ph_buf_init(&buf, mem());
+		ph_executor_list_put_path(&list, &buf);
+		text = buf.data;
+		ph_buf_free(&buf);
+		return text;
+	}
+	ph_executor_list list;
+	uint64_t sent_us = 1000;
+};
+
+struct OddItemCase {
+	const char *description;
+	std::string item;
+};
+
+/* Guards against one odd item that makes the whole list unreadable. */
+TEST(Wire, AnItemThatCannotBeReadDoesNotHideTheOthers)
+{
+	const OddItemCase cases[] = {
+		{ "a key with a NUL", item("servers/x\\u0000y", good_entry) },
+		{ "a key that ends with a NUL",
+		  item("servers/x\\u0000", good_entry) },
+		{ "half of a surrogate pair",
+		  item("servers/\\ud800", good_entry) },
+		{ "a key that is not UTF-8", item("servers/\xff", good_entry) },
+		{ "a key with a control character",
+		  item("servers/a\nb", good_entry) },
+		{ "a NUL in the name of a field", R"({"\u0000":1})" },
+		{ "a revision of 30 digits",
+		  R"({"key":"servers/x","revision":123456789012345678901234567890})" },
+		{ "a revision of 1e999",
+		  R"({"key":"servers/x","revision":1e999})" },
+		{ "nested deeply",
+		  std::string(100000, '[') + std::string(100000, ']') },
+		{ "braces and escapes in a string",
+		  R"({"key":"servers/}]\"\\{\ud800"})" },
+		{ "no key", R"({"value":""})" },
+		{ "not an object", "7" },
+	};
+
+	for (const OddItemCase &c : cases) {
+		SCOPED_TRACE(c.description);
+		for (size_t at = 0; at < 3; at++) {
+			std::vector<std::string> items = {
+				item("servers/a", good_entry),
+				item("servers/b", good_entry)
+			};
+			ListReader reader;
+
+			items.insert(items.begin() + (long)at, c.item);
+			EXPECT_EQ(reader.read(page(items)), PH_LIST_COMPLETE);
+			EXPECT_EQ(reader.ids(), "a b");
+			EXPECT_EQ(reader.list.skipped, 1U);
+		}
+	}
+}
+
+/* Guards against a large odd entry that is decoded at each read. */
+TEST(Wire, ASkippedEntryIsDecodedAgainOnlyIfItWasWrittenAnew)
+{
+	const std::string odd = altered_entry(":80", ":0");
+	ListReader reader;
+	const struct {
+		const char *description;
+		std::string value;
+		int revision;
+		const char *ids;
+	} reads[] = {
+		{ "odd", odd, 5, "a" },
+		{ "as before, so that its value is not looked at", good_entry,
+		  5, "a" },
+		{ "written anew, odd again", odd, 6, "a" },
+		{ "written anew, good", good_entry, 7, "a b" },
+		{ "good ones are decoded each time", odd, 7, "a" },
+		{ "no revision given", odd, 0, "a" },
+		{ "no revision given, good", good_entry, 0, "a b" },
+	};
+
+	for (const auto &r : reads) {
+		SCOPED_TRACE(r.description);
+		EXPECT_EQ(reader.read(page(
+				  { item("servers/a", good_entry),
+				    item("servers/b", r.value, r.revision) })),
+			  PH_LIST_COMPLETE);
+		EXPECT_EQ(reader.ids(), r.ids);
+		EXPECT_EQ(reader.list.skipped, strlen(r.ids) == 1 ? 1U : 0U);
+		ph_executor_list_restart(&reader.list);
+	}
+}
+
+/* Guards against a page that fails and leaves its part of the list, its time or
+ * its key to the next read. */
+TEST(Wire, AListWithAPageThatCannotBeReadIsReadAnew)
+{
+	const std::string bad[] = {
+		"", "[]", "{\"items\":[",
+		page({ item("servers/c", good_entry) }).substr(0, 60)
+	};
+
+	for (const std::string &text : bad) {
+		SCOPED_TRACE(text);
+		ListReader reader;
+
+		EXPECT_EQ(reader.read(page({ item("servers/a", good_entry) },
+					   true)),
+			  PH_LIST_NEXT);
+		EXPECT_EQ(reader.path(),
+			  "/kv-range?prefix=servers/&after=servers/a");
+		EXPECT_EQ(reader.read(text), PH_LIST_FAILED);
+		EXPECT_EQ(reader.path(), "/kv-range?prefix=servers/");
+		EXPECT_EQ(reader.read(page({ item("servers/b", good_entry) })),
+			  PH_LIST_COMPLETE);
+		EXPECT_EQ(reader.ids(), "b");
+		EXPECT_EQ(reader.list.requested_us, 1002U);
+	}
+}
+
+/* Guards against a next page that is asked for by an altered key, and against
+ * one that is asked for again and again. */
+TEST(Wire, TheNextPageBeginsAfterTheLastKeyWhateverItIs)
+{
+	const std::string longest = "servers/" + std::string(192, ' ');
+	std::string encoded = "servers/";
+	const struct {
+		const char *description;
+		std::string key;
+		std::string after;
+	} cases[] = {
+		{ "a usual key", "servers/i-1.b_c~", "servers/i-1.b_c~" },
+		{ "separators of a URL", "servers/a b&c#?=+%",
+		  "servers/a%20b%26c%23%3F%3D%2B%25" },
+		{ "a NUL and a newline", "servers/\\u0000\\n",
+		  "servers/%00%0A" },
+		{ "not ASCII", "servers/\\u00e9", "servers/%C3%A9" },
+		{ "the longest key, to be encoded whole", longest,
+		  [&] {
+			  for (int i = 0; i < 192; i++)
+				  encoded += "%20";
+			  return encoded;
+		  }() },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.description);
+		ListReader reader;
+		const std::string last = page({ item(c.key, "odd") }, true);
+
+		EXPECT_EQ(reader.read(last), PH_LIST_NEXT);
+		EXPECT_EQ(reader.path(),
+			  "/kv-range?prefix=servers/&after=" + c.after);
+		EXPECT_EQ(reader.read(last), PH_LIST_FAILED)
+			<< "the store sent the same page again";
+	}
+}
+
+/* Guards against a list that is taken for whole, without the executors of its
+ * later pages. */
+TEST(Wire, ATruncatedPageWithoutAReadableItemIsNotTheEndOfTheList)
+{
+	for (const std::string &text :
+	     { page({}, true), page({ item("\\ud800", "") }, true) }) {
+		ListReader reader;
+
+		EXPECT_EQ(reader.read(text), PH_LIST_FAILED) << text;
+	}
+}
+
+/* Guards against an odd registration of an instance: a name would be looked up
+ * by the thread that connects to the others. */
+TEST(Wire, OnlyAnAddressNamesAnotherInstance)
+{
+	const struct {
+		std::string value;
+		bool valid;
+	} cases[] = {
+		{ "10.0.0.1:7001", true },
+		{ "", false },
+		{ "10.0.0.1", false },
+		{ "10.0.0.1:99999", false },
+		{ "10.0.0.1:7001 ", false },
+		{ "nosuch.example:7001", false },
+		{ std::string("10.0.0.1:7001\0", 14), false },
+		{ std::string(5000, '1') + ":1", false },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.value.substr(0, 40));
+		std::string text =
+			page({ item("peridothall/members/n", c.value) });
+		ph_wire_items items;
+
+		ASSERT_EQ(ph_wire_read_items(mem(), text.data(), text.size(),
+					     &items),
+			  0);
+		ASSERT_EQ(items.count, 1U);
+		if (c.valid)
+			EXPECT_STREQ(ph_wire_read_member(&items.list[0]),
+				     c.value.c_str());
+		else
+			EXPECT_EQ(ph_wire_read_member(&items.list[0]), nullptr);
+		ph_wire_items_clear(mem(), &items);
+	}
+}
+
 /* Replaces each byte of a valid document in turn. The results are not checked:
  * every decoder has to return without a memory error. */
 TEST(Wire, DecodersReturnOnCorruptDocuments)
