The lease that a new owner expects may be the longest one

Cause: with its first poll under a new token an owner expects that an earlier owner has renewed the lease for a lease's duration. A start of the earlier owner that was carried out late, by an incarnation that has started since, brings a lease end of the old clock, and lasts for the longest lease that executors grant. The new owner can't see the restart, as it knows no earlier incarnation. If it lost the executor after it had claimed the run, it took the run for expired too early and started the task elsewhere.

Change: the first poll under a token counts with the longest lease. Cost: the tasks of an executor that is lost within 0.7 s after its owner has changed or raised its token wait for up to 0.7 s longer.

Test: PoolIncarnations.ALateStartOfTheEarlierOwnerBringsTheLongestLease runs the task twice in each of its 16 cases without the rule.

--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -150,11 +150,14 @@
 	ph_late_starts_stop_again(pool, x, now_us);
 }
 
-/* An earlier owner may have renewed the lease until its token was refused. */
-static void expect_earlier_lease(const struct ph_pool *pool,
+/* The latest end of a lease that was asked for by an earlier owner, until its
+ * token was refused, or in terms of an earlier incarnation's clock: that of a
+ * start that was carried out late is as late as the executor grants. */
+static void expect_longest_lease(const struct ph_pool *pool,
 				 struct ph_executor *x)
 {
-	uint64_t end = x->clock_ms + pool->opt.lease_us / PH_US_PER_MS;
+	uint64_t end = x->clock_ms +
+		       PH_RESTARTED_LEASES * pool->opt.lease_us / PH_US_PER_MS;
 
 	if (end > x->lease_ms)
 		x->lease_ms = end;
@@ -268,18 +271,6 @@
 	}
 }
 
-/* The end of the lease of a start that was sent to an earlier incarnation means
- * nothing on the present one's clock: it is as late as the executor grants. */
-static void expect_longest_lease(const struct ph_pool *pool,
-				 struct ph_executor *x)
-{
-	uint64_t end = x->clock_ms +
-		       PH_RESTARTED_LEASES * pool->opt.lease_us / PH_US_PER_MS;
-
-	if (end > x->lease_ms)
-		x->lease_ms = end;
-}
-
 static void run_reported(struct ph_pool *pool, struct ph_executor *x,
 			 const struct ph_run_report *seen, uint64_t now_us)
 {
@@ -422,7 +413,7 @@
 	for (i = 0; i < reply->running_count; i++)
 		run_reported(pool, x, &reply->running[i], now_us);
 	if (!x->polled)
-		expect_earlier_lease(pool, x);
+		expect_longest_lease(pool, x);
 	x->polled = true;
 	if (restarted)
 		ph_executor_lost(pool, x, PH_LOSS_RESTARTED, reply, now_us);
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -207,4 +207,37 @@
 	EXPECT_EQ(unseen_restarts_that_run_twice(true), 0);
 }
 
+/* Guards against a lease that an owner takes for expired, where a start of the
+ * earlier owner has reached the next incarnation, which the new owner polls
+ * first and then can't reach. */
+TEST(PoolIncarnations, ALateStartOfTheEarlierOwnerBringsTheLongestLease)
+{
+	for (uint64_t lost_ms = 0; lost_ms <= 300; lost_ms += 20) {
+		SCOPED_TRACE(lost_ms);
+		World w(4, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		Executor *x = &w.executors.back();
+		uint64_t t0 = w.now_us;
+		uint64_t seq;
+
+		x->start_delay_us = 590 * kMs;
+		seq = w.submit(a, "a", 1, 2500 * kMs, 2500 * kMs, kLong, kLong);
+		w.run_until(t0 + 100 * kMs);
+		x->start_delay_us = 0;
+		a->frozen = true;
+		w.at(t0 + 300 * kMs, [&w, x] { w.restart(x); });
+		w.run_until(t0 + 600 * kMs);
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		w.run_until(w.now_us + 30 * kMs);
+		w.resubmit(a, b, seq);
+		ASSERT_EQ(ph_pool_counters(b->pool)->claimed_runs, 1U);
+		w.run_until(w.now_us + lost_ms * kMs);
+		x->unreachable_from = { a->number, b->number };
+		w.run_until(t0 + 6000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
+	}
+}
+
 } // namespace
