--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -2,9 +2,10 @@
 #define PH_POOL_IMPL_H
 
 /* Shared by the parts of the pool: pool.c (batches), pool_run.c (runs and run
- * commands), pool_lease.c (leases), pool_poll.c (polls of executors),
- * pool_probe.c (reachability of executors of other owners), pool_placement.c
- * (in which order tasks start, and on which executors). */
+ * commands), pool_lease.c (leases), pool_late.c (starts that a restarted
+ * executor may carry out), pool_poll.c (polls of executors), pool_probe.c
+ * (reachability of executors of other owners), pool_placement.c (in which order
+ * tasks start, and on which executors). */
 
 #include "pool.h"
 
