The clock in a start's answer tells of an incarnation that no poll has shown

Cause: an executor that has restarted under its id may accept and answer a start before its owner has polled it. The lease end of the start lies far ahead on the new clock, so the executor grants its longest lease. The owner computed the end on the old clock. If it lost the executor then, it took the run for expired up to 0.3 s too early and started the task elsewhere: a task twice at once.

Change: if the clock in the answer is behind what the known one can show, by more than 2%, the lease counts as the longest one from the answer on, in local time.

The simulated executors now tell their clock in answers to starts, as those of the platform do.

--- a/src/pool.c
+++ b/src/pool.c
@@ -648,6 +648,7 @@
 		x->clock_ms = 0;
 		x->lease_ms = 0;
 		x->lease_sent_ms = 0;
+		x->unseen_expiry_us = 0;
 	}
 }
 
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -187,6 +187,9 @@
 	uint64_t lease_ms;
 	/** Latest lease end that this owner has sent to this incarnation. */
 	uint64_t lease_sent_ms;
+	/** Local time at which a lease has expired that was granted by an
+	 * incarnation that no poll has shown yet; 0: none was. */
+	uint64_t unseen_expiry_us;
 	/** Id of the poll under way; 0: none. */
 	uint64_t poll_call;
 	uint64_t poll_sent_us;
@@ -408,6 +411,10 @@
 void ph_executor_lost(struct ph_pool *pool, struct ph_executor *executor,
 		      enum ph_loss_cause cause,
 		      const struct ph_poll_reply *reply, uint64_t now_us);
+/** Notes the lease that a start has got, by the clock in its answer: an
+ * incarnation that no poll has shown yet measures it on another clock. */
+void ph_lease_granted(struct ph_pool *pool, struct ph_executor *executor,
+		      uint64_t sent_us, uint64_t clock_ms, uint64_t now_us);
 /** Sends polls and stops that are due and drops runs whose lease expired. */
 void ph_lease_tick(struct ph_pool *pool, uint64_t now_us);
 
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -1,6 +1,8 @@
 /* Leases of the executors: when they are renewed, and when runs are over
  * because they have expired. */
 
+#include <stdlib.h>
+
 #include "ident.h"
 #include "log.h"
 #include "pool_impl.h"
@@ -26,6 +28,8 @@
 #define START_LEASE_DIVISOR 2U
 /* The platform's bound on how much slower an executor's clock may run. */
 #define CLOCK_SLOW_PERCENT 2U
+/* Two readings of one clock may differ by this much from rounding. */
+#define CLOCK_ROUNDING_MS 2
 /* Time added to a computed lease expiry. */
 #define EXPIRY_MARGIN_US 20000U
 /* Executors that become unreachable within this time are lost at once: the
@@ -99,19 +103,50 @@
 	return end;
 }
 
+/* Time that a lease may last on an executor's clock, in local time. */
+static uint64_t lease_time_us(uint64_t us)
+{
+	return us + us * CLOCK_SLOW_PERCENT / 100 + EXPIRY_MARGIN_US;
+}
+
 /* Local time at which every lease sent to the executor has expired; 0 if its
  * clock is unknown. */
 static uint64_t lease_expiry_us(const struct ph_executor *x)
 {
-	uint64_t left_us;
+	uint64_t expiry_us = x->clock_us;
 
 	if (!x->clock_ms)
-		return 0;
-	if (x->lease_ms <= x->clock_ms)
-		return x->clock_us;
-	left_us = (x->lease_ms - x->clock_ms) * PH_US_PER_MS;
-	return x->clock_us + left_us + left_us * CLOCK_SLOW_PERCENT / 100 +
-	       EXPIRY_MARGIN_US;
+		return x->unseen_expiry_us;
+	if (x->lease_ms > x->clock_ms)
+		expiry_us += lease_time_us((x->lease_ms - x->clock_ms) *
+					   PH_US_PER_MS);
+	return expiry_us > x->unseen_expiry_us ? expiry_us
+					       : x->unseen_expiry_us;
+}
+
+/* True if a clock that an executor read after sent_us is behind the known one:
+ * another incarnation has answered. */
+static bool clock_behind(const struct ph_executor *x, uint64_t sent_us,
+			 uint64_t clock_ms)
+{
+	int64_t since_ms = ((int64_t)sent_us - (int64_t)x->clock_us) /
+			   (int64_t)PH_US_PER_MS;
+	int64_t drift_ms = llabs(since_ms) * CLOCK_SLOW_PERCENT / 100;
+
+	return x->clock_ms && clock_ms &&
+	       (int64_t)clock_ms < (int64_t)x->clock_ms + since_ms - drift_ms -
+					   CLOCK_ROUNDING_MS;
+}
+
+void ph_lease_granted(struct ph_pool *pool, struct ph_executor *x,
+		      uint64_t sent_us, uint64_t clock_ms, uint64_t now_us)
+{
+	if (!clock_behind(x, sent_us, clock_ms))
+		return;
+	ph_event(PART, "event=lease_of_unseen_incarnation executor=%s",
+		 x->info.id);
+	x->unseen_expiry_us = now_us + lease_time_us(PH_RESTARTED_LEASES *
+						     pool->opt.lease_us);
 }
 
 /* ## Timeouts */
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -395,6 +395,8 @@
 		return;
 	switch (reply->status) {
 	case PH_CALL_OK:
+		ph_lease_granted(pool, x, run->created_us, reply->clock_ms,
+				 now_us);
 		run->begun = true;
 		if (run->state == PH_RUN_STARTING) {
 			run->state = PH_RUN_RUNNING;
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -23,6 +23,12 @@
 	return (w->now_us - x->clock_began_us) / kMs + 1;
 }
 
+/* The clock that an executor's answers tell. */
+static uint64_t shown_clock(const World *w, const Executor *x)
+{
+	return x->hides_clock ? 0 : clock_ms(w, x);
+}
+
 /* Extends the lease to a time on the executor's clock, but by no more than the
  * executor grants. */
 static void extend_lease(const World *w, Executor *x, uint64_t until_ms)
@@ -113,10 +119,10 @@
 	}
 
 	static void command_reply(Owner *o, uint64_t id, bool is_stop,
-				  ph_call_status status)
+				  ph_call_status status, uint64_t clock = 0)
 	{
 		reply(o, [=] {
-			ph_run_command_reply r = { status, 0 };
+			ph_run_command_reply r = { status, clock };
 
 			if (is_stop)
 				ph_pool_stop_done(o->pool, o->world->now_us, id,
@@ -228,7 +234,8 @@
 				if (x->loses_start_answers)
 					w->at(w->now_us + 200 * kMs, unknown);
 				else
-					command_reply(o, id, false, s);
+					command_reply(o, id, false, s,
+						      shown_clock(w, x));
 			},
 			lost);
 	}
@@ -280,7 +287,7 @@
 	{
 		std::vector<ph_run_report> running;
 		std::vector<ph_run_report> ended;
-		uint64_t clock = x->hides_clock ? 0 : clock_ms(o->world, x);
+		uint64_t clock = shown_clock(o->world, x);
 		uint64_t started = x->started_ms;
 
 		for (const Run &r : x->running) {
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -240,4 +240,32 @@
 	}
 }
 
+/* Guards against a start that an incarnation carries out and answers before its
+ * owner knows of the restart, and then can't be reached: its lease is measured
+ * on a clock that the owner has not seen, and lasts longer than computed. */
+TEST(PoolIncarnations, AnAnsweredStartAtAnUnseenIncarnationIsNoSecondRun)
+{
+	for (uint64_t run_for_ms = 100; run_for_ms <= 3000; run_for_ms += 100) {
+		SCOPED_TRACE(run_for_ms);
+		World w(4, 16000);
+		Owner *o = ready_owner(&w);
+		/* Placement fills this executor first. */
+		Executor *x = &w.executors.back();
+		uint64_t t0;
+
+		w.run_until(w.now_us + run_for_ms * kMs);
+		t0 = w.now_us;
+		w.submit(o, "a", 1, 9000 * kMs, 9000 * kMs, kLong, kLong);
+		w.at(t0 + kLatencyUs / 2, [&w, x] { w.restart(x); });
+		/* The start has arrived, the poll that is sent then has not. */
+		w.at(t0 + kLatencyUs + kLatencyUs / 4,
+		     [x] { x->unreachable_from = { 0 }; });
+		w.run_until(t0 + kMs);
+		ASSERT_EQ(x->running.size(), 1U);
+		w.run_until(t0 + 2000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_EQ(w.starts, 2);
+	}
+}
+
 } // namespace
