A task whose run was taken for expired waits for a submitter that surely relies

Seen by reading: an owner that has lost an executor takes the lease for expired and starts the task again, while the latest echo of its submitter is up to 0.55 s old. The submitter suspects the owner after 0.35 s without heartbeats, may then resume the batch at another owner, and that one may have claimed and renewed the run meanwhile.

Change: a task whose run was taken for expired, not reported to have ended, starts again only while the latest echo is younger than the submitter's suspicion time less two ticks. First starts, and restarts after a reported end, are as before, so calm operation is too.

Tests: Resubmission.AnExpiredTaskWaitsUntilItsSubmitterSurelyReliesOnTheOwner fails without the wait. Cluster.APeerThatReceivesNoHeartbeatsIsLostAlthoughItIsHeard checks the bound.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -9,9 +9,6 @@
  * list of executors for the rest. With fewer, the reads saved are worth less
  * than the delay when the reader fails. */
 #define LIST_READER_MIN_INSTANCES 4U
-/* Heartbeat intervals without a heartbeat after which a peer is suspected, in
- * halves: 7 stand for 3.5 intervals. */
-#define SUSPECT_INTERVALS_X2 7U
 /* A member is removed this long after its last heartbeat. */
 #define MEMBER_REMOVE_AFTER_US 60000000U
 
@@ -85,10 +82,7 @@
 static uint64_t suspect_after_us(const struct ph_cluster *cluster,
 				 const struct ph_member *m)
 {
-	uint64_t intervals_us = SUSPECT_INTERVALS_X2 * m->interval_us / 2;
-
-	return intervals_us > cluster->opt.suspect_us ? intervals_us
-						      : cluster->opt.suspect_us;
+	return ph_heartbeat_suspect_us(cluster, m->interval_us);
 }
 
 bool ph_member_alive(const struct ph_cluster *cluster,
@@ -118,7 +112,7 @@
 		return incarnation == cluster->opt.incarnation;
 	return m && m->incarnation == incarnation && !m->restarted &&
 	       ph_member_alive(cluster, m, now_us) &&
-	       ph_heartbeat_echo(m, now_us) != PH_ECHO_LOST;
+	       ph_heartbeat_echo(cluster, m, now_us) != PH_ECHO_LOST;
 }
 
 bool ph_cluster_relied_on(const struct ph_cluster *cluster, uint64_t now_us,
@@ -126,7 +120,15 @@
 {
 	const struct ph_member *m = ph_member_find(cluster, name);
 
-	return !m || ph_heartbeat_echo(m, now_us) == PH_ECHO_RECENT;
+	return !m || ph_heartbeat_echo(cluster, m, now_us) < PH_ECHO_LATE;
+}
+
+bool ph_cluster_surely_relied_on(const struct ph_cluster *cluster,
+				 uint64_t now_us, const char *name)
+{
+	const struct ph_member *m = ph_member_find(cluster, name);
+
+	return !m || ph_heartbeat_echo(cluster, m, now_us) == PH_ECHO_RECENT;
 }
 
 bool ph_cluster_minority(const struct ph_cluster *cluster, uint64_t now_us)
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -245,6 +245,10 @@
 bool ph_cluster_relied_on(const struct ph_cluster *cluster, uint64_t now_us,
 			  const char *name);
 
+/** True only if an instance can't count this one as failed yet. */
+bool ph_cluster_surely_relied_on(const struct ph_cluster *cluster,
+				 uint64_t now_us, const char *name);
+
 /** Name of the pool at an index; NULL past the end. */
 const char *ph_cluster_pool_name(const struct ph_cluster *cluster, size_t i);
 
--- a/src/cluster_heartbeat.c
+++ b/src/cluster_heartbeat.c
@@ -25,6 +25,12 @@
  * receives no heartbeats of this instance. */
 #define LINK_RESET_INTERVAL_US 500000U
 
+/* Heartbeat intervals without a heartbeat after which a peer is suspected, in
+ * halves: 7 stand for 3.5 intervals. */
+#define SUSPECT_INTERVALS_X2 7U
+/* Two ticks: the age of an echo is looked at no later than one after the other.
+ */
+#define ECHO_TICKS_US 20000U
 /* Age of the latest echo of a peer from which on no lease is renewed for its
  * batches. With the lease that was renewed last, on a slow clock, and two ticks
  * it ends before a caller retries, 1.3 s after its submitter failed. */
@@ -113,8 +119,19 @@
 	       now_us > m->send_interval_since_us + limit_us;
 }
 
-enum ph_echo ph_heartbeat_echo(const struct ph_member *m, uint64_t now_us)
+uint64_t ph_heartbeat_suspect_us(const struct ph_cluster *cluster,
+				 uint64_t interval_us)
 {
+	uint64_t us = SUSPECT_INTERVALS_X2 * interval_us / 2;
+
+	return us > cluster->opt.suspect_us ? us : cluster->opt.suspect_us;
+}
+
+enum ph_echo ph_heartbeat_echo(const struct ph_cluster *cluster,
+			       const struct ph_member *m, uint64_t now_us)
+{
+	uint64_t suspect_us =
+		ph_heartbeat_suspect_us(cluster, m->send_interval_us);
 	uint64_t since_us = m->echoed_us;
 	uint64_t late_us = 2 * m->send_interval_us + ECHO_EXTRA_US;
 
@@ -125,9 +142,12 @@
 	/* The heartbeats sent before may have been further apart. */
 	if (since_us < m->send_interval_since_us)
 		since_us = m->send_interval_since_us;
+	if (now_us + ECHO_TICKS_US < since_us + suspect_us &&
+	    now_us < since_us + late_us)
+		return PH_ECHO_RECENT;
 	late_us += since_us;
 	if (now_us < late_us)
-		return PH_ECHO_RECENT;
+		return PH_ECHO_DOUBTFUL;
 	return now_us < late_us + ECHO_LOST_AFTER_US ? PH_ECHO_LATE
 						     : PH_ECHO_LOST;
 }
@@ -139,8 +159,9 @@
 {
 	bool before = m->deafness_reported;
 
-	m->deafness_reported = ph_member_alive(cluster, m, now_us) &&
-			       ph_heartbeat_echo(m, now_us) == PH_ECHO_LOST;
+	m->deafness_reported =
+		ph_member_alive(cluster, m, now_us) &&
+		ph_heartbeat_echo(cluster, m, now_us) == PH_ECHO_LOST;
 	if (!m->deafness_reported || before)
 		return;
 	ph_event(PART, "event=member_deaf member=%s echo_age_us=%llu", m->name,
--- a/src/cluster_impl.h
+++ b/src/cluster_impl.h
@@ -93,13 +93,20 @@
 enum ph_echo {
 	/** It has received one lately, or its version does not tell. */
 	PH_ECHO_RECENT,
-	/** It may count this instance as failed, or may soon do so. */
+	/** It may count this instance as failed. */
+	PH_ECHO_DOUBTFUL,
+	/** The same, for so long that its batches may be resumed elsewhere. */
 	PH_ECHO_LATE,
 	/** It is taken to count this instance as failed. */
 	PH_ECHO_LOST,
 };
 
-enum ph_echo ph_heartbeat_echo(const struct ph_member *m, uint64_t now_us);
+enum ph_echo ph_heartbeat_echo(const struct ph_cluster *cluster,
+			       const struct ph_member *m, uint64_t now_us);
+/** Time after which one of two instances suspects the other, if the heartbeats
+ * have this interval. */
+uint64_t ph_heartbeat_suspect_us(const struct ph_cluster *cluster,
+				 uint64_t interval_us);
 /** Reports failed and restarted peers; resets connections that fail. */
 void ph_heartbeat_check_peers(struct ph_cluster *cluster, uint64_t now_us,
 			      const struct ph_cluster_sink *sink, void *ctx);
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -269,12 +269,20 @@
 	return ph_cluster_relied_on(r->cluster, r->now_us, submitter);
 }
 
+static bool submitter_surely_relies(void *ctx, const char *submitter)
+{
+	const struct reliance *r = ctx;
+
+	return ph_cluster_surely_relied_on(r->cluster, r->now_us, submitter);
+}
+
 void ph_dispatcher_check_submitters(struct ph_dispatcher *d,
 				    struct ph_pool *pool, uint64_t now_us)
 {
 	struct reliance r = { d->cluster, now_us };
 
-	ph_pool_check_submitters(pool, submitter_relies, &r);
+	ph_pool_check_submitters(pool, submitter_relies,
+				 submitter_surely_relies, &r);
 }
 
 const struct ph_cluster_sink ph_dispatcher_cluster_sink = {
--- a/src/pool.c
+++ b/src/pool.c
@@ -585,15 +585,19 @@
 
 void ph_pool_check_submitters(struct ph_pool *pool,
 			      bool (*relies)(void *ctx, const char *submitter),
+			      bool (*surely)(void *ctx, const char *submitter),
 			      void *ctx)
 {
 	struct ph_batch *b;
 
 	for (b = pool->batches; b; b = b->next) {
 		bool maybe_resumed = !relies(ctx, b->submitter);
+		bool doubtful = !surely(ctx, b->submitter);
 
-		if (maybe_resumed != b->maybe_resumed)
+		if (maybe_resumed != b->maybe_resumed ||
+		    doubtful != b->doubtful)
 			pool->dirty = true;
+		b->doubtful = doubtful;
 		b->maybe_resumed = maybe_resumed;
 	}
 }
--- a/src/pool.h
+++ b/src/pool.h
@@ -124,9 +124,12 @@
 
 /** Asks for each batch whether its submitter still relies on this instance. One
  * whose submitter may not starts no task, and keeps leases from being renewed,
- * until the answer changes or its submitter is lost. */
+ * until the answer changes or its submitter is lost. One whose submitter does
+ * not surely rely on it starts no task again whose run was taken for expired.
+ */
 void ph_pool_check_submitters(struct ph_pool *pool,
 			      bool (*relies)(void *ctx, const char *submitter),
+			      bool (*surely)(void *ctx, const char *submitter),
 			      void *ctx);
 
 /** Whether an executor of the pool, which this instance does not own, has
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -33,6 +33,8 @@
 struct ph_batch_task {
 	enum ph_batch_task_state state;
 	uint32_t failures;
+	/** Its last run was taken for expired, not reported to have ended. */
+	bool expired;
 	/** Times that it was moved because its run made too little progress. */
 	uint32_t moves;
 	/** The current run if placed, else NULL. */
@@ -57,6 +59,8 @@
 	bool started;
 	/** Its submitter may have resumed it at another owner. */
 	bool maybe_resumed;
+	/** Its submitter may soon do so, and may have begun to. */
+	bool doubtful;
 	/** When this owner last started a task of it; 0: it has not. */
 	uint64_t last_started_us;
 	/** What a task needed that found no executor in the last placement
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -242,6 +242,8 @@
 		if (!run->forgotten) {
 			log_expired(x, run, runs_there, now_us);
 			pool->counters.expired_runs++;
+			if (run->batch)
+				run->batch->tasks[run->index].expired = true;
 			if (may_begin(run))
 				run_forget(pool, run, now_us);
 			else
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -366,7 +366,11 @@
 static bool may_start(const struct ph_pool *pool, const struct ph_batch *b,
 		      uint32_t index, uint64_t now_us)
 {
-	return !b->maybe_resumed && earlier_run_gone(pool, b, index, now_us) &&
+	/* Another owner may have claimed a run that this one takes for expired.
+	 */
+	if (b->maybe_resumed || (b->doubtful && b->tasks[index].expired))
+		return false;
+	return earlier_run_gone(pool, b, index, now_us) &&
 	       !has_run(pool, b->request->job, index);
 }
 
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -253,6 +253,7 @@
 	run->state = PH_RUN_STARTING;
 	run->batch = batch;
 	task->run = run;
+	task->expired = false;
 	task->state = PH_BATCH_TASK_PLACED;
 	batch->waiting--;
 	batch->request->possible_executor[index] = PH_EXECUTOR_NONE;
--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -913,6 +913,11 @@
 		}
 	}
 
+	bool surely_relied_on() const
+	{
+		return ph_cluster_surely_relied_on(cluster, now_us, "n2");
+	}
+
 	bool relied_on() const
 	{
 		return ph_cluster_relied_on(cluster, now_us, "n2");
@@ -950,11 +955,15 @@
 
 		e.run_for(2000 * kMs, 200 * kMs);
 		EXPECT_TRUE(e.relied_on());
+		EXPECT_TRUE(e.surely_relied_on());
 		EXPECT_TRUE(e.hears());
 		before = e.lost;
+		/* The peer suspects this instance after 350 ms. */
+		e.run_for(340 * kMs, c.age_us, c.echo_us);
+		EXPECT_EQ(e.surely_relied_on(), c.age_us == 260 * kMs);
 		/* The caller of a failed submitter retries after 1.3 s, and a
 		 * lease lasts for 714 ms. */
-		e.run_for(560 * kMs, c.age_us, c.echo_us);
+		e.run_for(220 * kMs, c.age_us, c.echo_us);
 		EXPECT_EQ(e.relied_on(), !c.lost);
 		e.run_for(1000 * kMs, c.age_us, c.echo_us);
 		EXPECT_EQ(e.hears(), !c.lost);
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -281,6 +281,14 @@
 					    submitter);
 	}
 
+	static bool surely(void *ctx, const char *submitter)
+	{
+		const Instance *i = static_cast<const Instance *>(ctx);
+
+		return ph_cluster_surely_relied_on(
+			i->cluster, i->group->w.now_us, submitter);
+	}
+
 	/* ## Callbacks of the submitter */
 
 	static void on_send(void *ctx, const ph_owner *owner,
@@ -378,7 +386,8 @@
 		ph_pool_submit(to->pools[pool]->pool, w.now_us, from.c_str(),
 			       seq,
 			       ph_batch_request_copy(ph_mem_default(), batch));
-		ph_pool_check_submitters(to->pools[pool]->pool, relies, to);
+		ph_pool_check_submitters(to->pools[pool]->pool, relies, surely,
+					 to);
 		ph_pool_handle_changes(to->pools[pool]->pool, w.now_us);
 	}
 
@@ -560,7 +569,8 @@
 						  unix_ms(i), p.first.c_str(),
 						  cluster_sink(), i);
 		for (const auto &p : i->pools)
-			ph_pool_check_submitters(p.second->pool, relies, i);
+			ph_pool_check_submitters(p.second->pool, relies, surely,
+						 i);
 		ph_submitter_tick(i->submitter, w.now_us);
 		send_results(i);
 	}
@@ -887,6 +897,44 @@
 	}
 }
 
+/* Another owner may have claimed a run that this one takes for expired, from
+ * the time on at which the submitter may have suspected this owner. */
+TEST(Resubmission, AnExpiredTaskWaitsUntilItsSubmitterSurelyReliesOnTheOwner)
+{
+	for (bool sure : { false, true }) {
+		SCOPED_TRACE(sure);
+		World w(3, 16000);
+		Owner *o = w.add_owner();
+		auto yes = [](void *, const char *) { return true; };
+		auto answer = [](void *ctx, const char *) {
+			return *static_cast<bool *>(ctx);
+		};
+		bool surely = sure;
+
+		ph_pool_acquire(o->pool, w.now_us, 1000);
+		w.run_until(w.now_us + 50 * kMs);
+		w.submit(o, "a", 1, 4000 * kMs, 4000 * kMs, 9000 * kMs,
+			 20000 * kMs);
+		w.run_until(w.now_us + 50 * kMs);
+		for (Executor &x : w.executors)
+			if (!x.running.empty())
+				x.unreachable_from = { o->number };
+		ph_pool_check_submitters(o->pool, yes, answer, &surely);
+		w.run_until(w.now_us + 1000 * kMs);
+		EXPECT_EQ(w.starts, sure ? 2 : 1);
+		/* First starts do not wait. */
+		w.submit(o, "b", 1, 100 * kMs, 100 * kMs, 400 * kMs,
+			 4000 * kMs);
+		ph_pool_check_submitters(o->pool, yes, answer, &surely);
+		w.run_until(w.now_us + 50 * kMs);
+		EXPECT_EQ(w.starts, sure ? 3 : 2);
+		surely = true;
+		ph_pool_check_submitters(o->pool, yes, answer, &surely);
+		w.run_until(w.now_us + 200 * kMs);
+		EXPECT_EQ(w.starts, 3);
+	}
+}
+
 /* Messages of an instance take ever longer, as on a link whose queue fills. Its
  * heartbeats go on arriving after its end, and a cancellation arrives late. */
 TEST(Resubmission, RunsEndInTimeIfMessagesAreLongInTransit)
