--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -311,6 +311,8 @@
 		{ "state", R"("ready")", "true" },
 		{ "state", R"("state":"ready",)", "" },
 		{ "capacity", R"({"cpu":16000,"memMb":64,"gpu":0})", "7" },
+		{ "capacity", R"("capacity":{"cpu":16000,"memMb":64,"gpu":0},)",
+		  "" },
 		{ "capacity", R"("cpu":16000,)", "" },
 		{ "capacity", "16000", "0" },
 		{ "capacity", "16000", "0.9" },
@@ -339,6 +341,7 @@
 		{ "json", R"("seq":4)", R"("x":"\u0000")" },
 		{ "json", R"("seq":4)", "\xff\xfe" },
 		{ "json", good_entry, "" },
+		{ "json", good_entry, "\x01\x02" },
 		{ "json", good_entry, "null" },
 		{ "json", good_entry, "[]" },
 	};
