Tests: a run claimed after its first owner lost the executor

The first owner's computed end of the lease passes before it notices the silence. Answers of executors that are cut off from an owner no longer reach it in the simulated world, which the sequence needs.

--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -330,6 +330,11 @@
 			poll_failed(o, id, PH_CALL_UNKNOWN);
 			return;
 		}
+		if (x->unreachable_from.count(o->number)) {
+			w->at(until_us + 200 * kMs,
+			      [=] { poll_failed(o, id, PH_CALL_UNKNOWN); });
+			return;
+		}
 		if (x->next_end > ends_seen + 1 || w->now_us >= until_us) {
 			poll_reply(o, x, id, ends_seen);
 			return;
