A test: an owner starts a task again beside the run that the next one claimed

Fault, not mended here: an owner takes a submitter to rely on it until the latest echo is 0.55 s old. The submitter counts the owner as failed 0.35 s after the last heartbeat that it has received, and the next owner claims the pool 0.1 s later. So for 0.1 s the batch may be resumed, and the run claimed and its lease renewed, while the first owner still starts its tasks. If it lost the executor before, it takes the lease for expired in that time and starts the task elsewhere.

ATaskIsNotStartedAgainOnceItsSubmitterMayHaveResumedIt does not see it: there the polls do not reach the executor, so the lease ends 0.15 s and more before the owner takes it for expired, and nothing is left to claim. Here only the answers get lost, and the two ends are some 35 ms apart.

--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -103,6 +103,10 @@
 
 /* ## The pool's calls */
 
+/* Time after which an owner takes the answer to a poll for lost, counted from
+ * the end of the poll's wait. */
+constexpr uint64_t kLostAnswerUs = 100 * kMs;
+
 struct Calls {
 	static void reply(Owner *o, std::function<void()> what)
 	{
@@ -323,6 +327,11 @@
 			poll_failed(o, id, PH_CALL_UNKNOWN);
 			return;
 		}
+		if (x->unheard_by.count(o->number)) {
+			w->at(until_us + kLostAnswerUs,
+			      [=] { poll_failed(o, id, PH_CALL_UNKNOWN); });
+			return;
+		}
 		if (x->next_end > ends_seen + 1 || w->now_us >= until_us) {
 			poll_reply(o, x, id, ends_seen);
 			return;
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -65,6 +65,9 @@
 	/* Injected faults. */
 	/** Numbers of the owners whose calls don't reach this executor. */
 	std::set<int> unreachable_from;
+	/** Numbers of the owners whose polls it carries out, but which don't
+	 * get the answers. */
+	std::set<int> unheard_by;
 	bool fails_all = false;
 	/** Polls are answered this much later. */
 	uint64_t poll_delay_us = 0;
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -115,6 +115,8 @@
 	std::set<std::string> dark;
 	/** (instance, executor): calls in this direction are lost. */
 	std::set<std::pair<std::string, std::string>> unreachable;
+	/** Instances and executors whose answers they don't get. */
+	std::set<std::pair<std::string, std::string>> unheard;
 	std::mt19937 rng;
 
 	Group(const std::vector<std::string> &pool_names, size_t executors,
@@ -565,16 +567,28 @@
 		send_results(i);
 	}
 
-	/* Applies the set of unreachable executors to the pools in use. */
+	/* Numbers of the pools in use of the instances in a set that holds them
+	 * with an executor. */
+	std::set<int>
+	numbers(const std::set<std::pair<std::string, std::string>> &set,
+		const Executor &x)
+	{
+		std::set<int> n;
+
+		for (auto &i : instances)
+			if (set.count({ i->name, x.id }))
+				for (const auto &p : i->pools)
+					n.insert(p.second->number);
+		return n;
+	}
+
+	/* Applies the sets of unreachable and unheard executors to the pools in
+	 * use. */
 	void update_reach()
 	{
 		for (Executor &x : w.executors) {
-			x.unreachable_from.clear();
-			for (auto &i : instances)
-				if (unreachable.count({ i->name, x.id }))
-					for (const auto &p : i->pools)
-						x.unreachable_from.insert(
-							p.second->number);
+			x.unreachable_from = numbers(unreachable, x);
+			x.unheard_by = numbers(unheard, x);
 		}
 	}
 
@@ -887,6 +901,35 @@
 	}
 }
 
+/* As above, but the first owner's polls still reach the executor and renew the
+ * lease there, and only the answers get lost: it computes the end of a lease
+ * that has hardly ended. */
+TEST(Resubmission, ATaskIsNotStartedAgainWhileTheNextOwnerMayHaveClaimedItsRun)
+{
+	for (uint64_t cut_ms = 0; cut_ms <= 400; cut_ms += 10) {
+		SCOPED_TRACE(cut_ms);
+		Trio t;
+		Executor *shared = nullptr;
+
+		ASSERT_NE(t.first, nullptr);
+		t.submit(t.submitter, 1, 3500 * kMs, 12000 * kMs);
+		t.run_for(100 * kMs);
+		for (Executor &x : t.w.executors)
+			if (x.running.empty())
+				t.unreachable.insert({ t.next->name, x.id });
+			else
+				shared = &x;
+		ASSERT_NE(shared, nullptr);
+		t.cancel_delay_us = 2400 * kMs;
+		t.unheard.insert({ t.first->name, shared->id });
+		t.run_for(cut_ms * kMs);
+		t.separate(t.first->name, t.next->name);
+		t.cut.insert({ t.first->name, t.submitter->name });
+		t.run_for(3000 * kMs);
+		EXPECT_EQ(t.w.concurrent_runs, 0);
+	}
+}
+
 /* Messages of an instance take ever longer, as on a link whose queue fills. Its
  * heartbeats go on arriving after its end, and a cancellation arrives late. */
 TEST(Resubmission, RunsEndInTimeIfMessagesAreLongInTransit)
