--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstring>
+#include <utility>
 
 namespace world
 {
@@ -20,7 +21,15 @@
 
 static uint64_t clock_ms(const World *w, const Executor *x)
 {
-	return (w->now_us - x->clock_began_us) / kMs + 1;
+	return (w->now_us - x->clock_began_us) * (100 - x->clock_slow_percent) /
+		       100 / kMs +
+	       1;
+}
+
+/* The time that passes while an executor's clock advances by us. */
+static uint64_t on_clock(const Executor *x, uint64_t us)
+{
+	return us * 100 / (100 - x->clock_slow_percent);
 }
 
 /* The clock that an executor's answers tell. */
@@ -33,9 +42,9 @@
  * executor grants. */
 static void extend_lease(const World *w, Executor *x, uint64_t until_ms)
 {
-	uint64_t end_us = x->clock_began_us + until_ms * kMs;
+	uint64_t end_us = x->clock_began_us + on_clock(x, until_ms * kMs);
 
-	end_us = std::min(end_us, w->now_us + kLeaseMaxUs);
+	end_us = std::min(end_us, w->now_us + on_clock(x, kLeaseMaxUs));
 	if (until_ms)
 		x->lease_until_us = std::max(x->lease_until_us, end_us);
 }
@@ -81,8 +90,8 @@
 	return PH_CALL_OK;
 }
 
-static ph_call_status stop(Executor *x, const std::string &key, uint64_t run,
-			   uint64_t token)
+static ph_call_status stop(const World *w, Executor *x, const std::string &key,
+			   uint64_t run, uint64_t token)
 {
 	if (token < x->token)
 		return PH_CALL_FENCED;
@@ -90,7 +99,13 @@
 	x->highest_run[key] = std::max(x->highest_run[key], run);
 	for (size_t i = 0; i < x->running.size(); i++)
 		if (x->running[i].key == key && x->running[i].run <= run) {
-			end_run(x, i, PH_END_STOPPED);
+			Run &r = x->running[i];
+
+			r.end_us = std::min(r.end_us,
+					    w->now_us + x->stop_takes_us);
+			r.stopped = true;
+			if (!x->stop_takes_us)
+				end_run(x, i, PH_END_STOPPED);
 			break;
 		}
 	return PH_CALL_OK;
@@ -110,9 +125,12 @@
 /* ## The pool's calls */
 
 struct Calls {
-	static void reply(Owner *o, std::function<void()> what)
+	static void reply(Owner *o, std::function<void()> what,
+			  uint64_t delay_us = 0)
 	{
-		o->world->at(o->world->now_us + kLatencyUs, [o, what] {
+		uint64_t us = o->world->now_us + kLatencyUs + delay_us;
+
+		o->world->at(us, [o, what] {
 			if (!o->frozen)
 				what();
 		});
@@ -269,12 +287,12 @@
 						Executor *y = w->find(xid);
 
 						if (y && !y->down)
-							stop(y, key, run,
+							stop(w, y, key, run,
 							     token);
 					});
 				if (delay)
 					return;
-				ph_call_status s = stop(x, key, run, token);
+				ph_call_status s = stop(w, x, key, run, token);
 
 				w->at(w->now_us + x->stop_answer_delay_us,
 				      [=] { answer(s); });
@@ -303,7 +321,7 @@
 			ended.back().end_number = e.number;
 			ended.back().end = e.how;
 		}
-		reply(o, [=] {
+		auto done = [=] {
 			ph_poll_reply r = {};
 
 			r.status = PH_CALL_OK;
@@ -314,7 +332,10 @@
 			r.ended = ended.data();
 			r.ended_count = ended.size();
 			ph_pool_poll_done(o->pool, o->world->now_us, id, &r);
-		});
+		};
+		reply(o, done, x->poll_answer_delay_us);
+		if (x->on_poll_answer)
+			std::exchange(x->on_poll_answer, nullptr)();
 	}
 
 	/* Answers a poll once there is an end that isn't acknowledged, or at
@@ -518,6 +539,8 @@
 
 			if (lease_expired) {
 				end_run(&x, i, PH_END_LEASE_EXPIRED);
+			} else if (now_us >= r.end_us && r.stopped) {
+				end_run(&x, i, PH_END_STOPPED);
 			} else if (now_us >= r.end_us) {
 				if (!r.fails)
 					done[r.key]++;
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -41,6 +41,7 @@
 	uint64_t begin_us;
 	uint64_t end_us;
 	bool fails;
+	bool stopped = false;
 };
 
 struct End {
@@ -55,6 +56,8 @@
 	uint64_t started_ms = 1;
 	/** When the clock of its incarnation began; it then reads 1. */
 	uint64_t clock_began_us = 0;
+	/** Its clock runs this much slower than the owners'. */
+	uint32_t clock_slow_percent = 0;
 	uint64_t token = 0;
 	uint64_t lease_until_us = 0;
 	uint64_t next_end = 1;
@@ -94,6 +97,12 @@
 	uint64_t stop_delay_us = 0;
 	/** Stop commands are carried out, but answered this much later. */
 	uint64_t stop_answer_delay_us = 0;
+	/** A run goes on for this long after its stop. */
+	uint64_t stop_takes_us = 0;
+	/** The answers to polls arrive this much later. */
+	uint64_t poll_answer_delay_us = 0;
+	/** Called once, when it answers the next poll. */
+	std::function<void()> on_poll_answer;
 	/** Factor on the run times. */
 	double slow = 1.0;
 	/** Crashes so far; the calls that waited there are not answered. */
