--- a/src/cluster.c
+++ b/src/cluster.c
@@ -9,9 +9,6 @@
  * list of executors for the rest. With fewer, the reads saved are worth less
  * than the delay when the reader fails. */
 #define LIST_READER_MIN_INSTANCES 4U
-/* Heartbeat intervals without a heartbeat after which a peer is suspected, in
- * halves: 7 stand for 3.5 intervals. */
-#define SUSPECT_INTERVALS_X2 7U
 /* A member is removed this long after its last heartbeat. */
 #define MEMBER_REMOVE_AFTER_US 60000000U
 
@@ -85,10 +82,7 @@
 static uint64_t suspect_after_us(const struct ph_cluster *cluster,
 				 const struct ph_member *m)
 {
-	uint64_t intervals_us = SUSPECT_INTERVALS_X2 * m->interval_us / 2;
-
-	return intervals_us > cluster->opt.suspect_us ? intervals_us
-						      : cluster->opt.suspect_us;
+	return ph_heartbeat_suspect_us(cluster, m->interval_us);
 }
 
 bool ph_member_alive(const struct ph_cluster *cluster,
@@ -117,7 +111,24 @@
 	if (!strcmp(name, cluster->opt.name))
 		return incarnation == cluster->opt.incarnation;
 	return m && m->incarnation == incarnation && !m->restarted &&
-	       ph_member_alive(cluster, m, now_us);
+	       ph_member_alive(cluster, m, now_us) &&
+	       ph_heartbeat_echo(cluster, m, now_us) != PH_ECHO_LOST;
+}
+
+bool ph_cluster_relied_on(const struct ph_cluster *cluster, uint64_t now_us,
+			  const char *name)
+{
+	const struct ph_member *m = ph_member_find(cluster, name);
+
+	return !m || ph_heartbeat_echo(cluster, m, now_us) < PH_ECHO_LATE;
+}
+
+bool ph_cluster_surely_relied_on(const struct ph_cluster *cluster,
+				 uint64_t now_us, const char *name)
+{
+	const struct ph_member *m = ph_member_find(cluster, name);
+
+	return !m || ph_heartbeat_echo(cluster, m, now_us) == PH_ECHO_RECENT;
 }
 
 bool ph_cluster_minority(const struct ph_cluster *cluster, uint64_t now_us)
@@ -152,6 +163,17 @@
 	}
 }
 
+/* Notes which heartbeat of this instance the peer has received. An echo from
+ * before a restart or a pause of this process counts for nothing; in a system
+ * that has booted anew it may even lie ahead. */
+static void echo_received(const struct ph_cluster *cluster, struct ph_member *m,
+			  uint64_t echo_us, uint64_t now_us)
+{
+	if (echo_us > m->echoed_us && echo_us >= cluster->opt.start_us &&
+	    echo_us <= now_us)
+		m->echoed_us = echo_us;
+}
+
 const struct ph_member *
 ph_cluster_heartbeat_received(struct ph_cluster *cluster, uint64_t now_us,
 			      const struct ph_poolmsg *heartbeat)
@@ -179,6 +201,7 @@
 	    !ph_member_alive(cluster, m, now_us)) {
 		m->reconnect_due = true;
 		m->sent_us = 0;
+		m->send_interval_since_us = now_us;
 		cluster->claims_indexed = false;
 		ph_event(PART,
 			 "event=member_alive member=%s incarnation=%llu "
@@ -192,8 +215,10 @@
 	    !m->loss_reported)
 		m->restarted = true;
 	m->loss_reported = false;
-	if (m->incarnation != heartbeat->incarnation)
+	if (m->incarnation != heartbeat->incarnation) {
 		m->first_heard_us = now_us;
+		m->echoed_us = 0;
+	}
 	m->incarnation = heartbeat->incarnation;
 	ph_strcopy(m->domain, sizeof(m->domain), heartbeat->domain);
 	ph_strcopy(m->addr, sizeof(m->addr), heartbeat->addr);
@@ -202,6 +227,7 @@
 	m->heard_self_ago_us = heartbeat->heard_ago_us;
 	m->interval_us = heartbeat->interval_us;
 	m->clock_us = heartbeat->clock_us;
+	echo_received(cluster, m, heartbeat->echo_us, now_us);
 	m->cpu_milli = heartbeat->cpu_milli ? heartbeat->cpu_milli : 1;
 	m->config_version = heartbeat->config_version;
 	m->list_digest = heartbeat->list_digest;
--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -59,6 +59,10 @@
 	int err = ph_poolmsg_decode(d->mem, data, len, msg);
 	struct mail *m;
 
+	if (!err && !ph_poolmsg_names_valid(msg)) {
+		ph_poolmsg_clear(d->mem, msg);
+		err = PH_ERR_SYNTAX;
+	}
 	if (err) {
 		d->mem->free(msg);
 		return err;
@@ -216,6 +220,7 @@
 			&ph_dispatcher_cluster_sink, d);
 	for (i = 0; i < d->pool_count; i++) {
 		ph_dispatcher_check_fence(d, &d->pools[i], now_us);
+		ph_dispatcher_check_submitters(d, d->pools[i].pool, now_us);
 		ph_pool_tick(d->pools[i].pool, now_us);
 	}
 	ph_submitter_tick(d->submitter, now_us);
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -109,6 +109,9 @@
  * reads for its domain, or its copy of the list is too old. */
 bool ph_dispatcher_wants_list(struct ph_dispatcher *dispatcher,
 			      uint64_t now_us);
+/** True if that read must not wait for its interval: batches of an owner that
+ * was lost wait for it. */
+bool ph_dispatcher_needs_list(struct ph_dispatcher *dispatcher);
 /** The list of executors was read; requested_us is when the read was sent. */
 void ph_dispatcher_list_read(struct ph_dispatcher *dispatcher, uint64_t now_us,
 			     uint64_t requested_us,
@@ -116,6 +119,12 @@
 /** A read of the list of executors failed. */
 void ph_dispatcher_list_read_failed(struct ph_dispatcher *dispatcher,
 				    uint64_t now_us);
+/** Counts an answer of the platform that can't be decoded. */
+void ph_dispatcher_count_unreadable(struct ph_dispatcher *dispatcher);
+/** Sets the number of entries of the last list of executors that were skipped
+ * as they name none that can be used. */
+void ph_dispatcher_set_skipped(struct ph_dispatcher *dispatcher,
+			       size_t entries);
 /** Adds the "ip:port" of an instance that the platform knows; it gets
  * heartbeats. */
 void ph_dispatcher_contact(struct ph_dispatcher *dispatcher, const char *addr);
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -48,6 +48,10 @@
 struct ph_dispatcher_counters {
 	uint64_t jobs;
 	uint64_t disconnects;
+	/** Answers of the platform that couldn't be decoded. */
+	uint64_t unreadable;
+	/** Entries of the last list of executors that were skipped. */
+	size_t skipped;
 	/** Answers and response times, by enum ph_job_outcome. */
 	uint64_t answers[4];
 	struct ph_histogram response[4];
@@ -153,13 +157,18 @@
 void ph_dispatcher_check_fence(struct ph_dispatcher *d,
 			       struct ph_dispatcher_pool *pool,
 			       uint64_t now_us);
+/** Has a pool start nothing, and renew no leases, for batches that their
+ * submitters may have resumed elsewhere. */
+void ph_dispatcher_check_submitters(struct ph_dispatcher *d,
+				    struct ph_pool *pool, uint64_t now_us);
 
 /* ## dispatcher_executors.c */
 
 /** Applies a change of the list of executors that another instance sent. */
 void ph_dispatcher_list_changed(struct ph_dispatcher *d,
 				const struct ph_poolmsg *msg, uint64_t now_us);
-/** Splits the list again when due, until no pool has unlisted executors. */
+/** Tells the pools how old the list is, and splits it again when due, until no
+ * pool has unlisted executors. */
 void ph_dispatcher_list_tick(struct ph_dispatcher *d, uint64_t now_us);
 
 /* ## dispatcher.c */
--- a/src/pool.c
+++ b/src/pool.c
@@ -18,10 +18,6 @@
 /* Interval of placement rounds without a change of state: a start may become
  * possible by time alone, as when a back-off ends. */
 #define PLACE_EVERY_US 10000U
-/* Longest time after which a start that was not answered counts as one that may
- * still be carried out on an unlisted executor: the platform's bound is
- * "seconds". */
-#define LATE_START_US 20000000U
 /* Time for which a closed batch is remembered. A submission that arrives later
  * is refused for its time in transit; until then the submitter repeats a
  * cancellation. */
@@ -29,6 +25,10 @@
 /* Longest time in transit of a batch: less than the time after which its
  * submitter abandons it and the caller may submit the job elsewhere. */
 #define TRANSIT_MAX_US 350000U
+/* An instance claims a pool no sooner than this after the loss of the owner
+ * before (CLAIM_AFTER_US in cluster_ownership.c), and its batches are resumed
+ * later still. */
+#define LIST_AHEAD_US 100000U
 
 struct ph_pool *ph_pool_new(const struct ph_pool_options *options)
 {
@@ -39,6 +39,7 @@
 	pool->opt.name = pool->name;
 	pool->mem = options->mem;
 	pool->last_call = options->first_call;
+	pool->list_read_us = UINT64_MAX;
 	pool->own_crashes = !options->crashes;
 	pool->crashes = options->crashes ? options->crashes
 					 : ph_crashes_new(options->mem);
@@ -578,6 +579,25 @@
 	}
 }
 
+void ph_pool_check_submitters(struct ph_pool *pool,
+			      bool (*relies)(void *ctx, const char *submitter),
+			      bool (*surely)(void *ctx, const char *submitter),
+			      void *ctx)
+{
+	struct ph_batch *b;
+
+	for (b = pool->batches; b; b = b->next) {
+		bool maybe_resumed = !relies(ctx, b->submitter);
+		bool doubtful = !surely(ctx, b->submitter);
+
+		if (maybe_resumed != b->maybe_resumed ||
+		    doubtful != b->doubtful)
+			pool->dirty = true;
+		b->doubtful = doubtful;
+		b->maybe_resumed = maybe_resumed;
+	}
+}
+
 /* ## Ownership */
 
 void ph_pool_acquire(struct ph_pool *pool, uint64_t now_us, uint64_t token)
@@ -623,6 +643,7 @@
 					 now_us);
 		while (x->runs)
 			ph_run_drop(pool, x, x->runs);
+		ph_late_starts_forget(pool, x, UINT64_MAX);
 		x->polled = false;
 		x->rejected_us = 0;
 		x->other_owner = false;
@@ -631,6 +652,7 @@
 		x->clock_ms = 0;
 		x->lease_ms = 0;
 		x->lease_sent_ms = 0;
+		x->unseen_expiry_us = 0;
 	}
 }
 
@@ -650,14 +672,7 @@
 /* Whether an executor may have runs, or still carry out the start of one. */
 static bool may_run(const struct ph_executor *x, uint64_t now_us)
 {
-	const struct ph_run *run;
-
-	if (ph_executor_followed(x, now_us))
-		return true;
-	for (run = x->runs; run; run = run->next)
-		if (!run->forgotten || now_us < x->unlisted_us + LATE_START_US)
-			return true;
-	return false;
+	return ph_executor_followed(x, now_us) || x->runs || x->late_starts;
 }
 
 /* Frees unlisted executors once no lease can last there, and no late start be
@@ -672,6 +687,7 @@
 		struct ph_executor *x = *at;
 
 		any_unlisted = any_unlisted || !x->listed;
+		ph_late_starts_forget(pool, x, now_us);
 		if (may_run(x, now_us)) {
 			at = &x->next;
 			continue;
@@ -704,6 +720,38 @@
 	return drop_unlisted(pool, now_us);
 }
 
+void ph_pool_list_read(struct ph_pool *pool, uint64_t read_us)
+{
+	pool->dirty = pool->dirty || read_us != pool->list_read_us;
+	if (!pool->first_list_us)
+		pool->first_list_us = read_us;
+	pool->list_read_us = read_us;
+}
+
+static bool list_recent(const struct ph_pool *pool, const struct ph_batch *b)
+{
+	return pool->list_read_us >= b->received_us ||
+	       pool->list_read_us + LIST_AHEAD_US >= b->received_us;
+}
+
+bool ph_batch_executors_known(const struct ph_pool *pool,
+			      const struct ph_batch *b)
+{
+	return list_recent(pool, b) &&
+	       (!pool->first_list_us ||
+		b->received_us >= pool->first_list_us + PH_UNLISTED_US);
+}
+
+bool ph_pool_needs_list(const struct ph_pool *pool)
+{
+	const struct ph_batch *b;
+
+	for (b = pool->batches; b; b = b->next)
+		if (b->request->resumed && b->waiting && !list_recent(pool, b))
+			return true;
+	return false;
+}
+
 void ph_pool_tick(struct ph_pool *pool, uint64_t now_us)
 {
 	struct ph_batch *b = pool->batches;
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -2,9 +2,10 @@
 #define PH_POOL_IMPL_H
 
 /* Shared by the parts of the pool: pool.c (batches), pool_run.c (runs and run
- * commands), pool_lease.c (leases), pool_poll.c (polls of executors),
- * pool_probe.c (reachability of executors of other owners), pool_placement.c
- * (in which order tasks start, and on which executors). */
+ * commands), pool_lease.c (leases), pool_late.c (starts that a restarted
+ * executor may carry out), pool_poll.c (polls of executors), pool_probe.c
+ * (reachability of executors of other owners), pool_placement.c (in which order
+ * tasks start, and on which executors). */
 
 #include "pool.h"
 
@@ -12,6 +13,19 @@
 /* Longest wait for a call's answer: leaves time to repeat a poll before the
  * lease that it renews expires. */
 #define PH_CALL_TIMEOUT_MAX_US 200000U
+/* Longest time after which a start that was not answered may still be carried
+ * out: the platform's bound is "seconds". */
+#define PH_LATE_START_US 20000000U
+/* An executor grants a lease of at most this many lease durations to a command
+ * whose lease end makes no sense on its clock. */
+#define PH_RESTARTED_LEASES 2U
+/* Time for which the lease of an unlisted executor is still renewed: its entry
+ * may be back soon. */
+#define PH_UNLISTED_RENEWED_US 1000000U
+/* Time for which an unlisted executor is still polled: while another owner may
+ * have renewed a lease there, plus the longest lease, plus the time by which
+ * two instances may differ in their lists. */
+#define PH_UNLISTED_US (PH_UNLISTED_RENEWED_US + 1000000U + 1500000U)
 
 enum ph_batch_task_state {
 	PH_BATCH_TASK_WAITING,
@@ -26,6 +40,8 @@
 struct ph_batch_task {
 	enum ph_batch_task_state state;
 	uint32_t failures;
+	/** Its last run was taken for expired, not reported to have ended. */
+	bool expired;
 	/** Times that it was moved because its run made too little progress. */
 	uint32_t moves;
 	/** The current run if placed, else NULL. */
@@ -48,6 +64,10 @@
 	uint64_t received_us;
 	/** A task of it was started, here or by an earlier owner. */
 	bool started;
+	/** Its submitter may have resumed it at another owner. */
+	bool maybe_resumed;
+	/** Its submitter may soon do so, and may have begun to. */
+	bool doubtful;
 	/** When this owner last started a task of it; 0: it has not. */
 	uint64_t last_started_us;
 	/** What a task needed that found no executor in the last placement
@@ -101,19 +121,25 @@
 	/** When the latest command was acknowledged, or a poll first reported
 	 * the start; 0: neither yet, or an orphaned run. */
 	uint64_t acked_us;
-	uint64_t stop_sent_us;
 	/** When the first stop command was sent; 0: none was. */
 	uint64_t first_stop_us;
 	/** Stop commands sent. */
 	uint32_t stops;
-	bool stop_pending;
+	/** The stop under way to the executor's present incarnation; 0: none.
+	 */
+	uint64_t stop_call;
 	/** The executor is known to have carried out the start. */
 	bool begun;
-	/** Stopping, and its task no longer waits for it: its lease has expired
+	/** Stopping, and its lease has expired or its executor has restarted,
 	 * but its start may still be carried out. */
 	bool forgotten;
+	/** Its start was refused since this run or a later one has been there:
+	 * a poll has to show whether one still runs. */
+	bool refused_as_old;
 	/** Its task may crash the executor: nothing is started beside it. */
 	bool alone;
+	/** Its batch, which has ended, may have been resumed elsewhere. */
+	bool maybe_resumed;
 	/** Progress as last reported. */
 	uint32_t percent;
 };
@@ -124,6 +150,16 @@
 	uint64_t until_us;
 };
 
+/** A start without an answer. The executor's present incarnation has
+ * acknowledged a stop of its run, but the next one would carry it out. */
+struct ph_late_start {
+	struct ph_late_start *next;
+	char job[PH_JOB_BYTES];
+	uint32_t index;
+	uint64_t run;
+	uint64_t sent_us;
+};
+
 struct ph_executor {
 	struct ph_executor *next;
 	struct ph_executor_info info;
@@ -132,8 +168,11 @@
 	uint64_t unlisted_us;
 	struct ph_capacity used;
 	struct ph_run *runs;
+	struct ph_late_start *late_starts;
 	/** Start time of its current incarnation, as it reported. */
 	uint64_t started_ms;
+	/** When its present incarnation was noticed; 0: it is the first one. */
+	uint64_t restarted_us;
 	/** A poll has been answered since this instance acquired the pool. */
 	bool polled;
 	/** Since when it refuses the owner's token; 0: it does not. */
@@ -152,6 +191,9 @@
 	uint64_t lease_ms;
 	/** Latest lease end that this owner has sent to this incarnation. */
 	uint64_t lease_sent_ms;
+	/** Local time at which a lease has expired that was granted by an
+	 * incarnation that no poll has shown yet; 0: none was. */
+	uint64_t unseen_expiry_us;
 	/** Id of the poll under way; 0: none. */
 	uint64_t poll_call;
 	uint64_t poll_sent_us;
@@ -253,6 +295,10 @@
 	bool widespread_loss;
 	/** Polls get lost, so long polls wait for a shorter time. */
 	bool short_polls;
+	/** When the read that gave or confirmed the list was sent, and the one
+	 * that gave the first list. */
+	uint64_t list_read_us;
+	uint64_t first_list_us;
 	/** The state changed since the last placement round. */
 	bool dirty;
 	/** Time of the last placement round. */
@@ -277,6 +323,12 @@
 void ph_batch_task_failed(struct ph_pool *pool, struct ph_batch *batch,
 			  uint32_t index, uint64_t now_us);
 
+/** Whether this instance polls each executor on which an earlier owner may have
+ * started tasks of a resumed batch: the list was read late enough to hold new
+ * ones, and lists have been read for long enough to have held those that have
+ * left it and still have a lease. */
+bool ph_batch_executors_known(const struct ph_pool *pool,
+			      const struct ph_batch *batch);
 /** Lets resumed batches claim the orphaned runs and ends reported so far. */
 void ph_pool_claim_orphans(struct ph_pool *pool, uint64_t now_us);
 
@@ -336,7 +388,8 @@
  * executor that it may not reach or have forgotten. Runs that this owner has
  * found, and that no batch has claimed, may belong to an owner that is alive
  * but can't reach the executor, and that computes their end from the lease it
- * sent.
+ * sent. A batch that its submitter may have resumed elsewhere must not outlast
+ * the time after which its tasks start there.
  */
 bool ph_lease_renewed(const struct ph_pool *pool,
 		      const struct ph_executor *executor, uint64_t now_us);
@@ -362,9 +415,29 @@
 void ph_executor_lost(struct ph_pool *pool, struct ph_executor *executor,
 		      enum ph_loss_cause cause,
 		      const struct ph_poll_reply *reply, uint64_t now_us);
+/** Notes the lease that a start has got, by the clock in its answer: an
+ * incarnation that no poll has shown yet measures it on another clock. */
+void ph_lease_granted(struct ph_pool *pool, struct ph_executor *executor,
+		      uint64_t sent_us, uint64_t clock_ms, uint64_t now_us);
 /** Sends polls and stops that are due and drops runs whose lease expired. */
 void ph_lease_tick(struct ph_pool *pool, uint64_t now_us);
 
+/* ## pool_late.c */
+
+/** Whether a run's start has been carried out, or can't be any more. */
+bool ph_start_settled(const struct ph_run *run, uint64_t now_us);
+/** Remembers the start of a stopped run, if it may still be carried out by
+ * another incarnation. */
+void ph_late_start_remember(struct ph_pool *pool, struct ph_executor *executor,
+			    const struct ph_run *run, uint64_t now_us);
+/** Forgets the starts that can't be carried out any more. */
+void ph_late_starts_forget(struct ph_pool *pool, struct ph_executor *executor,
+			   uint64_t now_us);
+/** After a restart: adds the remembered starts to the runs that are to be
+ * stopped, and discards what the earlier incarnation acknowledged. */
+void ph_late_starts_stop_again(struct ph_pool *pool,
+			       struct ph_executor *executor, uint64_t now_us);
+
 /* ## pool_poll.c */
 
 /** Whether a run that a poll doesn't report is gone: it is orphaned, or its
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -1,6 +1,8 @@
 /* Leases of the executors: when they are renewed, and when runs are over
  * because they have expired. */
 
+#include <stdlib.h>
+
 #include "ident.h"
 #include "log.h"
 #include "pool_impl.h"
@@ -26,6 +28,8 @@
 #define START_LEASE_DIVISOR 2U
 /* The platform's bound on how much slower an executor's clock may run. */
 #define CLOCK_SLOW_PERCENT 2U
+/* Two readings of one clock may differ by this much from rounding. */
+#define CLOCK_ROUNDING_MS 2
 /* Time added to a computed lease expiry. */
 #define EXPIRY_MARGIN_US 20000U
 /* Executors that become unreachable within this time are lost at once: the
@@ -38,13 +42,6 @@
 /* A task that crashes its executor does so within this time of its start, with
  * the round trip of the start and the failure of the poll. */
 #define PROMPT_CRASH_US 100000U
-/* Time for which the lease of an unlisted executor is still renewed: its entry
- * may be back soon. */
-#define UNLISTED_RENEWED_US 1000000U
-/* Time for which an unlisted executor is still polled: while another owner may
- * have renewed a lease there, plus the longest lease, plus the time by which
- * two instances may differ in their lists. */
-#define UNLISTED_US (UNLISTED_RENEWED_US + 1000000U + 1500000U)
 
 uint64_t ph_run_claim_us(const struct ph_executor *x)
 {
@@ -53,15 +50,28 @@
 
 bool ph_executor_followed(const struct ph_executor *x, uint64_t now_us)
 {
-	return x->listed || now_us < x->unlisted_us + UNLISTED_US;
+	return x->listed || now_us < x->unlisted_us + PH_UNLISTED_US;
+}
+
+/* Whether a run there belongs to a batch that its submitter may have resumed
+ * elsewhere, and its stop is not acknowledged. */
+static bool has_maybe_resumed(const struct ph_executor *x)
+{
+	const struct ph_run *run;
+
+	for (run = x->runs; run; run = run->next)
+		if (run->batch ? run->batch->maybe_resumed
+			       : run->maybe_resumed && !run->acked_us)
+			return true;
+	return false;
 }
 
 bool ph_lease_renewed(const struct ph_pool *pool, const struct ph_executor *x,
 		      uint64_t now_us)
 {
 	return !x->stops_overdue && !pool->fenced &&
-	       !ph_executor_has_unclaimed(x) &&
-	       (x->listed || now_us < x->unlisted_us + UNLISTED_RENEWED_US);
+	       !ph_executor_has_unclaimed(x) && !has_maybe_resumed(x) &&
+	       (x->listed || now_us < x->unlisted_us + PH_UNLISTED_RENEWED_US);
 }
 
 bool ph_lease_allows_start(const struct ph_pool *pool,
@@ -93,19 +103,50 @@
 	return end;
 }
 
+/* Time that a lease may last on an executor's clock, in local time. */
+static uint64_t lease_time_us(uint64_t us)
+{
+	return us + us * CLOCK_SLOW_PERCENT / 100 + EXPIRY_MARGIN_US;
+}
+
 /* Local time at which every lease sent to the executor has expired; 0 if its
  * clock is unknown. */
 static uint64_t lease_expiry_us(const struct ph_executor *x)
 {
-	uint64_t left_us;
+	uint64_t expiry_us = x->clock_us;
 
 	if (!x->clock_ms)
-		return 0;
-	if (x->lease_ms <= x->clock_ms)
-		return x->clock_us;
-	left_us = (x->lease_ms - x->clock_ms) * PH_US_PER_MS;
-	return x->clock_us + left_us + left_us * CLOCK_SLOW_PERCENT / 100 +
-	       EXPIRY_MARGIN_US;
+		return x->unseen_expiry_us;
+	if (x->lease_ms > x->clock_ms)
+		expiry_us += lease_time_us((x->lease_ms - x->clock_ms) *
+					   PH_US_PER_MS);
+	return expiry_us > x->unseen_expiry_us ? expiry_us
+					       : x->unseen_expiry_us;
+}
+
+/* True if a clock that an executor read after sent_us is behind the known one:
+ * another incarnation has answered. */
+static bool clock_behind(const struct ph_executor *x, uint64_t sent_us,
+			 uint64_t clock_ms)
+{
+	int64_t since_ms = ((int64_t)sent_us - (int64_t)x->clock_us) /
+			   (int64_t)PH_US_PER_MS;
+	int64_t drift_ms = llabs(since_ms) * CLOCK_SLOW_PERCENT / 100;
+
+	return x->clock_ms && clock_ms &&
+	       (int64_t)clock_ms < (int64_t)x->clock_ms + since_ms - drift_ms -
+					   CLOCK_ROUNDING_MS;
+}
+
+void ph_lease_granted(struct ph_pool *pool, struct ph_executor *x,
+		      uint64_t sent_us, uint64_t clock_ms, uint64_t now_us)
+{
+	if (!clock_behind(x, sent_us, clock_ms))
+		return;
+	ph_event(PART, "event=lease_of_unseen_incarnation executor=%s",
+		 x->info.id);
+	x->unseen_expiry_us = now_us + lease_time_us(PH_RESTARTED_LEASES *
+						     pool->opt.lease_us);
 }
 
 /* ## Timeouts */
@@ -198,26 +239,20 @@
 
 /* An executor that is reached again may carry out a start that was never
  * confirmed. Until it acknowledges the stop, which makes it refuse the start,
- * the stop is overdue, so no lease is renewed there. The task itself need not
- * wait. */
-static void run_forget(struct ph_pool *pool, struct ph_run *run,
-		       uint64_t now_us)
+ * the stop is overdue, so no lease is renewed there. The task waits too: if the
+ * executor has restarted, it carries the start out under a new lease. */
+static void run_forget(struct ph_run *run, uint64_t now_us)
 {
-	struct ph_batch *batch = run->batch;
-
 	run->forgotten = true;
-	run->batch = NULL;
 	run->state = PH_RUN_STOPPING;
 	if (!run->first_stop_us)
 		run->first_stop_us = now_us;
-	if (batch)
-		ph_batch_task_requeue(pool, batch, run->index);
 }
 
 /* True if the start may be carried out after the run's lease has expired. */
 static bool may_begin(const struct ph_run *run)
 {
-	return !run->begun && !run->acked_us &&
+	return !run->begun && !run->refused_as_old && !run->acked_us &&
 	       (run->state == PH_RUN_STARTING || run->state == PH_RUN_STOPPING);
 }
 
@@ -243,8 +278,10 @@
 		if (!run->forgotten) {
 			log_expired(x, run, runs_there, now_us);
 			pool->counters.expired_runs++;
+			if (run->batch)
+				run->batch->tasks[run->index].expired = true;
 			if (may_begin(run))
-				run_forget(pool, run, now_us);
+				run_forget(run, now_us);
 			else
 				ph_run_drop_requeue(pool, x, run);
 		}
@@ -266,7 +303,16 @@
 static bool stop_due(const struct ph_executor *x, const struct ph_run *run)
 {
 	return run->state == PH_RUN_STOPPING && !run->acked_us &&
-	       !run->stop_pending && !(run->forgotten && x->poll_failures);
+	       !run->stop_call && !(run->forgotten && x->poll_failures);
+}
+
+/* True if a run that has not been reported can't be alive, even if its start
+ * was carried out as late as possible, under the longest lease. */
+static bool late_run_over(const struct ph_pool *pool, const struct ph_run *run,
+			  uint64_t now_us)
+{
+	return now_us >= run->created_us + PH_LATE_START_US +
+				 PH_RESTARTED_LEASES * pool->opt.lease_us;
 }
 
 static void update_stops_overdue(struct ph_executor *x, uint64_t now_us)
@@ -301,9 +347,12 @@
 				 run->job, run->index,
 				 (unsigned long long)run->run, x->info.id);
 			ph_run_stop(pool, x, run, now_us);
+		} else if (run->forgotten && late_run_over(pool, run, now_us)) {
+			ph_run_drop_requeue(pool, x, run);
 		} else if (stop_due(x, run)) {
 			ph_run_stop(pool, x, run, now_us);
 		} else if (stop_completed(pool, run, now_us)) {
+			ph_late_start_remember(pool, x, run, now_us);
 			ph_run_drop_requeue(pool, x, run);
 		}
 		run = next;
@@ -315,6 +364,7 @@
 	struct ph_executor *x;
 
 	for (x = pool->executors; x; x = x->next) {
+		ph_late_starts_forget(pool, x, now_us);
 		expire_runs(pool, x, now_us);
 		update_stops_overdue(x, now_us);
 		if (!x->poll_call && now_us >= x->next_poll_us &&
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -342,13 +342,13 @@
 	    now_us >= orphans_expired_us(pool, b))
 		return true;
 	return executor == PH_EXECUTOR_UNKNOWN
-		       ? all_polled(pool, now_us)
+		       ? all_polled(pool, now_us) &&
+				 ph_batch_executors_known(pool, b)
 		       : executor_polled(pool, executor);
 }
 
 /* True if a run of the task is left, from an earlier submission of the job or
- * being stopped. A forgotten one has no lease until its stop is acknowledged.
- */
+ * being stopped, or may still be started. */
 static bool has_run(const struct ph_pool *pool, const char *job, uint32_t index)
 {
 	const struct ph_executor *x;
@@ -356,8 +356,7 @@
 
 	for (x = pool->executors; x; x = x->next)
 		for (r = x->runs; r; r = r->next)
-			if (!r->forgotten && r->index == index &&
-			    !strcmp(r->job, job))
+			if (r->index == index && !strcmp(r->job, job))
 				return true;
 	return false;
 }
@@ -365,6 +364,10 @@
 static bool may_start(const struct ph_pool *pool, const struct ph_batch *b,
 		      uint32_t index, uint64_t now_us)
 {
+	/* Another owner may have claimed a run that this one takes for expired.
+	 */
+	if (b->maybe_resumed || (b->doubtful && b->tasks[index].expired))
+		return false;
 	return earlier_run_gone(pool, b, index, now_us) &&
 	       !has_run(pool, b->request->job, index);
 }
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -33,13 +33,10 @@
 /* A task is moved off a slow executor at most once, as the next executor may be
  * no faster. */
 #define MAX_MOVES 1U
-/* An executor grants a lease of at most this many lease durations to a start
- * command whose lease end makes no sense on its clock. */
-#define RESTARTED_LEASES 2U
 #define PERMILLE 1000U
 
 /* Longest wait of a poll: until the progress of one of the executor's runs has
- * to be looked at. */
+ * to be looked at. None if a task waits for what the poll shows. */
 static uint64_t wait_us(const struct ph_pool *pool, const struct ph_executor *x,
 			uint64_t now_us)
 {
@@ -51,6 +48,8 @@
 	for (run = x->runs; run; run = run->next) {
 		uint64_t check_us;
 
+		if (run->refused_as_old)
+			return 0;
 		if (!ph_mechanism_on(pool->opt.off,
 				     PH_MECHANISM_PROGRESS_CHECKS) ||
 		    !run->batch || run->state == PH_RUN_STOPPING)
@@ -136,23 +135,29 @@
  * may have reached the new incarnation, which shortens a lease end that was
  * computed for the earlier incarnation's clock. */
 static void executor_restarted(struct ph_pool *pool, struct ph_executor *x,
-			       const struct ph_poll_reply *reply)
+			       const struct ph_poll_reply *reply,
+			       uint64_t now_us)
 {
 	ph_event(PART, "event=executor_restarted executor=%s started_ms=%llu",
 		 x->info.id, (unsigned long long)reply->started_ms);
 	x->ends_seen = 0;
 	x->lease_sent_ms = 0;
 	x->lease_ms = reply->clock_ms +
-		      RESTARTED_LEASES * pool->opt.lease_us / PH_US_PER_MS;
+		      PH_RESTARTED_LEASES * pool->opt.lease_us / PH_US_PER_MS;
 	memset(&x->faults, 0, sizeof(x->faults));
 	memset(&x->unanswered, 0, sizeof(x->unanswered));
+	x->restarted_us = now_us;
+	ph_late_starts_stop_again(pool, x, now_us);
 }
 
-/* An earlier owner may have renewed the lease until its token was refused. */
-static void expect_earlier_lease(const struct ph_pool *pool,
+/* The latest end of a lease that was asked for by an earlier owner, until its
+ * token was refused, or in terms of an earlier incarnation's clock: that of a
+ * start that was carried out late is as late as the executor grants. */
+static void expect_longest_lease(const struct ph_pool *pool,
 				 struct ph_executor *x)
 {
-	uint64_t end = x->clock_ms + pool->opt.lease_us / PH_US_PER_MS;
+	uint64_t end = x->clock_ms +
+		       PH_RESTARTED_LEASES * pool->opt.lease_us / PH_US_PER_MS;
 
 	if (end > x->lease_ms)
 		x->lease_ms = end;
@@ -290,6 +295,8 @@
 		run->state = PH_RUN_RUNNING;
 		run->acked_us = now_us;
 	}
+	if (!run->begun && run->created_us < x->restarted_us)
+		expect_longest_lease(pool, x);
 	run->begun = true;
 	run->forgotten = false;
 	run->percent = seen->percent;
@@ -341,6 +348,7 @@
 
 		if (ph_run_gone(x, run, reply)) {
 			log_lost(x, run, restarted, now_us);
+			ph_late_start_remember(pool, x, run, now_us);
 			ph_run_drop_requeue(pool, x, run);
 		}
 		run = next;
@@ -383,7 +391,7 @@
 	if (restarted && !x->poll_failures)
 		x->unreachable_us = now_us;
 	if (restarted)
-		executor_restarted(pool, x, reply);
+		executor_restarted(pool, x, reply, now_us);
 	if (x->poll_failures)
 		ph_crashes_executor_back(pool->crashes,
 					 ph_executor_hash(x->info.id),
@@ -405,7 +413,7 @@
 	for (i = 0; i < reply->running_count; i++)
 		run_reported(pool, x, &reply->running[i], now_us);
 	if (!x->polled)
-		expect_earlier_lease(pool, x);
+		expect_longest_lease(pool, x);
 	x->polled = true;
 	if (restarted)
 		ph_executor_lost(pool, x, PH_LOSS_RESTARTED, reply, now_us);
