--- a/test/test_crashing_tasks.cc
+++ b/test/test_crashing_tasks.cc
@@ -499,6 +499,53 @@
 	}
 }
 
+struct WeightCase {
+	const char *what;
+	/** The losses of executors under one task, in their order. */
+	std::vector<ph_loss> losses;
+	bool given_up;
+};
+
+// A task that crashes its executors is started more often than needed, or one
+// that was there by chance is given up.
+TEST(CrashingTasks, CrashesAreWeighedByHowLikelyTheTaskIsTheCause)
+{
+	const ph_loss beside = { 1, 3, false, true, true, true };
+	const ph_loss alone_late = { 2, 1, false, true, true, false };
+	const ph_loss alone_prompt = { 3, 1, false, true, true, true };
+	const ph_loss not_begun = { 4, 1, false, true, false, true };
+	const WeightCase cases[] = {
+		{ "alone at once, after one beside others",
+		  { beside, alone_prompt },
+		  true },
+		{ "alone at once, twice",
+		  { alone_prompt, alone_prompt },
+		  true },
+		{ "alone at once, once", { alone_prompt }, false },
+		{ "alone later, after one beside others",
+		  { beside, alone_late },
+		  false },
+		{ "alone later, twice", { alone_late, alone_late }, true },
+		{ "beside others, three times",
+		  { beside, beside, beside },
+		  false },
+		{ "beside others, four times",
+		  { beside, beside, beside, beside },
+		  true },
+		{ "not begun", { alone_prompt, not_begun, not_begun }, false },
+	};
+
+	for (const WeightCase &c : cases) {
+		SCOPED_TRACE(c.what);
+		ph_crashes *crashes = ph_crashes_new(ph_mem_default());
+
+		for (const ph_loss &loss : c.losses)
+			ph_crashes_add(crashes, 1000 * kMs, 7, 0, &loss);
+		EXPECT_EQ(ph_crashes_given_up(crashes, 7, 0), c.given_up);
+		ph_crashes_free(crashes);
+	}
+}
+
 struct LoneCrashCase {
 	const char *what;
 	/** The start at the first executor is lost, so the task never begins
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -268,4 +268,32 @@
 	}
 }
 
+/* Guards against a start that is forgotten with its executor, which has left
+ * the list and is back in another incarnation before the start is carried
+ * out. */
+TEST(PoolIncarnations, ALateStartIsRememberedWhileItsExecutorIsUnlisted)
+{
+	World w(4, 16000);
+	Owner *o = ready_owner(&w);
+	/* Placement fills this executor first. */
+	Executor *x = &w.executors.back();
+	uint64_t t0 = w.now_us;
+
+	x->start_delay_us = 15000 * kMs;
+	w.submit(o, "a", 1, 25000 * kMs, 25000 * kMs, kLong, kLong);
+	w.at(t0 + 5 * kMs, [=] { x->start_delay_us = 0; });
+	w.at(t0 + 203 * kMs, [&w, o] { fill_another(&w, o); });
+	w.run_until(t0 + 1000 * kMs);
+	x->unlisted = true;
+	w.list(o);
+	w.run_until(t0 + 6000 * kMs);
+	w.list(o);
+	w.run_until(t0 + 14500 * kMs);
+	w.restart(x);
+	x->unlisted = false;
+	w.list(o);
+	w.run_until(t0 + 20000 * kMs);
+	EXPECT_EQ(w.concurrent_runs, 0);
+}
+
 } // namespace
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -1165,6 +1165,9 @@
 			next = g.find(first == "n1" ? "n2" : "n1")
 				       ->pools["north"];
 			ph_pool_list_read(next->pool, g.w.now_us);
+			/* Long enough that its list has held all executors that
+			 * have left. */
+			g.run_for(4000 * kMs);
 			added->unlisted = false;
 			g.w.list(g.find(first)->pools["north"]);
 			g.run_for(50 * kMs);
