Test: a fenced owner renews no lease

Cause: no unit test failed without the fenced owner in ph_lease_renewed().

Change: a test with an executor that the new owner can't reach and the fenced one still polls. The new owner starts the task elsewhere once the lease has to have expired.

Evidence: without the rule the test fails with two runs at once; with it the twelve tests of the file pass. What callers saw: nothing, tests only.

--- a/test/test_pool_guards.cc
+++ b/test/test_pool_guards.cc
@@ -378,4 +378,26 @@
 	EXPECT_EQ(w.concurrent_runs, 0);
 }
 
+/* Guards against an owner that goes on renewing leases where its successor
+ * can't be heard, while the successor takes them for expired: without the
+ * fenced owner in ph_lease_renewed(). */
+TEST(PoolGuards, AFencedOwnerRenewsNoLease)
+{
+	World w(4, 16000);
+	Owner *a = ready_owner(&w);
+	Owner *b = w.add_owner();
+	Executor *x = &w.executors.back();
+	uint64_t seq = submit_long(&w, a, "a");
+
+	w.run_until(w.now_us + 100 * kMs);
+	ASSERT_EQ(x->running.size(), 1U);
+	x->unreachable_from = { b->number };
+	ph_pool_acquire(b->pool, w.now_us, 2000);
+	w.run_until(w.now_us + 30 * kMs);
+	w.resubmit(a, b, seq);
+	w.run_until(w.now_us + 4000 * kMs);
+	EXPECT_EQ(w.concurrent_runs, 0);
+	EXPECT_EQ(w.starts, 2);
+}
+
 } // namespace
