Only a crash that follows the start of a task counts against it

Cause: a cut that refuses connections looks like a crash.

Beside others it weighs one, alone three, as before.

--- a/src/pool_crashes.c
+++ b/src/pool_crashes.c
@@ -5,10 +5,9 @@
 
 /* Entries kept; the oldest one makes room. */
 #define SUSPECTS_MAX 256U
-/* What a crash weighs: any one may have another cause than the task, least so
- * if it follows the start of a task that ran alone. */
-#define WEIGHT_ALONE_PROMPT 3U
-#define WEIGHT_ALONE 2U
+/* What a crash weighs that follows the start of a task; any one may have
+ * another cause, most likely one beside other tasks. */
+#define WEIGHT_ALONE 3U
 #define WEIGHT_BESIDE_OTHERS 1U
 /* Losses from which on a task is to run alone also if each of them is doubtful.
  */
@@ -110,13 +109,14 @@
 	return s;
 }
 
+/* A crash long after the start has most likely another cause; it may also be a
+ * network partition that refuses connections. */
 static uint32_t crash_weight(const struct ph_loss *loss)
 {
-	if (!loss->begun)
+	if (!loss->begun || !loss->prompt)
 		return 0;
-	if (loss->runs > 1 || loss->doubtful)
-		return WEIGHT_BESIDE_OTHERS;
-	return loss->prompt ? WEIGHT_ALONE_PROMPT : WEIGHT_ALONE;
+	return loss->runs > 1 || loss->doubtful ? WEIGHT_BESIDE_OTHERS
+						: WEIGHT_ALONE;
 }
 
 static void count_crash(struct ph_suspect *s)
--- a/test/test_pool_guards.cc
+++ b/test/test_pool_guards.cc
@@ -1,6 +1,6 @@
 /*
- * Rules against a task that runs twice at once, each with a sequence that breaks
- * without it.
+ * Rules against a task that runs twice at once, each with a sequence that
+ * breaks without it.
  */
 #include <gtest/gtest.h>
 
