--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -2,9 +2,10 @@
 #define PH_POOL_IMPL_H
 
 /* Shared by the parts of the pool: pool.c (batches), pool_run.c (runs and run
- * commands), pool_lease.c (leases), pool_poll.c (polls of executors),
- * pool_probe.c (reachability of executors of other owners), pool_placement.c
- * (in which order tasks start, and on which executors). */
+ * commands), pool_lease.c (leases), pool_late.c (starts that a restarted
+ * executor may carry out), pool_poll.c (polls of executors), pool_probe.c
+ * (reachability of executors of other owners), pool_placement.c (in which order
+ * tasks start, and on which executors). */
 
 #include "pool.h"
 
@@ -39,6 +40,8 @@
 struct ph_batch_task {
 	enum ph_batch_task_state state;
 	uint32_t failures;
+	/** Its last run was taken for expired, not reported to have ended. */
+	bool expired;
 	/** Times that it was moved because its run made too little progress. */
 	uint32_t moves;
 	/** The current run if placed, else NULL. */
@@ -63,6 +66,8 @@
 	bool started;
 	/** Its submitter may have resumed it at another owner. */
 	bool maybe_resumed;
+	/** Its submitter may soon do so, and may have begun to. */
+	bool doubtful;
 	/** When this owner last started a task of it; 0: it has not. */
 	uint64_t last_started_us;
 	/** What a task needed that found no executor in the last placement
@@ -186,6 +191,9 @@
 	uint64_t lease_ms;
 	/** Latest lease end that this owner has sent to this incarnation. */
 	uint64_t lease_sent_ms;
+	/** Local time at which a lease has expired that was granted by an
+	 * incarnation that no poll has shown yet; 0: none was. */
+	uint64_t unseen_expiry_us;
 	/** Id of the poll under way; 0: none. */
 	uint64_t poll_call;
 	uint64_t poll_sent_us;
@@ -407,6 +415,10 @@
 void ph_executor_lost(struct ph_pool *pool, struct ph_executor *executor,
 		      enum ph_loss_cause cause,
 		      const struct ph_poll_reply *reply, uint64_t now_us);
+/** Notes the lease that a start has got, by the clock in its answer: an
+ * incarnation that no poll has shown yet measures it on another clock. */
+void ph_lease_granted(struct ph_pool *pool, struct ph_executor *executor,
+		      uint64_t sent_us, uint64_t clock_ms, uint64_t now_us);
 /** Sends polls and stops that are due and drops runs whose lease expired. */
 void ph_lease_tick(struct ph_pool *pool, uint64_t now_us);
 
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -254,6 +254,7 @@
 	run->state = PH_RUN_STARTING;
 	run->batch = batch;
 	task->run = run;
+	task->expired = false;
 	task->state = PH_BATCH_TASK_PLACED;
 	batch->waiting--;
 	batch->request->possible_executor[index] = PH_EXECUTOR_NONE;
@@ -395,6 +396,8 @@
 		return;
 	switch (reply->status) {
 	case PH_CALL_OK:
+		ph_lease_granted(pool, x, run->created_us, reply->clock_ms,
+				 now_us);
 		run->begun = true;
 		if (run->state == PH_RUN_STARTING) {
 			run->state = PH_RUN_RUNNING;
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -207,4 +207,65 @@
 	EXPECT_EQ(unseen_restarts_that_run_twice(true), 0);
 }
 
+/* Guards against a lease that an owner takes for expired, where a start of the
+ * earlier owner has reached the next incarnation, which the new owner polls
+ * first and then can't reach. */
+TEST(PoolIncarnations, ALateStartOfTheEarlierOwnerBringsTheLongestLease)
+{
+	for (uint64_t lost_ms = 0; lost_ms <= 300; lost_ms += 20) {
+		SCOPED_TRACE(lost_ms);
+		World w(4, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		Executor *x = &w.executors.back();
+		uint64_t t0 = w.now_us;
+		uint64_t seq;
+
+		x->start_delay_us = 590 * kMs;
+		seq = w.submit(a, "a", 1, 2500 * kMs, 2500 * kMs, kLong, kLong);
+		w.run_until(t0 + 100 * kMs);
+		x->start_delay_us = 0;
+		a->frozen = true;
+		w.at(t0 + 300 * kMs, [&w, x] { w.restart(x); });
+		w.run_until(t0 + 600 * kMs);
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		w.run_until(w.now_us + 30 * kMs);
+		w.resubmit(a, b, seq);
+		ASSERT_EQ(ph_pool_counters(b->pool)->claimed_runs, 1U);
+		w.run_until(w.now_us + lost_ms * kMs);
+		x->unreachable_from = { a->number, b->number };
+		w.run_until(t0 + 6000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_TRUE(w.ended(b, seq, PH_VERDICT_DONE));
+	}
+}
+
+/* Guards against a start that an incarnation carries out and answers before its
+ * owner knows of the restart, and then can't be reached: its lease is measured
+ * on a clock that the owner has not seen, and lasts longer than computed. */
+TEST(PoolIncarnations, AnAnsweredStartAtAnUnseenIncarnationIsNoSecondRun)
+{
+	for (uint64_t run_for_ms = 100; run_for_ms <= 3000; run_for_ms += 100) {
+		SCOPED_TRACE(run_for_ms);
+		World w(4, 16000);
+		Owner *o = ready_owner(&w);
+		/* Placement fills this executor first. */
+		Executor *x = &w.executors.back();
+		uint64_t t0;
+
+		w.run_until(w.now_us + run_for_ms * kMs);
+		t0 = w.now_us;
+		w.submit(o, "a", 1, 9000 * kMs, 9000 * kMs, kLong, kLong);
+		w.at(t0 + kLatencyUs / 2, [&w, x] { w.restart(x); });
+		/* The start has arrived, the poll that is sent then has not. */
+		w.at(t0 + kLatencyUs + kLatencyUs / 4,
+		     [x] { x->unreachable_from = { 0 }; });
+		w.run_until(t0 + kMs);
+		ASSERT_EQ(x->running.size(), 1U);
+		w.run_until(t0 + 2000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_EQ(w.starts, 2);
+	}
+}
+
 } // namespace
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -115,6 +115,8 @@
 	std::set<std::string> dark;
 	/** (instance, executor): calls in this direction are lost. */
 	std::set<std::pair<std::string, std::string>> unreachable;
+	/** Instances and executors whose answers they don't get. */
+	std::set<std::pair<std::string, std::string>> unheard;
 	std::mt19937 rng;
 
 	Group(const std::vector<std::string> &pool_names, size_t executors,
@@ -281,6 +283,14 @@
 					    submitter);
 	}
 
+	static bool surely(void *ctx, const char *submitter)
+	{
+		const Instance *i = static_cast<const Instance *>(ctx);
+
+		return ph_cluster_surely_relied_on(
+			i->cluster, i->group->w.now_us, submitter);
+	}
+
 	/* ## Callbacks of the submitter */
 
 	static void on_send(void *ctx, const ph_owner *owner,
@@ -378,7 +388,8 @@
 		ph_pool_submit(to->pools[pool]->pool, w.now_us, from.c_str(),
 			       seq,
 			       ph_batch_request_copy(ph_mem_default(), batch));
-		ph_pool_check_submitters(to->pools[pool]->pool, relies, to);
+		ph_pool_check_submitters(to->pools[pool]->pool, relies, surely,
+					 to);
 		ph_pool_handle_changes(to->pools[pool]->pool, w.now_us);
 	}
 
@@ -560,21 +571,34 @@
 						  unix_ms(i), p.first.c_str(),
 						  cluster_sink(), i);
 		for (const auto &p : i->pools)
-			ph_pool_check_submitters(p.second->pool, relies, i);
+			ph_pool_check_submitters(p.second->pool, relies, surely,
+						 i);
 		ph_submitter_tick(i->submitter, w.now_us);
 		send_results(i);
 	}
 
-	/* Applies the set of unreachable executors to the pools in use. */
+	/* Numbers of the pools in use of the instances in a set that holds them
+	 * with an executor. */
+	std::set<int>
+	numbers(const std::set<std::pair<std::string, std::string>> &set,
+		const Executor &x)
+	{
+		std::set<int> n;
+
+		for (auto &i : instances)
+			if (set.count({ i->name, x.id }))
+				for (const auto &p : i->pools)
+					n.insert(p.second->number);
+		return n;
+	}
+
+	/* Applies the sets of unreachable and unheard executors to the pools in
+	 * use. */
 	void update_reach()
 	{
 		for (Executor &x : w.executors) {
-			x.unreachable_from.clear();
-			for (auto &i : instances)
-				if (unreachable.count({ i->name, x.id }))
-					for (const auto &p : i->pools)
-						x.unreachable_from.insert(
-							p.second->number);
+			x.unreachable_from = numbers(unreachable, x);
+			x.unheard_by = numbers(unheard, x);
 		}
 	}
 
@@ -820,6 +844,38 @@
 	}
 }
 
+/* The first owner loses the executor of a run, and then its submitter and the
+ * next owner. The latter claims the run, and renews its lease, before the first
+ * one has noticed the silence and takes the lease for expired. */
+TEST(Resubmission, ARunClaimedAfterItsOwnerLostTheExecutorIsNotTakenForExpired)
+{
+	for (uint64_t lost_ms = 0; lost_ms <= 400; lost_ms += 10)
+		for (uint64_t phase_ms = 0; phase_ms < 100; phase_ms += 20) {
+			SCOPED_TRACE(std::to_string(lost_ms) + " " +
+				     std::to_string(phase_ms));
+			Trio t;
+			Executor *shared = nullptr;
+
+			ASSERT_NE(t.first, nullptr);
+			t.submit(t.submitter, 1, 3500 * kMs, 12000 * kMs);
+			t.run_for((100 + phase_ms) * kMs);
+			for (Executor &x : t.w.executors)
+				if (x.running.empty())
+					t.unreachable.insert(
+						{ t.next->name, x.id });
+				else
+					shared = &x;
+			ASSERT_NE(shared, nullptr);
+			t.cancel_delay_us = 700 * kMs;
+			t.unreachable.insert({ t.first->name, shared->id });
+			t.run_for(lost_ms * kMs);
+			t.separate(t.first->name, t.next->name);
+			t.cut.insert({ t.first->name, t.submitter->name });
+			t.run_for(3000 * kMs);
+			EXPECT_EQ(t.w.concurrent_runs, 0);
+		}
+}
+
 /* The first owner is not heard any more, and has seen nothing of the next one,
  * which claims a run. Then it can't reach the run's executor, and takes the
  * lease for expired, while the cancellation is on its way. */
@@ -887,6 +943,74 @@
 	}
 }
 
+/* Another owner may have claimed a run that this one takes for expired, from
+ * the time on at which the submitter may have suspected this owner. */
+TEST(Resubmission, AnExpiredTaskWaitsUntilItsSubmitterSurelyReliesOnTheOwner)
+{
+	for (bool sure : { false, true }) {
+		SCOPED_TRACE(sure);
+		World w(3, 16000);
+		Owner *o = w.add_owner();
+		auto yes = [](void *, const char *) { return true; };
+		auto answer = [](void *ctx, const char *) {
+			return *static_cast<bool *>(ctx);
+		};
+		bool surely = sure;
+
+		ph_pool_acquire(o->pool, w.now_us, 1000);
+		/* No lease of an earlier owner is left. */
+		w.run_until(w.now_us + 2000 * kMs);
+		w.submit(o, "a", 1, 4000 * kMs, 4000 * kMs, 9000 * kMs,
+			 20000 * kMs);
+		w.run_until(w.now_us + 50 * kMs);
+		for (Executor &x : w.executors)
+			if (!x.running.empty())
+				x.unreachable_from = { o->number };
+		ph_pool_check_submitters(o->pool, yes, answer, &surely);
+		w.run_until(w.now_us + 1000 * kMs);
+		EXPECT_EQ(w.starts, sure ? 2 : 1);
+		/* First starts do not wait. */
+		w.submit(o, "b", 1, 100 * kMs, 100 * kMs, 400 * kMs,
+			 4000 * kMs);
+		ph_pool_check_submitters(o->pool, yes, answer, &surely);
+		w.run_until(w.now_us + 50 * kMs);
+		EXPECT_EQ(w.starts, sure ? 3 : 2);
+		surely = true;
+		ph_pool_check_submitters(o->pool, yes, answer, &surely);
+		w.run_until(w.now_us + 200 * kMs);
+		EXPECT_EQ(w.starts, 3);
+	}
+}
+
+/* As above, but the first owner's polls still reach the executor and renew the
+ * lease there, and only the answers get lost: it computes the end of a lease
+ * that has hardly ended. */
+TEST(Resubmission, ATaskIsNotStartedAgainWhileTheNextOwnerMayHaveClaimedItsRun)
+{
+	for (uint64_t cut_ms = 0; cut_ms <= 400; cut_ms += 10) {
+		SCOPED_TRACE(cut_ms);
+		Trio t;
+		Executor *shared = nullptr;
+
+		ASSERT_NE(t.first, nullptr);
+		t.submit(t.submitter, 1, 3500 * kMs, 12000 * kMs);
+		t.run_for(100 * kMs);
+		for (Executor &x : t.w.executors)
+			if (x.running.empty())
+				t.unreachable.insert({ t.next->name, x.id });
+			else
+				shared = &x;
+		ASSERT_NE(shared, nullptr);
+		t.cancel_delay_us = 2400 * kMs;
+		t.unheard.insert({ t.first->name, shared->id });
+		t.run_for(cut_ms * kMs);
+		t.separate(t.first->name, t.next->name);
+		t.cut.insert({ t.first->name, t.submitter->name });
+		t.run_for(3000 * kMs);
+		EXPECT_EQ(t.w.concurrent_runs, 0);
+	}
+}
+
 /* Messages of an instance take ever longer, as on a link whose queue fills. Its
  * heartbeats go on arriving after its end, and a cancellation arrives late. */
 TEST(Resubmission, RunsEndInTimeIfMessagesAreLongInTransit)
