One odd route no longer keeps a configuration from being followed

Seen with the real program on a small store: a version 4 of op/config with one route whose host has a NUL, or with a number of 26 digits, was answered by `config_unreadable action=keep_current` at each read, and none of its routes, nor any later version with that route, was followed.

Cause: the document was parsed as one, as the list of executors was: one element that the decoder refuses hid all others.

A document that can't be read for another reason is kept out as before.

Test: Wire.ARouteThatCannotBeReadDoesNotHideTheOthers fails in its first case without the change.

--- a/src/routing.h
+++ b/src/routing.h
@@ -35,6 +35,8 @@
 	uint64_t version;
 	size_t route_count;
 	struct ph_route *routes;
+	/** Number of routes that were left out, as they are not valid. */
+	size_t skipped;
 };
 
 void ph_routing_free(struct ph_routing *routing);
--- a/test/test_routing.cc
+++ b/test/test_routing.cc
@@ -22,7 +22,7 @@
 TEST(Routing, HostAndLongestPrefixSelectTheRoute)
 {
 	ph_route routes[3] = {};
-	ph_routing routing = { nullptr, 1, 3, routes };
+	ph_routing routing = { nullptr, 1, 3, routes, 0 };
 	const RouteCase cases[] = {
 		{ "a.example", "/q/1", "short" },
 		{ "a.example", "/q/r/1", "long" },
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -178,6 +178,42 @@
 	}
 }
 
+/* Guards against one odd route that keeps a whole configuration, and all later
+ * ones that have it, from being followed. */
+TEST(Wire, ARouteThatCannotBeReadDoesNotHideTheOthers)
+{
+	const std::string route = R"({"host":"h","prefix":"/p/","service":"s")";
+	const struct {
+		const char *what;
+		std::string odd;
+	} cases[] = {
+		{ "a NUL",
+		  R"({"host":"b\u0000","prefix":"/p/","service":"s"})" },
+		{ "a number of 26 digits",
+		  route + R"(,"timeoutMs":12345678901234567890123456})" },
+		{ "a number beyond a double", route + R"(,"stretch":1e400})" },
+		{ "nested deeply", route + R"(,"x":)" + std::string(5000, '[') +
+					   std::string(5000, ']') + "}" },
+		{ "bytes that are no text", route + ",\"x\":\"\xff\xfe\"}" },
+		{ "no object", "17" },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.what);
+		std::string doc = R"({"version":7,"routes":[)" + route + "}," +
+				  c.odd + "," + route + "}]}";
+		ph_routing *routing = nullptr;
+
+		ASSERT_EQ(ph_wire_read_config(mem(), doc.data(), doc.size(),
+					      &routing),
+			  0);
+		EXPECT_EQ(routing->route_count, 2U);
+		EXPECT_EQ(routing->skipped, 1U);
+		EXPECT_STREQ(routing->routes[1].host, "h");
+		ph_routing_free(routing);
+	}
+}
+
 TEST(Wire, InvalidConfigurationIsRejected)
 {
 	for (const char *doc :
