Tests: shared set-ups; ASan unit tests in four processes; a clearer name

ready_owner() stood in four test files, and the set-up of a run that the next owner can claim four times in test_resubmission.cc; both are one function now. The batch's field `doubtful`, a word that the losses of executors use too, is owner_suspected.

--- a/src/pool.c
+++ b/src/pool.c
@@ -588,12 +588,12 @@
 
 	for (b = pool->batches; b; b = b->next) {
 		bool maybe_resumed = !relies(ctx, b->submitter);
-		bool doubtful = !surely(ctx, b->submitter);
+		bool suspected = !surely(ctx, b->submitter);
 
 		if (maybe_resumed != b->maybe_resumed ||
-		    doubtful != b->doubtful)
+		    suspected != b->owner_suspected)
 			pool->dirty = true;
-		b->doubtful = doubtful;
+		b->owner_suspected = suspected;
 		b->maybe_resumed = maybe_resumed;
 	}
 }
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -66,8 +66,8 @@
 	bool started;
 	/** Its submitter may have resumed it at another owner. */
 	bool maybe_resumed;
-	/** Its submitter may soon do so, and may have begun to. */
-	bool doubtful;
+	/** Its submitter may take this owner for failed, and resume it. */
+	bool owner_suspected;
 	/** When this owner last started a task of it; 0: it has not. */
 	uint64_t last_started_us;
 	/** What a task needed that found no executor in the last placement
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -366,7 +366,7 @@
 {
 	/* Another owner may have claimed a run that this one takes for expired.
 	 */
-	if (b->maybe_resumed || (b->doubtful && b->tasks[index].expired))
+	if (b->maybe_resumed || (b->owner_suspected && b->tasks[index].expired))
 		return false;
 	return earlier_run_gone(pool, b, index, now_us) &&
 	       !has_run(pool, b->request->job, index);
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -646,4 +646,14 @@
 	return it != owner->results.end() && it->second.verdict == verdict;
 }
 
+Owner *ready_owner(World *w, uint64_t for_us,
+		   const ph_scheduling_policy *policy)
+{
+	Owner *o = w->add_owner(policy);
+
+	ph_pool_acquire(o->pool, w->now_us, 1000);
+	w->run_until(w->now_us + for_us);
+	return o;
+}
+
 } // namespace world
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -194,6 +194,10 @@
 	friend struct Calls;
 };
 
+/** An owner that has acquired the pool, under the token 1000, for_us ago. */
+Owner *ready_owner(World *w, uint64_t for_us = 50 * kMs,
+		   const ph_scheduling_policy *policy = &ph_scheduling_slack);
+
 } // namespace world
 
 #endif
--- a/test/test_crashing_tasks.cc
+++ b/test/test_crashing_tasks.cc
@@ -71,15 +71,6 @@
 	}
 };
 
-Owner *ready_owner(World *w)
-{
-	Owner *o = w->add_owner();
-
-	ph_pool_acquire(o->pool, w->now_us, 1000);
-	w->run_until(w->now_us + 50 * kMs);
-	return o;
-}
-
 ph_batch_request request_of(const std::string &job, uint32_t count,
 			    uint64_t estimate, uint64_t caller_timeout)
 {
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -12,16 +12,6 @@
 constexpr uint64_t kTarget = 400 * kMs;
 constexpr uint64_t kCallerTimeout = 2000 * kMs;
 
-Owner *ready_owner(World *w,
-		   const ph_scheduling_policy *policy = &ph_scheduling_slack)
-{
-	Owner *o = w->add_owner(policy);
-
-	ph_pool_acquire(o->pool, w->now_us, 1000);
-	w->run_until(w->now_us + 50 * kMs);
-	return o;
-}
-
 TEST(Pool, RunsEachTaskOnceAndReportsTheBatchDone)
 {
 	World w(4, 16000);
@@ -818,7 +808,7 @@
 	static const ph_scheduling_policy counted = { "counted",
 						      counted_before };
 	World w(2, 16000);
-	Owner *o = ready_owner(&w, &counted);
+	Owner *o = ready_owner(&w, 50 * kMs, &counted);
 
 	for (int i = 0; i < kJobs; i++)
 		w.submit(o, "j" + std::to_string(i), 2, 10 * kMs, 10 * kMs,
@@ -1670,7 +1660,7 @@
 BurstResult run_burst(const ph_scheduling_policy *policy)
 {
 	World w(8, 16000);
-	Owner *o = ready_owner(&w, policy);
+	Owner *o = ready_owner(&w, 50 * kMs, policy);
 	uint64_t t0 = w.now_us;
 	std::map<uint64_t, uint64_t> sent;
 	std::map<uint64_t, uint64_t> targets;
@@ -1717,7 +1707,7 @@
 int run_overload(const ph_scheduling_policy *policy)
 {
 	World w(8, 16000);
-	Owner *o = ready_owner(&w, policy);
+	Owner *o = ready_owner(&w, 50 * kMs, policy);
 	std::map<uint64_t, uint64_t> latest;
 	uint64_t t0;
 	int in_target = 0;
--- a/test/test_pool_guards.cc
+++ b/test/test_pool_guards.cc
@@ -12,16 +12,8 @@
 using namespace world;
 
 constexpr uint64_t kLong = 60000 * kMs;
-
-/* An owner for long enough that no lease of an earlier one can last. */
-Owner *ready_owner(World *w)
-{
-	Owner *o = w->add_owner();
-
-	ph_pool_acquire(o->pool, w->now_us, 1000);
-	w->run_until(w->now_us + kLeaseMaxUs + 100 * kMs);
-	return o;
-}
+/** Time after which no lease of an earlier owner lasts. */
+constexpr uint64_t kNoOldLeaseUs = kLeaseMaxUs + 100 * kMs;
 
 uint64_t submit_long(World *w, Owner *o, const std::string &job)
 {
@@ -55,7 +47,7 @@
 	for (uint64_t acquired_ms = 600; acquired_ms < 610; acquired_ms++) {
 		SCOPED_TRACE(acquired_ms);
 		World w(4, 16000);
-		Owner *a = ready_owner(&w);
+		Owner *a = ready_owner(&w, kNoOldLeaseUs);
 		Owner *b = w.add_owner();
 		/* Placement fills this executor first. */
 		Executor *x = &w.executors.back();
@@ -104,7 +96,7 @@
 
 		for (Executor &each : w.executors)
 			each.clock_slow_percent = 2;
-		o = ready_owner(&w);
+		o = ready_owner(&w, kNoOldLeaseUs);
 		t0 = w.now_us;
 		submit_long(&w, o, "a");
 		/* The poll that renewed the lease last is not answered. */
@@ -134,7 +126,7 @@
 	for (const auto &c : cases) {
 		SCOPED_TRACE(c.name);
 		World w(4, 16000);
-		Owner *o = ready_owner(&w);
+		Owner *o = ready_owner(&w, kNoOldLeaseUs);
 		Executor *x = &w.executors.back();
 		uint64_t first = submit_long(&w, o, "a");
 
@@ -159,7 +151,7 @@
 	for (uint64_t takes_us : { kStopUs / 2, kStopUs }) {
 		SCOPED_TRACE(takes_us);
 		World w(4, 16000);
-		Owner *o = ready_owner(&w);
+		Owner *o = ready_owner(&w, kNoOldLeaseUs);
 		Executor *x = &w.executors.back();
 		uint64_t first = submit_long(&w, o, "a");
 
@@ -185,7 +177,7 @@
 	for (uint64_t ms = 0; ms < 200; ms += 5) {
 		SCOPED_TRACE(ms);
 		World w(4, 16000);
-		Owner *o = ready_owner(&w);
+		Owner *o = ready_owner(&w, kNoOldLeaseUs);
 
 		for (Executor &x : w.executors)
 			x.poll_answer_delay_us = 20 * kMs;
@@ -202,7 +194,7 @@
  * it reports to its submitter. */
 struct Suspended {
 	World w{ 4, 16000 };
-	Owner *a = ready_owner(&w);
+	Owner *a = ready_owner(&w, kNoOldLeaseUs);
 	Owner *b = w.add_owner();
 	Executor *there = nullptr;
 	uint64_t seq = 0;
@@ -270,7 +262,7 @@
 	     suspended_ms += 100) {
 		SCOPED_TRACE(suspended_ms);
 		World w(4, 16000);
-		Owner *a = ready_owner(&w);
+		Owner *a = ready_owner(&w, kNoOldLeaseUs);
 		Owner *b = w.add_owner();
 		Executor *x = &w.executors.back();
 		uint64_t seq = submit_long(&w, a, "a");
@@ -296,7 +288,7 @@
 TEST(PoolGuards, ARunAfterAClaimedOneHasAHigherNumber)
 {
 	World w(4, 16000);
-	Owner *a = ready_owner(&w);
+	Owner *a = ready_owner(&w, kNoOldLeaseUs);
 	Owner *b = w.add_owner();
 	Executor *x = &w.executors.back();
 	uint64_t seq = submit_long(&w, a, "a");
@@ -326,7 +318,7 @@
 TEST(PoolGuards, AStartBesideThePollThatShowsARestartBringsTheLongestLease)
 {
 	World w(4, 16000);
-	Owner *o = ready_owner(&w);
+	Owner *o = ready_owner(&w, kNoOldLeaseUs);
 	Executor *x = &w.executors.back();
 
 	/* The clock is to be well ahead of the one that begins anew. */
@@ -354,7 +346,7 @@
 TEST(PoolGuards, ALeaseEndOfAnEarlierIncarnationIsNotSentAgain)
 {
 	World w(4, 16000);
-	Owner *o = ready_owner(&w);
+	Owner *o = ready_owner(&w, kNoOldLeaseUs);
 	Executor *x = &w.executors.back();
 	uint64_t first;
 
@@ -384,7 +376,7 @@
 TEST(PoolGuards, AFencedOwnerRenewsNoLease)
 {
 	World w(4, 16000);
-	Owner *a = ready_owner(&w);
+	Owner *a = ready_owner(&w, kNoOldLeaseUs);
 	Owner *b = w.add_owner();
 	Executor *x = &w.executors.back();
 	uint64_t seq = submit_long(&w, a, "a");
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -13,15 +13,6 @@
 
 constexpr uint64_t kLong = 60000 * kMs;
 
-Owner *ready_owner(World *w)
-{
-	Owner *o = w->add_owner();
-
-	ph_pool_acquire(o->pool, w->now_us, 1000);
-	w->run_until(w->now_us + 50 * kMs);
-	return o;
-}
-
 /* A long run on another executor, where the next task fits more tightly. */
 void fill_another(World *w, Owner *o)
 {
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -730,6 +730,23 @@
 		next = first == instances[0].get() ? instances[1].get()
 						   : instances[0].get();
 	}
+
+	/** Submits a job of one long task, and cuts the next owner off from the
+	 * executors without it. Returns the one with it after run_us, or NULL.
+	 */
+	Executor *run_where_next_can_claim(uint64_t run_us)
+	{
+		Executor *shared = nullptr;
+
+		submit(submitter, 1, 3500 * kMs, 12000 * kMs);
+		run_for(run_us);
+		for (Executor &x : w.executors)
+			if (x.running.empty())
+				unreachable.insert({ next->name, x.id });
+			else
+				shared = &x;
+		return shared;
+	}
 };
 
 /* An owner that its submitter no longer hears, but that hears the submitter,
@@ -854,17 +871,11 @@
 			SCOPED_TRACE(std::to_string(lost_ms) + " " +
 				     std::to_string(phase_ms));
 			Trio t;
-			Executor *shared = nullptr;
+			Executor *shared;
 
 			ASSERT_NE(t.first, nullptr);
-			t.submit(t.submitter, 1, 3500 * kMs, 12000 * kMs);
-			t.run_for((100 + phase_ms) * kMs);
-			for (Executor &x : t.w.executors)
-				if (x.running.empty())
-					t.unreachable.insert(
-						{ t.next->name, x.id });
-				else
-					shared = &x;
+			shared = t.run_where_next_can_claim((100 + phase_ms) *
+							    kMs);
 			ASSERT_NE(shared, nullptr);
 			t.cancel_delay_us = 700 * kMs;
 			t.unreachable.insert({ t.first->name, shared->id });
@@ -887,18 +898,11 @@
 				     std::to_string(lost_ms));
 			Trio t;
 			const ph_pool *next;
-			Executor *shared = nullptr;
+			Executor *shared;
 
 			ASSERT_NE(t.first, nullptr);
 			next = t.next->pools["north"]->pool;
-			t.submit(t.submitter, 1, 3500 * kMs, 12000 * kMs);
-			t.run_for(100 * kMs);
-			for (Executor &x : t.w.executors)
-				if (x.running.empty())
-					t.unreachable.insert(
-						{ t.next->name, x.id });
-				else
-					shared = &x;
+			shared = t.run_where_next_can_claim(100 * kMs);
 			ASSERT_NE(shared, nullptr);
 			t.cancel_delay_us = cancel_ms * kMs;
 			t.separate(t.first->name, t.next->name);
@@ -922,16 +926,10 @@
 	for (uint64_t cut_ms = 0; cut_ms <= 700; cut_ms += 10) {
 		SCOPED_TRACE(cut_ms);
 		Trio t;
-		Executor *shared = nullptr;
+		Executor *shared;
 
 		ASSERT_NE(t.first, nullptr);
-		t.submit(t.submitter, 1, 3500 * kMs, 12000 * kMs);
-		t.run_for(100 * kMs);
-		for (Executor &x : t.w.executors)
-			if (x.running.empty())
-				t.unreachable.insert({ t.next->name, x.id });
-			else
-				shared = &x;
+		shared = t.run_where_next_can_claim(100 * kMs);
 		ASSERT_NE(shared, nullptr);
 		t.cancel_delay_us = 2400 * kMs;
 		t.unreachable.insert({ t.first->name, shared->id });
@@ -990,16 +988,10 @@
 	for (uint64_t cut_ms = 0; cut_ms <= 400; cut_ms += 10) {
 		SCOPED_TRACE(cut_ms);
 		Trio t;
-		Executor *shared = nullptr;
+		Executor *shared;
 
 		ASSERT_NE(t.first, nullptr);
-		t.submit(t.submitter, 1, 3500 * kMs, 12000 * kMs);
-		t.run_for(100 * kMs);
-		for (Executor &x : t.w.executors)
-			if (x.running.empty())
-				t.unreachable.insert({ t.next->name, x.id });
-			else
-				shared = &x;
+		shared = t.run_where_next_can_claim(100 * kMs);
 		ASSERT_NE(shared, nullptr);
 		t.cancel_delay_us = 2400 * kMs;
 		t.unheard.insert({ t.first->name, shared->id });
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -41,7 +41,8 @@
 run_with_memory_sanitizers() {
 	build_with_sanitizer "$BUILD-asan" address,undefined unit-tests fault-matrix \
 		fuzz-replay || return 1
-	unit_tests env UBSAN_OPTIONS=halt_on_error=1 "$BUILD-asan/unit-tests" ||
+	unit_tests env UBSAN_OPTIONS=halt_on_error=1 tools/sharded.sh \
+		"$BUILD-asan/unit-tests" ||
 		return 1
 	for command in "fault-matrix --pairs 40" "fuzz-replay fuzz/corpus"; do
 		UBSAN_OPTIONS=halt_on_error=1 "$BUILD-asan"/$command || return 1
