Review, case 4: 503 for a job that has started

Cause: a caller that closes its side of the connection is answered with 503, also if tasks of its job have started. No code of the project is changed.

--- a/review/standin/platform.c
+++ b/review/standin/platform.c
@@ -933,6 +933,8 @@
 	json_t *doc;
 	size_t i;
 
+	if (x->delay_percent && (uint32_t)(random() % 100) < x->delay_percent)
+		sleep_ms((uint64_t)random() % (x->delay_max_ms + 1));
 	pthread_mutex_lock(&platform.lock);
 	born_us = x->born_us;
 	for (i = 0; i < x->cut_count; i++)
@@ -948,6 +950,9 @@
 		doc = carry_out(x, q, false, &r->status);
 		r->body = json_dumps(doc, JSON_COMPACT);
 		json_decref(doc);
+		if (x->lose_percent &&
+		    (uint32_t)(random() % 100) < x->lose_percent)
+			r->mute = true;
 		/* It has crashed, or was cut off, during a long poll. */
 		if (!x->up || x->born_us != born_us)
 			r->mute = true;
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -166,6 +166,11 @@
 	/** The next start gets no answer; it is carried out when the script
 	 * sets its time. */
 	bool hold_next_start;
+	/** Share of requests that are carried out and not answered, and of those
+	 * that are held up for up to delay_max_ms before, in percent. */
+	uint32_t lose_percent;
+	uint32_t delay_percent;
+	uint64_t delay_max_ms;
 	/** Requests from these addresses get no answer (a cut path). */
 	char cut_from[INSTANCES_MAX][16];
 	size_t cut_count;
