--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -28,6 +28,9 @@
 	 * unless the outcome is PH_JOB_NOT_RUN. */
 	void (*answer)(void *ctx, uint64_t token, enum ph_job_outcome outcome,
 		       uint64_t retry_after_us);
+	/** Whether that caller is still connected; it may hang up while its
+	 * request is unread. */
+	bool (*caller_connected)(void *ctx, uint64_t token);
 	/** Called on every tick of the control thread, for the adapter's timers
 	 * and for callers that disconnected. */
 	void (*tick)(void *ctx, uint64_t now_us);
--- a/src/dispatcher_jobs.c
+++ b/src/dispatcher_jobs.c
@@ -40,10 +40,18 @@
 	d->platform->answer(d->platform_ctx, token, outcome, retry_after_us);
 }
 
+static bool sink_caller_connected(void *ctx, uint64_t token)
+{
+	struct ph_dispatcher *d = ctx;
+
+	return d->platform->caller_connected(d->platform_ctx, token);
+}
+
 const struct ph_submitter_sink ph_dispatcher_submitter_sink = {
 	.send = sink_send,
 	.own_load = sink_own_load,
 	.answer = sink_answer,
+	.caller_connected = sink_caller_connected,
 };
 
 uint64_t ph_dispatcher_stop_deadline_us(const struct ph_dispatcher *d)
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -463,6 +463,15 @@
 	job_free(s, j);
 }
 
+/* A caller that has left may have submitted the job again elsewhere, so its
+ * tasks must not start here. Its request may have waited for longer than it
+ * did: unread while the process stood still, or for a configuration or an
+ * owner. Checked whenever a batch is sent to an owner. */
+static bool caller_left(struct ph_submitter *s, const struct job *j)
+{
+	return !s->opt.sink->caller_connected(s->opt.ctx, j->token);
+}
+
 static uint32_t pools_tried_max(const struct ph_submitter *s)
 {
 	return ph_mechanism_on(s->opt.off, PH_MECHANISM_SECOND_POOL)
@@ -483,6 +492,10 @@
 	uint32_t i = 0;
 
 	j->waiting_for_first_owner = false;
+	if (caller_left(s, j)) {
+		answer(s, j, PH_JOB_NOT_RUN, 0, "caller has left", now_us);
+		return;
+	}
 	if (ph_batch_request_too_late(j->batch, now_us - j->arrived_us)) {
 		answer(s, j, PH_JOB_NOT_RUN, retry_after_us(j),
 		       j->pools_tried ? "too late for another pool"
@@ -686,6 +699,11 @@
 			 (unsigned long long)(now_us - j->owner_lost_us));
 		if (may_keep_batch(j, &o))
 			cancel(s, j, now_us);
+		if (caller_left(s, j)) {
+			answer(s, j, PH_JOB_UNKNOWN, 0, "caller has left",
+			       now_us);
+			return;
+		}
 		if (!j->waiting_for_owner)
 			set_run_locations(j, NULL);
 		j->owner = o;
--- a/src/submitter.h
+++ b/src/submitter.h
@@ -34,6 +34,9 @@
 	 * outcome is PH_JOB_NOT_RUN; took_us is the time since its arrival. */
 	void (*answer)(void *ctx, uint64_t token, enum ph_job_outcome outcome,
 		       uint64_t retry_after_us, uint64_t took_us);
+	/** Whether the caller whose request token names is still connected, as
+	 * far as this system can tell now. */
+	bool (*caller_connected)(void *ctx, uint64_t token);
 };
 
 /** A pool that a job may be sent to. */
--- a/test/submitter_world.cc
+++ b/test/submitter_world.cc
@@ -114,10 +114,15 @@
 {
 }
 
+bool on_caller_connected(void *, uint64_t)
+{
+	return true;
+}
+
 World::World(const Load &l) : load(l)
 {
-	static const ph_submitter_sink sink = { on_send, on_own_load,
-						on_answer };
+	static const ph_submitter_sink sink = { on_send, on_own_load, on_answer,
+						on_caller_connected };
 
 	for (int i = 0; i < l.pools; i++) {
 		char name[PH_NAME_BYTES];
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -35,6 +35,8 @@
 constexpr uint64_t kResultForUs = 3000 * kMs;
 /* Time after which a caller that got no answer submits its job again. */
 constexpr uint64_t kResendUs = 1300 * kMs;
+/* Interval of the check for callers that have left. */
+constexpr uint64_t kDisconnectCheckUs = 20 * kMs;
 /* Gap between two wake-ups after which a process gives up its state. */
 constexpr uint64_t kPauseUs = kLeaseUs;
 /* Bits of a sequence number below the number of its instance. */
@@ -84,8 +86,15 @@
 	bool killed = false;
 	bool leaving = false;
 	uint64_t frozen_since_us = 0;
+	/** Tokens of the requests whose callers have left, which the process
+	 * has not noticed yet, and when it last looked. */
+	std::set<uint64_t> left;
+	uint64_t left_checked_us = 0;
 	/** What has arrived while the process was frozen. */
 	std::list<std::function<void(Instance *)>> inbox;
+	/** Requests that have arrived meanwhile; another thread reads them, so
+	 * that they may come after the first heartbeats both ways. */
+	std::list<std::function<void(Instance *)>> requests;
 	std::list<Unacked> unacked;
 
 	~Instance()
@@ -346,6 +355,16 @@
 			c->resends_us = g->w.now_us + kResendUs;
 	}
 
+	/* The system knows at once that a caller has left, also while the
+	 * process stands still. */
+	static bool on_caller_connected(void *ctx, uint64_t token)
+	{
+		Instance *i = static_cast<Instance *>(ctx);
+		const Caller *c = &i->group->callers[token & kCallerMask];
+
+		return c->at == i->name && c->request == token >> kRequestShift;
+	}
+
 	/* ## Received messages, handled as the dispatcher does */
 
 	void handle_cancel(Instance *to, const std::string &from, uint64_t seq)
@@ -457,7 +476,8 @@
 		      int64_t step_ms = 0)
 	{
 		static const ph_submitter_sink sink = { on_send, on_own_load,
-							on_answer };
+							on_answer,
+							on_caller_connected };
 		ph_cluster_options c = {};
 		ph_submitter_options s = {};
 		Instance *i;
@@ -574,6 +594,10 @@
 			ph_pool_check_submitters(p.second->pool, relies, surely,
 						 i);
 		ph_submitter_tick(i->submitter, w.now_us);
+		check_disconnects(i);
+		for (const auto &read : i->requests)
+			read(i);
+		i->requests.clear();
 		send_results(i);
 	}
 
@@ -629,10 +653,19 @@
 
 		c->at.clear();
 		c->resends_us = w.now_us + kResendUs;
-		receive(i, [=](Instance *at) {
-			ph_submitter_caller_disconnected(at->submitter,
-							 w.now_us, token);
-		});
+		i->left.insert(token);
+	}
+
+	/* As the platform's adapter does at intervals. */
+	void check_disconnects(Instance *i)
+	{
+		if (w.now_us < i->left_checked_us + kDisconnectCheckUs)
+			return;
+		i->left_checked_us = w.now_us;
+		for (uint64_t token : i->left)
+			ph_submitter_caller_disconnected(i->submitter, w.now_us,
+							 token);
+		i->left.clear();
 	}
 
 	void caller_tick(size_t caller)
@@ -673,10 +706,16 @@
 		w.cpu_of[c->job] = b->need.cpu_milli;
 		c->at = at->name;
 		c->gives_up_us = w.now_us + c->timeout_us;
-		receive(at, [=](Instance *i) {
+		auto read = [=](Instance *i) {
 			b->first_run = unix_ms(i) / 1000;
+			if (!on_caller_connected(i, token))
+				i->left.insert(token);
 			ph_submitter_submit(i->submitter, w.now_us, token, b);
-		});
+		};
+		if (at->frozen_since_us)
+			at->requests.push_back(read);
+		else
+			read(at);
 	}
 
 	/* Submits a job whose tasks run for duration; returns its caller. */
@@ -749,6 +788,35 @@
 	}
 };
 
+/* A frozen instance wakes with requests in its sockets whose callers have left
+ * and have submitted their jobs elsewhere. */
+TEST(Resubmission, ARequestThatIsReadAfterItsCallerHasLeftStartsNothing)
+{
+	for (uint64_t frozen_ms : { 1, 600, 1000, 2210, 2900, 3400 }) {
+		SCOPED_TRACE(frozen_ms);
+		Group g({ "north", "south" }, 8);
+		Instance *frozen;
+
+		g.add("n1", "north");
+		g.add("s1", "south");
+		frozen = g.add("n2", "north");
+		g.run_for(1500 * kMs);
+		if (ph_pool_owned(frozen->pools["north"]->pool))
+			frozen = g.find("n1");
+		g.freeze(frozen);
+		for (int i = 0; i < 12; i++) {
+			g.submit(frozen, 1, 900 * kMs, 1500 * kMs);
+			g.run_for(50 * kMs);
+		}
+		g.run_for(frozen_ms * kMs);
+		g.wake(frozen);
+		g.run_for(6000 * kMs);
+		EXPECT_EQ(g.w.concurrent_runs, 0);
+		for (const Caller &c : g.callers)
+			EXPECT_EQ(c.answers.size(), 1U);
+	}
+}
+
 /* An owner that its submitter no longer hears, but that hears the submitter,
  * goes on renewing the leases of the runs of a batch which the submitter has
  * resumed at another owner. */
--- a/test/test_submitter.cc
+++ b/test/test_submitter.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
 	ph_submitter *submitter;
 	std::vector<Sent> sent;
 	std::vector<Answer> answers;
+	/** Tokens of requests whose callers have left, which is not noticed
+	 * unless the submitter asks. */
+	std::set<uint64_t> callers_left;
 	uint64_t now_us = 1000000;
 
 	explicit Fixture(
@@ -47,7 +51,8 @@
 		uint64_t startup_end_us = 0)
 	{
 		static const ph_submitter_sink sink = { on_send, on_own_load,
-							on_answer };
+							on_answer,
+							on_caller_connected };
 		ph_cluster_options m = {};
 		ph_submitter_options f = {};
 		char pools[2][PH_NAME_BYTES] = { "north", "south" };
@@ -107,6 +112,11 @@
 			{ token, outcome, retry_after_us });
 	}
 
+	static bool on_caller_connected(void *ctx, uint64_t token)
+	{
+		return !static_cast<Fixture *>(ctx)->callers_left.count(token);
+	}
+
 	void receive_heartbeat(const char *name, const char *domain,
 			       uint64_t token, uint32_t free_milli,
 			       uint64_t backlog = 0, uint64_t incarnation = 1)
@@ -544,6 +554,51 @@
 	EXPECT_TRUE(f.answers.empty());
 }
 
+/* A process that stood still reads requests whose callers have submitted their
+ * jobs elsewhere by then; others leave while their jobs wait here. */
+TEST(Submitter, NoBatchIsSentForACallerThatHasLeft)
+{
+	const struct {
+		const char *when;
+		bool owner_known;
+		/** What the caller outlasts. */
+		bool sent;
+		ph_verdict verdict;
+		ph_job_outcome outcome;
+	} cases[] = {
+		{ "its request is unread", true, false, PH_VERDICT_NOT_RUN,
+		  PH_JOB_NOT_RUN },
+		{ "no pool has an owner yet", false, false, PH_VERDICT_NOT_RUN,
+		  PH_JOB_NOT_RUN },
+		{ "the first pool has no room", true, true, PH_VERDICT_NOT_RUN,
+		  PH_JOB_NOT_RUN },
+		{ "the pool changes hands", true, true, PH_VERDICT_MOVED,
+		  PH_JOB_UNKNOWN },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.when);
+		Fixture f(&ph_pool_choice_wait, 5000 * kMs);
+
+		if (c.owner_known) {
+			f.receive_heartbeat("n2", "north", 5, 64000);
+			f.receive_heartbeat("s1", "south", 5, 64000);
+		}
+		if (!c.sent && c.owner_known)
+			f.callers_left.insert(4);
+		f.submit(4);
+		f.callers_left.insert(4);
+		if (c.sent) {
+			f.result(c.verdict, 1000 * kMs);
+		}
+		f.receive_heartbeat("n3", "north", 6, 64000);
+		f.advance(20 * kMs);
+		EXPECT_EQ(f.sent.size(), c.sent ? 1U : 0U);
+		ASSERT_EQ(f.answers.size(), 1U);
+		EXPECT_EQ(f.answers[0].outcome, c.outcome);
+	}
+}
+
 /* Messages in transit are lost when a connection is reset. */
 TEST(Submitter, ACancellationIsSentAgainUntilAcknowledged)
 {
