--- a/test/scenario.c
+++ b/test/scenario.c
@@ -27,13 +27,17 @@
 
 #include "client.h"
 
-#define MAX_PROCESSES 256
+#define MAX_PROCESSES 1024
 #define MAX_LINKS 256
 #define MAX_CUTS 256
-#define MAX_FLOWS 1024
+#define MAX_FLOWS 4096
 #define NAME_BYTES 64
 #define BUFFER_BYTES 65536
 #define POLL_MS 20
+/* How often the throttles are looked at, and by how much the periods of two
+ * processes are shifted. */
+#define THROTTLE_STEP_US 1000
+#define THROTTLE_SHIFT_MS 37
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
@@ -42,6 +46,12 @@
 	pid_t pid;
 	int status;
 	int ended;
+	/** It runs for the first throttle_run_ms of each period of
+	 * throttle_period_ms, 0: it always runs. */
+	long throttle_run_ms;
+	long throttle_period_ms;
+	/** Stopped for the rest of the present period. */
+	int throttled;
 };
 
 /* An address at which the relay listens, and the target it forwards to. */
@@ -75,6 +85,9 @@
 static struct process processes[MAX_PROCESSES];
 static size_t process_count;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+/* For the throttles, and so that no process that was waited for is signalled.
+ */
+static pthread_mutex_t throttle_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct link links[MAX_LINKS];
 static size_t link_count;
 static struct cut cuts[MAX_CUTS];
@@ -456,6 +469,50 @@
 	return 0;
 }
 
+/* Stops or continues a process by its throttle. */
+static void throttle_step(struct process *p, size_t number, long now)
+{
+	long period = p->throttle_period_ms;
+	int stop = period && !p->ended &&
+		   (now + (long)number * THROTTLE_SHIFT_MS) % period >=
+			   p->throttle_run_ms;
+
+	if (stop == p->throttled)
+		return;
+	p->throttled = stop;
+	if (!p->ended)
+		kill(p->pid, stop ? SIGSTOP : SIGCONT);
+}
+
+static void *throttle_all(void *unused)
+{
+	for (;;) {
+		size_t i;
+
+		pthread_mutex_lock(&throttle_lock);
+		for (i = 0; i < process_count; i++)
+			throttle_step(&processes[i], i, now_ms());
+		pthread_mutex_unlock(&throttle_lock);
+		usleep(THROTTLE_STEP_US);
+	}
+	return unused;
+}
+
+/* throttle(name, run_ms, period_ms): from now on the process runs only for the
+ * first run_ms of each period, as on a small share of a processor; a period of
+ * 0 lets it run always. Not for processes that get STOP or CONT meanwhile. */
+static int script_throttle(lua_State *lua)
+{
+	struct process *p = find_process(lua, 1);
+
+	pthread_mutex_lock(&throttle_lock);
+	p->throttle_run_ms = (long)luaL_checkinteger(lua, 2);
+	p->throttle_period_ms = (long)luaL_checkinteger(lua, 3);
+	throttle_step(p, 0, now_ms());
+	pthread_mutex_unlock(&throttle_lock);
+	return 0;
+}
+
 /* wait(name, ms): returns the exit status, -1 if a signal ended the process,
  * nil if it is still running after that time. */
 static int script_wait(lua_State *lua)
@@ -466,12 +523,15 @@
 	while (!p->ended) {
 		int status;
 
+		pthread_mutex_lock(&throttle_lock);
 		if (waitpid(p->pid, &status, WNOHANG) == p->pid) {
 			p->ended = 1;
 			p->status =
 				WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-			break;
 		}
+		pthread_mutex_unlock(&throttle_lock);
+		if (p->ended)
+			break;
 		if (now_ms() >= until)
 			return 0;
 		usleep(10000);
@@ -532,7 +592,7 @@
 		{ "wait", script_wait },       { "sleep", script_sleep },
 		{ "now", script_now },	       { "http", script_http },
 		{ "delay", script_delay },     { "reset", script_reset },
-		{ "silence", script_silence },
+		{ "silence", script_silence }, { "throttle", script_throttle },
 	};
 	lua_State *lua = luaL_newstate();
 	pthread_t thread;
@@ -548,6 +608,7 @@
 	apr_initialize();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	pthread_create(&thread, NULL, relay, NULL);
+	pthread_create(&thread, NULL, throttle_all, NULL);
 	luaL_openlibs(lua);
 	for (i = 0; i < sizeof(functions) / sizeof(functions[0]); i++)
 		lua_register(lua, functions[i].name, functions[i].func);
--- a/test/scenarios/lib_dispatch.lua
+++ b/test/scenarios/lib_dispatch.lua
@@ -55,18 +55,22 @@
 	await(function() return ready(n) end, ms or 10000, dispatchers[n].name .. " is ready")
 end
 
--- Starts that many instances in the failure domains north and south; the fleet
--- then sends a job every every_ms.
-function start_dispatch(north, south, every_ms)
-	local entries = {}
-	for n = 1, north + south do
-		dispatchers[n] = { name = "dispatch" .. n, n = n,
-			domain = n <= north and "north" or "south" }
-		entries[#entries + 1] = jobs_at(n)
+-- Starts instances and the fleet, which then sends a job every every_ms. Options:
+-- domains, a list of { name, instances }; executors; fleet, further arguments.
+function start_dispatch_in(options)
+	local entries, names = {}, {}
+	for _, domain in ipairs(options.domains) do
+		names[#names + 1] = domain[1]
+		for _ = 1, domain[2] do
+			local n = #dispatchers + 1
+			dispatchers[n] = { name = "dispatch" .. n, n = n, domain = domain[1] }
+			entries[n] = jobs_at(n)
+		end
 	end
 	spawn("fleet", BUILD .. "/standin-fleet", "--address", FLEET_IP, "--port", DISPATCH_BASE,
-		"--count", EXECUTOR_COUNT, "--entries", table.concat(entries, ","), "--every-ms",
-		every_ms or 40)
+		"--count", options.executors, "--domains", table.concat(names, ","),
+		"--entries", table.concat(entries, ","), "--every-ms", options.every_ms,
+		table.unpack(options.fleet or {}))
 	link("store", "127.0.1.99", DISPATCH_BASE, FLEET_IP, DISPATCH_BASE)
 	sleep(300)
 	for n in pairs(dispatchers) do
@@ -79,6 +83,12 @@
 	fleet_mode('{"sending":true}')
 end
 
+-- Starts that many instances in the failure domains north and south.
+function start_dispatch(north, south, every_ms)
+	start_dispatch_in({ domains = { { "north", north }, { "south", south } },
+		executors = EXECUTOR_COUNT, every_ms = every_ms or 40 })
+end
+
 -- Signals an instance and returns its exit status; nil if it was not running.
 function stop_dispatcher(n, sig)
 	local d = dispatchers[n]
--- a/test/standin_fleet.c
+++ b/test/standin_fleet.c
@@ -25,14 +25,15 @@
 #include "settings.h"
 #include "wire_json.h"
 
-#define EXECUTORS_MAX 32
+#define EXECUTORS_MAX 160
 #define JOBS_MAX 20000
 #define RUNS_MAX 64
 #define ENDS_MAX 4096
 #define POLLS_MAX 16
 #define TASKS_MAX 32768
 #define KEYS_MAX 64
-#define ENTRIES_MAX 16
+#define ENTRIES_MAX 64
+#define DOMAINS_MAX 8
 #define TASK_BYTES 64
 #define TICK_US 5000
 #define US_PER_MS 1000U
@@ -45,11 +46,15 @@
 /* Delay before a caller submits a job again whose outcome is unknown, and the
  * most attempts for one job. */
 #define RESUBMIT_DELAY_US 1300000U
+/* Longest run time that a job declares: declared times are rough, and those of
+ * the longest tasks far too short. */
+#define DECLARED_MS_MAX 900U
 #define ATTEMPTS_MAX 4
 
 struct run {
 	char task[TASK_BYTES];
 	uint64_t run;
+	uint64_t started_us;
 	uint64_t end_us;
 	uint32_t cpu;
 };
@@ -162,6 +167,16 @@
 	struct job *jobs;
 	size_t job_count;
 	uint64_t job_interval_us;
+	/** How long a caller waits for an answer. */
+	uint64_t deadline_ms;
+	/** Run times of the tasks of short and long jobs. */
+	uint64_t short_ms;
+	uint64_t long_ms;
+	/** One job in so many is long. */
+	uint64_t long_interval;
+	/** One answer in so many of the executors is lost; 0: none. */
+	uint64_t lost_answer_interval;
+	uint64_t answers;
 	uint64_t next_job_us;
 	bool sending;
 	/** Starts of a task while another run of it was in progress. */
@@ -242,7 +257,8 @@
 
 /* Before a start: counts and prints the runs of the task that are still in
  * progress at any executor. */
-static void check_overlap(const char *task)
+static void check_overlap(const struct executor *at, const char *task,
+			  uint64_t run)
 {
 	size_t i;
 	size_t k;
@@ -250,9 +266,19 @@
 	for (i = 0; i < fleet.executor_count; i++)
 		for (k = 0; k < fleet.executors[i].run_count; k++)
 			if (!strcmp(fleet.executors[i].runs[k].task, task)) {
-				printf("task %s is started while it "
-				       "runs on %s\n",
-				       task, fleet.executors[i].id);
+				const struct run *r =
+					&fleet.executors[i].runs[k];
+
+				printf("t=%llu task %s run %llu is started on "
+				       "%s while run %llu runs on %s since "
+				       "%llu ms\n",
+				       (unsigned long long)clock_ms(), task,
+				       (unsigned long long)run, at->id,
+				       (unsigned long long)r->run,
+				       fleet.executors[i].id,
+				       (unsigned long long)(ph_clock_us() -
+							    r->started_us) /
+					       US_PER_MS);
 				fleet.overlapping_runs++;
 			}
 }
@@ -286,7 +312,7 @@
 	for (i = 0; i < x->run_count; i++)
 		if (!strcmp(x->runs[i].task, task) && x->runs[i].run == run)
 			return NULL;
-	check_overlap(task);
+	check_overlap(x, task, run);
 	highest->run = run;
 	job = find_job(task);
 	if (job)
@@ -295,11 +321,25 @@
 	r = &x->runs[x->run_count++];
 	ph_strcopy(r->task, TASK_BYTES, task);
 	r->run = run;
+	r->started_us = ph_clock_us();
 	r->end_us = ph_clock_us() +
 		    (x->fails_runs ? 5 : strtoull(spec, NULL, 10)) * US_PER_MS;
 	return NULL;
 }
 
+/* Answers a run command, or breaks the connection in place of an answer. */
+static void answer_command(struct ph_http_req *req, int status, json_t *doc)
+{
+	if (!fleet.lost_answer_interval ||
+	    ++fleet.answers % fleet.lost_answer_interval) {
+		reply_json(req, status, doc);
+		return;
+	}
+	json_decref(doc);
+	ph_http_req_reply(req, &(struct ph_http_reply){
+				       .status = 503, .body = "", .abort = 1 });
+}
+
 static void on_start(struct executor *x, struct ph_http_req *req, json_t *o)
 {
 	const char *reason;
@@ -322,7 +362,7 @@
 	doc = json_pack("{s:I}", "clockMs", (json_int_t)clock_ms());
 	if (reason)
 		json_object_set_new(doc, "reason", json_string(reason));
-	reply_json(req, reason ? 409 : 200, doc);
+	answer_command(req, reason ? 409 : 200, doc);
 }
 
 static void on_stop(struct executor *x, struct ph_http_req *req, json_t *o)
@@ -347,7 +387,7 @@
 		if (!strcmp(x->runs[i - 1].task, task) &&
 		    x->runs[i - 1].run <= run)
 			end_run(x, i - 1, "stopped");
-	reply_json(req, 200, doc);
+	answer_command(req, 200, doc);
 }
 
 /* Answers with the runs in progress and the ends that are not acknowledged. */
@@ -611,12 +651,13 @@
 	struct attempt *a = calloc(1, sizeof(*a));
 	char url[128];
 	char body[256];
+	char deadline[48];
 	struct ph_http_call call = {
 		.method = "POST",
 		.url = url,
-		.headers = { "Host: desk.example", "X-Request-Deadline: 4000" },
+		.headers = { "Host: desk.example", deadline },
 		.body = body,
-		.timeout_us = 4000000,
+		.timeout_us = fleet.deadline_ms * US_PER_MS,
 		.user = a,
 	};
 
@@ -625,7 +666,10 @@
 	snprintf(url, sizeof(url), "http://%s/q/%s",
 		 fleet.entries[(index + j->attempts) % fleet.entry_count],
 		 j->id);
-	snprintf(body, sizeof(body), format, j->run_ms, j->tasks, j->run_ms);
+	snprintf(deadline, sizeof(deadline), "X-Request-Deadline: %llu",
+		 (unsigned long long)fleet.deadline_ms);
+	snprintf(body, sizeof(body), format, j->run_ms, j->tasks,
+		 j->run_ms < DECLARED_MS_MAX ? j->run_ms : DECLARED_MS_MAX);
 	call.body_len = strlen(body);
 	j->attempts++;
 	ph_httpc_send(fleet.http, &call);
@@ -656,8 +700,8 @@
 	free(a);
 }
 
-/* Submits a new job if one is due, of 1 to 4 tasks that take 60 ms, or 600 ms
- * in every seventh job; and jobs again whose delay is over. */
+/* Submits a new job if one is due, of 1 to 4 tasks, which are long in some
+ * jobs; and jobs again whose delay is over. */
 static void callers_tick(uint64_t now_us)
 {
 	size_t i;
@@ -669,7 +713,9 @@
 		fleet.next_job_us = now_us + fleet.job_interval_us;
 		snprintf(j->id, sizeof(j->id), "%016zx", fleet.job_count + 1);
 		j->tasks = 1 + fleet.job_count % 4;
-		j->run_ms = fleet.job_count % 7 ? 60 : 600;
+		j->run_ms = (uint32_t)(fleet.job_count % fleet.long_interval
+					       ? fleet.short_ms
+					       : fleet.long_ms);
 		fleet.job_count++;
 		send_job(fleet.job_count - 1);
 	}
@@ -715,6 +761,9 @@
 
 	if (json_object_get(o, "store_down"))
 		fleet.store_down = ph_json_true(o, "store_down");
+	if (json_object_get(o, "lost_answer_interval"))
+		fleet.lost_answer_interval =
+			ph_json_number(o, "lost_answer_interval", 0);
 	if (json_object_get(o, "sending"))
 		fleet.sending = ph_json_true(o, "sending");
 	if (json_object_get(o, "late"))
@@ -804,6 +853,22 @@
 	return ph_httpd_new(&options);
 }
 
+/* Splits "a,b,..." into domains, and returns how many there are. */
+static size_t split_domains(const char *text, char (*domains)[PH_NAME_BYTES])
+{
+	size_t count = 0;
+
+	while (*text && count < DOMAINS_MAX) {
+		size_t len = strcspn(text, ",");
+
+		snprintf(domains[count++], PH_NAME_BYTES, "%.*s", (int)len,
+			 text);
+		text += len;
+		text += *text == ',';
+	}
+	return count;
+}
+
 static void add_executor(const char *address, uint16_t port, const char *zone)
 {
 	struct executor *x = &fleet.executors[fleet.executor_count];
@@ -837,6 +902,9 @@
 	uint64_t port = 0;
 	uint64_t count = 0;
 	uint64_t every_ms = 0;
+	const char *domain_list = NULL;
+	static char domains[DOMAINS_MAX][PH_NAME_BYTES];
+	size_t domain_count;
 	struct ph_setting list[] = {
 		{ .flag = "address",
 		  .type = PH_SETTING_IP,
@@ -851,8 +919,33 @@
 		{ .flag = "count",
 		  .type = PH_SETTING_NUMBER,
 		  .fallback = "8",
-		  .help = "executors, half in each of two failure domains",
+		  .help = "executors, as many in each failure domain",
 		  .number = &count },
+		{ .flag = "domains",
+		  .type = PH_SETTING_TEXT,
+		  .fallback = "north,south",
+		  .help = "failure domains of the executors",
+		  .text = &domain_list },
+		{ .flag = "deadline-ms",
+		  .type = PH_SETTING_NUMBER,
+		  .fallback = "4000",
+		  .help = "time for which a caller waits for an answer",
+		  .number = &fleet.deadline_ms },
+		{ .flag = "short-ms",
+		  .type = PH_SETTING_NUMBER,
+		  .fallback = "60",
+		  .help = "run time of the tasks of most jobs",
+		  .number = &fleet.short_ms },
+		{ .flag = "long-ms",
+		  .type = PH_SETTING_NUMBER,
+		  .fallback = "600",
+		  .help = "run time of the tasks of the other jobs",
+		  .number = &fleet.long_ms },
+		{ .flag = "long-interval",
+		  .type = PH_SETTING_NUMBER,
+		  .fallback = "7",
+		  .help = "one job in so many is long",
+		  .number = &fleet.long_interval },
 		{ .flag = "entries",
 		  .type = PH_SETTING_TEXT,
 		  .fallback = NULL,
@@ -895,9 +988,10 @@
 	fleet.job_interval_us = every_ms * US_PER_MS;
 	split_entries(entries);
 	fleet.http = ph_httpc_new(&http);
+	domain_count = split_domains(domain_list, domains);
 	for (i = 0; i < count && i < EXECUTORS_MAX; i++)
 		add_executor(address, (uint16_t)(port + 1 + i),
-			     i < count / 2 ? "north" : "south");
+			     domains[i * domain_count / count]);
 	fleet.store = start_server(address, (uint16_t)port, on_store, NULL, 4);
 	if (!fleet.store)
 		return PH_EXIT_FAILED;
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -11,6 +11,8 @@
 JOBS=${4:-1}
 # First port slot; another run on the same machine needs a different one.
 SLOT0=${SLOT0:-10}
+# Which soak: soak, or resubmissions.
+SCRIPT=${SCRIPT:-soak}
 LOGS=$BUILD/soak-logs
 mkdir -p "$LOGS"
 
@@ -20,7 +22,7 @@
 	rm -rf "$folder"
 	mkdir -p "$folder"
 	if SEED=$seed SECS=$SECS SLOT=$((SLOT0 + seed % JOBS)) "$BUILD/scenario" \
-		"$BUILD" "$folder" test/soak/soak.lua >"$folder/out" 2>&1; then
+		"$BUILD" "$folder" "test/soak/$SCRIPT.lua" >"$folder/out" 2>&1; then
 		tail -n 1 "$folder/out" | sed "s/^/seed $seed /"
 		rm -rf "$folder"
 		return 0
