--- a/src/cluster.c
+++ b/src/cluster.c
@@ -131,6 +131,21 @@
 	return !m || ph_heartbeat_echo(cluster, m, now_us) == PH_ECHO_RECENT;
 }
 
+void ph_cluster_callers_checked(struct ph_cluster *cluster)
+{
+	struct ph_member *m;
+
+	for (m = cluster->first; m; m = m->next)
+		m->echo_us = m->clock_us;
+}
+
+uint64_t ph_cluster_echo_us(const struct ph_cluster *cluster, const char *name)
+{
+	const struct ph_member *m = ph_member_find(cluster, name);
+
+	return m ? m->echo_us : 0;
+}
+
 bool ph_cluster_minority(const struct ph_cluster *cluster, uint64_t now_us)
 {
 	const struct ph_member *m;
@@ -218,6 +233,7 @@
 	if (m->incarnation != heartbeat->incarnation) {
 		m->first_heard_us = now_us;
 		m->echoed_us = 0;
+		m->echo_us = 0;
 	}
 	m->incarnation = heartbeat->incarnation;
 	ph_strcopy(m->domain, sizeof(m->domain), heartbeat->domain);
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -66,6 +66,9 @@
 	uint64_t interval_us;
 	/** The peer's monotonic clock when it sent its last heartbeat. */
 	uint64_t clock_us;
+	/** clock_us when this instance last knew which of its callers are still
+	 * connected: what it tells the peer to have received. */
+	uint64_t echo_us;
 	/** The local clock in the latest heartbeat of this instance that the
 	 * peer is known to have received; 0: it has not told any. */
 	uint64_t echoed_us;
@@ -249,6 +252,16 @@
 bool ph_cluster_surely_relied_on(const struct ph_cluster *cluster,
 				 uint64_t now_us, const char *name);
 
+/**
+ * This instance has looked which of its callers are still connected, and has
+ * cancelled the jobs of the others. Only then may peers go on relying on it: it
+ * tells them of the heartbeats that it had received by now.
+ */
+void ph_cluster_callers_checked(struct ph_cluster *cluster);
+
+/** The echo_us of a peer; 0 if it is not known. */
+uint64_t ph_cluster_echo_us(const struct ph_cluster *cluster, const char *name);
+
 /** Name of the pool at an index; NULL past the end. */
 const char *ph_cluster_pool_name(const struct ph_cluster *cluster, size_t i);
 
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -151,6 +151,9 @@
 /** Cancels the job whose request token names. */
 void ph_dispatcher_caller_disconnected(struct ph_dispatcher *dispatcher,
 				       uint64_t now_us, uint64_t token);
+/** All callers that have disconnected are known: the other instances may go on
+ * relying on this one. */
+void ph_dispatcher_callers_checked(struct ph_dispatcher *dispatcher);
 /** The reply to the poll with this call_id; borrowed. */
 void ph_dispatcher_poll_done(struct ph_dispatcher *dispatcher, uint64_t now_us,
 			     uint64_t call_id,
--- a/src/dispatcher_jobs.c
+++ b/src/dispatcher_jobs.c
@@ -72,3 +72,8 @@
 	d->counters.disconnects++;
 	ph_submitter_caller_disconnected(d->submitter, now_us, token);
 }
+
+void ph_dispatcher_callers_checked(struct ph_dispatcher *d)
+{
+	ph_cluster_callers_checked(d->cluster);
+}
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -211,7 +211,7 @@
 	msg->interval_us = m ? ph_cluster_interval_us(d->cluster, m)
 			     : d->settings.heartbeat_us;
 	msg->clock_us = now_us;
-	msg->echo_us = m ? m->clock_us : 0;
+	msg->echo_us = m ? ph_submitter_echo_us(d->submitter, m) : 0;
 	msg->cpu_milli = d->settings.cpu_milli;
 	msg->shards = own_shards(d);
 	msg->list_digest = ph_directory_digest(d->directory);
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -76,6 +76,9 @@
 	uint64_t seq;
 	uint64_t created_us;
 	uint64_t sent_us;
+	/** What the owner is told to have been received until it acknowledges
+	 * this; see ph_submitter_echo_us(). */
+	uint64_t echo_us;
 };
 
 struct ph_submitter {
@@ -390,6 +393,7 @@
 	c->owner = j->owner;
 	c->seq = j->seq;
 	c->created_us = now_us;
+	c->echo_us = ph_cluster_echo_us(s->opt.cluster, c->owner.name);
 	c->next = s->cancellations;
 	s->cancellations = c;
 	send_cancellation(s, c, now_us);
@@ -413,6 +417,18 @@
 	}
 }
 
+uint64_t ph_submitter_echo_us(const struct ph_submitter *s,
+			      const struct ph_member *peer)
+{
+	const struct cancellation *c;
+	uint64_t echo_us = peer->echo_us;
+
+	for (c = s->cancellations; c; c = c->next)
+		if (c->echo_us < echo_us && !strcmp(c->owner.name, peer->name))
+			echo_us = c->echo_us;
+	return echo_us;
+}
+
 void ph_submitter_cancelled(struct ph_submitter *s, uint64_t seq)
 {
 	struct cancellation **at = &s->cancellations;
--- a/src/submitter.h
+++ b/src/submitter.h
@@ -110,6 +110,14 @@
 void ph_submitter_accepted(struct ph_submitter *submitter, uint64_t seq);
 /** The owner of a pool has acknowledged a cancellation. */
 void ph_submitter_cancelled(struct ph_submitter *submitter, uint64_t seq);
+/**
+ * The time, on a peer's clock, up to which it is told that this instance has
+ * received its heartbeats. It goes on with batches of this instance only while
+ * that is recent, so it is held while a cancellation is on its way to it: those
+ * of callers that have left since then may not have arrived.
+ */
+uint64_t ph_submitter_echo_us(const struct ph_submitter *submitter,
+			      const struct ph_member *peer);
 /** The outcome of a batch has arrived from its owner. */
 void ph_submitter_result(struct ph_submitter *submitter, uint64_t now_us,
 			 uint64_t seq, const struct ph_result *result);
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -120,6 +120,8 @@
 	std::map<std::pair<std::string, std::string>, uint64_t> delay_us;
 	/** Added to the latency of cancellations. */
 	uint64_t cancel_delay_us = 0;
+	/** Interval at which instances look for callers that have left. */
+	uint64_t check_interval_us = kDisconnectCheckUs;
 	/** Instances that have lost power: their addresses refuse nothing. */
 	std::set<std::string> dark;
 	/** (instance, executor): calls in this direction are lost. */
@@ -247,7 +249,7 @@
 		msg->interval_us = m ? ph_cluster_interval_us(i->cluster, m)
 				     : kHeartbeatUs;
 		msg->clock_us = g->w.now_us;
-		msg->echo_us = m ? m->clock_us : 0;
+		msg->echo_us = m ? ph_submitter_echo_us(i->submitter, m) : 0;
 		msg->cpu_milli = 250;
 		msg->heard_ago_us = m && m->heard_us ? g->w.now_us - m->heard_us
 						     : UINT64_MAX;
@@ -659,13 +661,14 @@
 	/* As the platform's adapter does at intervals. */
 	void check_disconnects(Instance *i)
 	{
-		if (w.now_us < i->left_checked_us + kDisconnectCheckUs)
+		if (w.now_us < i->left_checked_us + check_interval_us)
 			return;
 		i->left_checked_us = w.now_us;
 		for (uint64_t token : i->left)
 			ph_submitter_caller_disconnected(i->submitter, w.now_us,
 							 token);
 		i->left.clear();
+		ph_cluster_callers_checked(i->cluster);
 	}
 
 	void caller_tick(size_t caller)
@@ -817,6 +820,63 @@
 	}
 }
 
+/* Cancellations get lost, or the submitter is late to look for callers that
+ * have left, while its heartbeats arrive. The owner went on with the batch. */
+TEST(Resubmission, RunsEndInTimeIfTheOwnerIsNotToldThatTheirCallerHasLeft)
+{
+	const struct {
+		const char *what;
+		uint64_t cancel_delay_us;
+		uint64_t check_interval_us;
+		bool loses_stops;
+	} cases[] = {
+		{ "cancellations are lost", 5000 * kMs, kDisconnectCheckUs,
+		  false },
+		{ "cancellations and stops are lost", 5000 * kMs,
+		  kDisconnectCheckUs, true },
+		{ "nobody looks for callers that have left", 0, 5000 * kMs,
+		  false },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.what);
+		Trio t;
+		size_t caller =
+			t.submit(t.submitter, 4, 6000 * kMs, 24000 * kMs);
+
+		t.run_for(400 * kMs);
+		ASSERT_EQ(t.running(), 4U);
+		t.cancel_delay_us = c.cancel_delay_us;
+		t.check_interval_us = c.check_interval_us;
+		for (Executor &x : t.w.executors)
+			x.loses_stops = c.loses_stops;
+		t.disconnect(caller);
+		while (t.w.now_us + 2 * kTickUs < t.callers[caller].resends_us)
+			t.run_for(kTickUs);
+		EXPECT_EQ(t.running(), 0U);
+	}
+}
+
+/* Callers leave all the time. Their cancellations are acknowledged, so the
+ * batches of the others go on. */
+TEST(Resubmission, OtherBatchesGoOnWhileCallersLeave)
+{
+	Trio t;
+	size_t patient = t.submit(t.submitter, 1, 1500 * kMs, 6000 * kMs);
+
+	t.cancel_delay_us = 5 * kTickUs;
+	for (int i = 0; i < 150; i++) {
+		size_t caller = t.submit(t.submitter, 1, 100 * kMs, 6000 * kMs);
+
+		t.run_for(kTickUs);
+		t.disconnect(caller);
+		t.callers[caller].resends_us = 0;
+		t.run_for(kTickUs);
+	}
+	ASSERT_EQ(t.callers[patient].answers.size(), 1U);
+	EXPECT_EQ(t.callers[patient].answers[0], PH_JOB_COMPLETED);
+}
+
 /* An owner that its submitter no longer hears, but that hears the submitter,
  * goes on renewing the leases of the runs of a batch which the submitter has
  * resumed at another owner. */
