--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,8 @@
 	@$(BUILD)/fault-matrix --whole --pairs 20000 --seed $(SEED)
 	@$(BUILD)/fault-matrix --variants
 
-# Checks all states of the models: the ledger, one run, two owners.
+# Checks all states of the models: the ledger, one run, two owners, two
+# submissions.
 model: setup
 	@BUILD=$(BUILD) tools/model.sh
 
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -138,7 +138,9 @@
 	bool refused_as_old;
 	/** Its task may crash the executor: nothing is started beside it. */
 	bool alone;
-	/** Its batch, which has ended, may have been resumed elsewhere. */
+	/** Its batch has ended, and may have been resumed or submitted again
+	 * elsewhere, or may soon be: no lease is renewed until its stop is
+	 * acknowledged. */
 	bool maybe_resumed;
 	/** Progress as last reported. */
 	uint32_t percent;
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -288,7 +288,8 @@
 
 void ph_run_abandon(struct ph_pool *pool, struct ph_run *run, uint64_t now_us)
 {
-	run->maybe_resumed = run->batch && run->batch->maybe_resumed;
+	run->maybe_resumed = run->batch && (run->batch->maybe_resumed ||
+					    run->batch->owner_suspected);
 	run->batch = NULL;
 	if (run->state != PH_RUN_STOPPING)
 		ph_run_stop(pool, run->executor, run, now_us);
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -149,6 +149,43 @@
 	}
 }
 
+/* The owner learns of the cancellation later than that, as the submitter stood
+ * still: it has hardly heard it for so long that it renews no lease for its
+ * batches any more. It renewed the lease until it took the stop for overdue. */
+TEST(Pool, RunsOfADoubtfulSubmitterWhoseStopsGetLostEndBeforeTheCallerRetries)
+{
+	/* Age of the echo at which no lease is renewed any more. */
+	constexpr uint64_t kEchoLateUs = 550 * kMs;
+	auto yes = [](void *, const char *) { return true; };
+	auto no = [](void *, const char *) { return false; };
+
+	for (uint64_t late_us = kNoticedUs; late_us <= kEchoLateUs;
+	     late_us += 10 * kMs) {
+		SCOPED_TRACE(late_us);
+		World w(1, 16000);
+		Owner *o = ready_owner(&w);
+		uint64_t left_us = w.now_us + 100 * kMs;
+		uint64_t seq = w.submit(o, "a", 1, 9000 * kMs, 9000 * kMs,
+					9000 * kMs, 20000 * kMs);
+
+		w.executors[0].loses_stops = true;
+		w.executors[0].clock_slow_percent = 2;
+		w.run_until(left_us + late_us);
+		ASSERT_EQ(w.executors[0].running.size(), 1U);
+		ph_pool_check_submitters(o->pool, yes, no, nullptr);
+		ph_pool_cancel(o->pool, w.now_us, "submitter", seq);
+		ph_pool_check_submitters(o->pool, yes, yes, nullptr);
+		for (int i = 0;
+		     w.now_us + 2 * kTickUs < left_us + kCallerRetryUs; i++) {
+			w.submit(o, "b" + std::to_string(i), 1, 10 * kMs,
+				 10 * kMs, kTarget, kCallerTimeout);
+			w.run_until(w.now_us + 20 * kMs);
+		}
+		for (const world::Run &r : w.executors[0].running)
+			EXPECT_NE(r.job, "a");
+	}
+}
+
 /* While a stop is overdue its executor still serves, as long as the lease that
  * it has leaves time for that. */
 TEST(Pool, AnExecutorThatLosesAFewStopsGoesOnServing)
