--- a/Makefile
+++ b/Makefile
@@ -56,9 +56,12 @@
 	@BUILD=$(BUILD) bench/latency.sh
 	@$(BUILD)/load-model --load 1.3 --burst 1.8
 
-# Runs the soak test of peridothall-dispatch with fifty seeds, from SEED on.
+# Runs the soak test of peridothall-dispatch with fifty seeds, from SEED on, and
+# that of jobs which arrive twice with eight.
 soak: setup all
 	@BUILD=$(BUILD) tools/soak.sh $(SEED) $$(($(SEED) + 49)) 15 3
+	@BUILD=$(BUILD) SCRIPT=resubmissions tools/soak.sh $(SEED) \
+		$$(($(SEED) + 7)) 30 1
 
 fuzz: setup
 	@BUILD=$(BUILD) tools/fuzz.sh $(SECS)
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -169,6 +169,12 @@
 			   const char *service,
 			   const struct ph_endpoint_info *listed, size_t count);
 
+/** Number of the attempt that a request is: the value of its header Attempt, 1
+ * for the first one; 0 if that is NULL. A request may have waited unread for
+ * longer than its caller did: if that has hung up, the job may have been
+ * submitted again elsewhere by now, and 0 is returned. */
+uint32_t ph_request_attempt(const char *header, bool hung_up);
+
 /** Handles a local caller's request; sink->reply gets one answer to token. */
 void ph_core_request(struct ph_core *core, uint64_t now_us, uint64_t token,
 		     const struct ph_request *request);
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "entry_impl.h"
+#include "hangups.h"
 #include "ident.h"
 
 #define US_PER_MS 1000U
@@ -86,15 +87,6 @@
 	return 0;
 }
 
-/* Number of the caller's attempt, 1 for the first one; 0 if the caller doesn't
- * tell. */
-static uint32_t attempt_number(const struct ph_http_req *req)
-{
-	const char *value = ph_http_req_header(req, "Attempt");
-
-	return value ? (uint32_t)strtoul(value, NULL, 10) : 0;
-}
-
 /* Whether a job was first sent longer ago than ended jobs are kept. Its record
  * may be gone from the ledger, so an unknown id does not show that the job is
  * new, and accepting it could run its tasks twice. */
@@ -154,7 +146,8 @@
 			    "\"field\":\"Sent-Ago-Ms\"}");
 		return;
 	}
-	q.attempt = attempt_number(req);
+	q.attempt = ph_request_attempt(ph_http_req_header(req, "Attempt"),
+				       ph_hung_up(ph_http_req_fd(req)));
 	q.team = team->name;
 	q.service = service;
 	q.id = id;
--- a/src/entry_requests.c
+++ b/src/entry_requests.c
@@ -365,6 +365,13 @@
 	return true;
 }
 
+uint32_t ph_request_attempt(const char *header, bool hung_up)
+{
+	if (!header || hung_up)
+		return 0;
+	return (uint32_t)strtoul(header, NULL, 10);
+}
+
 /* Whether an id that is not in the ledger may be served as new: a first attempt
  * always, any other request only if no removed or dead member of the domain can
  * hold the id's job. */
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -36,10 +36,10 @@
 #define STOP_ANSWER_MARGIN_US 300000U
 /* Retry-after sent to callers that a stopping instance refuses. */
 #define STOPPING_RETRY_AFTER_US 1000000U
-/* How long a cancellation is sent again without an acknowledgement, and what the
- * owner is told to have been received is held: until the owner has ended the
- * batch for that, even if it first stands still for as long as it can without
- * giving up its pool. */
+/* How long a cancellation is sent again without an acknowledgement, and what
+ * the owner is told to have been received is held: until the owner has ended
+ * the batch for that, even if it first stands still for as long as it can
+ * without giving up its pool. */
 #define CANCEL_RESEND_FOR_US 2000000U
 
 /* A job whose caller waits for the answer. */
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -66,6 +66,12 @@
 		BUILD="$BUILD" tools/soak.sh 401 401 8
 }
 
+# Long freezes, and little processor time with freezes (see resubmissions.lua).
+resubmission_seeds() {
+	BUILD="$BUILD" SCRIPT=resubmissions INSTANCES=6 EXECUTORS=60 EVERY_MS=15 \
+		tools/soak.sh 4 5 12
+}
+
 run "known failures" test/known_red.sh
 run unit unit_tests "$BUILD/unit-tests"
 run corpus "$BUILD/fuzz-replay" fuzz/corpus
@@ -79,6 +85,7 @@
 run model env BUILD="$BUILD" tools/model.sh
 scenarios
 run "soak, three seeds" soak_seeds
+run "soak of resubmissions, two seeds" resubmission_seeds
 run memory run_with_memory_sanitizers
 run threads run_with_thread_sanitizer
 run demo env BUILD="$BUILD" tools/demo.sh --quiet
