--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -148,9 +148,11 @@
 /** Submits a job; takes ownership of batch. */
 void ph_dispatcher_submit(struct ph_dispatcher *dispatcher, uint64_t now_us,
 			  uint64_t token, struct ph_batch_request *batch);
-/** Cancels the job whose request token names. */
-void ph_dispatcher_caller_disconnected(struct ph_dispatcher *dispatcher,
-				       uint64_t now_us, uint64_t token);
+/** Cancels the job whose request token names, as its caller has disconnected.
+ * Returns PH_JOB_NOT_RUN or PH_JOB_UNKNOWN, which the adapter answers. */
+enum ph_job_outcome
+ph_dispatcher_caller_disconnected(struct ph_dispatcher *dispatcher,
+				  uint64_t now_us, uint64_t token);
 /** All callers that have disconnected are known: the other instances may go on
  * relying on this one. */
 void ph_dispatcher_callers_checked(struct ph_dispatcher *dispatcher);
--- a/src/dispatcher_jobs.c
+++ b/src/dispatcher_jobs.c
@@ -66,11 +66,12 @@
 	ph_submitter_submit(d->submitter, now_us, token, batch);
 }
 
-void ph_dispatcher_caller_disconnected(struct ph_dispatcher *d, uint64_t now_us,
-				       uint64_t token)
+enum ph_job_outcome ph_dispatcher_caller_disconnected(struct ph_dispatcher *d,
+						      uint64_t now_us,
+						      uint64_t token)
 {
 	d->counters.disconnects++;
-	ph_submitter_caller_disconnected(d->submitter, now_us, token);
+	return ph_submitter_caller_disconnected(d->submitter, now_us, token);
 }
 
 void ph_dispatcher_callers_checked(struct ph_dispatcher *d)
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -587,22 +587,28 @@
 		dispatch(s, j, now_us);
 }
 
-void ph_submitter_caller_disconnected(struct ph_submitter *s, uint64_t now_us,
-				      uint64_t token)
+enum ph_job_outcome ph_submitter_caller_disconnected(struct ph_submitter *s,
+						     uint64_t now_us,
+						     uint64_t token)
 {
+	enum ph_job_outcome outcome;
 	struct job *j;
 
 	for (j = s->jobs; j; j = j->next)
 		if (j->token == token)
 			break;
 	if (!j)
-		return;
-	ph_event(PART, "event=caller_disconnected job=%s pool=%s after_us=%llu",
+		return PH_JOB_NOT_RUN;
+	outcome = j->pools_tried ? PH_JOB_UNKNOWN : PH_JOB_NOT_RUN;
+	ph_event(PART,
+		 "event=caller_disconnected job=%s pool=%s after_us=%llu "
+		 "pools_tried=%u",
 		 j->batch->job, j->pool,
-		 (unsigned long long)(now_us - j->arrived_us));
+		 (unsigned long long)(now_us - j->arrived_us), j->pools_tried);
 	if (!j->waiting_for_owner && !j->waiting_for_first_owner)
 		cancel(s, j, now_us);
 	job_free(s, j);
+	return outcome;
 }
 
 void ph_submitter_accepted(struct ph_submitter *s, uint64_t seq)
--- a/src/submitter.h
+++ b/src/submitter.h
@@ -102,9 +102,12 @@
 void ph_submitter_submit(struct ph_submitter *submitter, uint64_t now_us,
 			 uint64_t token, struct ph_batch_request *batch);
 
-/** The caller has disconnected: cancels the job, which gets no answer. */
-void ph_submitter_caller_disconnected(struct ph_submitter *submitter,
-				      uint64_t now_us, uint64_t token);
+/** The caller has disconnected: cancels the job, which gets no answer from
+ * here. Returns PH_JOB_NOT_RUN if no owner has got it, else PH_JOB_UNKNOWN: a
+ * caller that has closed only its own side still reads what it is told. */
+enum ph_job_outcome
+ph_submitter_caller_disconnected(struct ph_submitter *submitter,
+				 uint64_t now_us, uint64_t token);
 
 /** The owner of a pool has accepted a batch; it is not sent again. */
 void ph_submitter_accepted(struct ph_submitter *submitter, uint64_t seq);
--- a/test/test_submitter.cc
+++ b/test/test_submitter.cc
@@ -554,6 +554,40 @@
 	EXPECT_TRUE(f.answers.empty());
 }
 
+/* A caller that closes its side of the connection, and reads on, was told that
+ * its job has not run although tasks of it had started. */
+TEST(Submitter, ADisconnectedCallersJobHasNotRunOnlyIfNoOwnerHasGotIt)
+{
+	const struct {
+		const char *what;
+		bool owner_known;
+		bool refused_once;
+		uint64_t token;
+		ph_job_outcome outcome;
+	} cases[] = {
+		{ "sent", true, false, 4, PH_JOB_UNKNOWN },
+		{ "refused, sent again", true, true, 4, PH_JOB_UNKNOWN },
+		{ "no pool has an owner yet", false, false, 4, PH_JOB_NOT_RUN },
+		{ "not submitted yet", true, false, 5, PH_JOB_NOT_RUN },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.what);
+		Fixture f(&ph_pool_choice_wait, 5000 * kMs);
+
+		if (c.owner_known) {
+			f.receive_heartbeat("n2", "north", 5, 64000);
+			f.receive_heartbeat("s1", "south", 5, 64000);
+		}
+		f.submit(4);
+		if (c.refused_once)
+			f.result(PH_VERDICT_NOT_RUN, 1000 * kMs);
+		EXPECT_EQ(ph_submitter_caller_disconnected(f.submitter,
+							   f.now_us, c.token),
+			  c.outcome);
+	}
+}
+
 /* A process that stood still reads requests whose callers have submitted their
  * jobs elsewhere by then; others leave while their jobs wait here. */
 TEST(Submitter, NoBatchIsSentForACallerThatHasLeft)
