--- a/src/directory.c
+++ b/src/directory.c
@@ -128,7 +128,8 @@
 	hash = combine_hash(hash, x->addr);
 	hash = combine_hash(hash, x->domain);
 	hash = combine_hash(hash, x->service);
-	return combine_hash(hash, x->labels);
+	hash = combine_hash(hash, x->labels);
+	return x->started_ms ? ph_rendezvous_weight(hash, x->started_ms) : hash;
 }
 
 /* Digest of a list; does not depend on the order of its entries. */
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -120,12 +120,23 @@
 
 /* ## Placement */
 
+/* Whether its entry in the list is that of its present incarnation, which may
+ * be of another kind or size than the one before. If the entry doesn't tell, it
+ * has to be read after the restart was noticed. */
+static bool entry_current(const struct ph_pool *pool,
+			  const struct ph_executor *x)
+{
+	if (x->info.started_ms && x->started_ms)
+		return x->info.started_ms == x->started_ms;
+	return !x->restarted_us || pool->list_read_us > x->restarted_us;
+}
+
 /* True if the executor answers polls and isn't about to leave. */
 static bool reachable(const struct ph_pool *pool, const struct ph_executor *x,
 		      uint64_t now_us)
 {
 	return x->listed && x->polled && !x->info.draining &&
-	       !x->poll_failures &&
+	       !x->poll_failures && entry_current(pool, x) &&
 	       now_us < x->poll_ok_us + pool->opt.lease_us / SILENT_DIVISOR;
 }
 
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -18,7 +18,7 @@
 #define BATCH_REQUEST_FIELDS 19U
 #define RESULT_FIELDS 5U
 #define LIST_FIELDS 5U
-#define EXECUTOR_FIELDS 9U
+#define EXECUTOR_FIELDS 10U
 /* Longest interval of an instance's heartbeats. */
 #define INTERVAL_MAX_US 60000000U
 
@@ -152,6 +152,9 @@
 		put_executor(pk, &c->updated[i]);
 	for (i = 0; i < c->removed_count; i++)
 		put_str(pk, c->removed[i]);
+	/* Last, since versions before this one don't have them. */
+	for (i = 0; i < c->updated_count; i++)
+		msgpack_pack_uint64(pk, c->updated[i].started_ms);
 }
 
 static size_t heartbeat_fields(const struct ph_poolmsg *m)
@@ -437,6 +440,8 @@
 		get_executor(r, &c->updated[i]);
 	for (i = 0; i < c->removed_count; i++)
 		get_str(r, c->removed[i], sizeof(c->removed[i]));
+	for (i = 0; i < c->updated_count && !r->bad && r->left; i++)
+		c->updated[i].started_ms = get_u64(r);
 }
 
 static void get_body(const struct ph_mem *mem, struct reader *r,
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -321,4 +321,66 @@
 	}
 }
 
+/* Lists the only executor with its labels, as of an incarnation; 0: the list
+ * does not tell which. */
+void list_executor(World *w, Owner *o, const char *labels, uint64_t started_ms)
+{
+	ph_executor_info info = {};
+
+	snprintf(info.id, sizeof(info.id), "%s", w->executors[0].id.c_str());
+	snprintf(info.addr, sizeof(info.addr), "%s", info.id);
+	snprintf(info.domain, sizeof(info.domain), "north");
+	snprintf(info.service, sizeof(info.service), "desk");
+	snprintf(info.labels, sizeof(info.labels), "%s", labels);
+	info.capacity = { w->executors[0].cpu, 65536, 0 };
+	info.started_ms = started_ms;
+	ph_pool_update(o->pool, w->now_us, &info, 1);
+}
+
+/* An executor comes back as another kind under its id. Tasks were started there
+ * by the labels and the size that its earlier incarnation had, until the list
+ * was read again. */
+TEST(PoolIncarnations, ATaskStartsOnARestartedExecutorOnlyByItsPresentEntry)
+{
+	for (bool tells : { false, true }) {
+		SCOPED_TRACE(tells);
+		World w(1, 16000);
+		Owner *o = ready_owner(&w);
+		Executor *x = &w.executors[0];
+		ph_batch_request request = {};
+		uint64_t restarted_us;
+
+		snprintf(request.job, sizeof(request.job), "needs-a");
+		snprintf(request.service, sizeof(request.service), "desk");
+		snprintf(request.label, sizeof(request.label), "a");
+		request.count = 1;
+		request.need = { 6800, 64, 0 };
+		request.estimate_us = 60 * kMs;
+		request.target_us = kLong;
+		request.caller_timeout_us = kLong;
+		request.max_attempts = 3;
+		list_executor(&w, o, " a ", tells ? x->started_ms : 0);
+		ph_pool_list_read(o->pool, w.now_us);
+		w.run_until(w.now_us + 300 * kMs);
+		w.restart(x);
+		restarted_us = w.now_us;
+		w.run_until(w.now_us + 300 * kMs);
+		w.submit_request(o, request, 60 * kMs);
+		w.run_until(w.now_us + 300 * kMs);
+		EXPECT_EQ(w.starts, 0);
+		/* A read that was sent before the restart doesn't show it. */
+		list_executor(&w, o, " a ", tells ? x->started_ms - 1 : 0);
+		ph_pool_list_read(o->pool, restarted_us - 100 * kMs);
+		w.run_until(w.now_us + 300 * kMs);
+		EXPECT_EQ(w.starts, 0);
+		list_executor(&w, o, " b ", tells ? x->started_ms : 0);
+		ph_pool_list_read(o->pool, w.now_us);
+		w.run_until(w.now_us + 300 * kMs);
+		EXPECT_EQ(w.starts, 0);
+		list_executor(&w, o, " a ", tells ? x->started_ms : 0);
+		w.run_until(w.now_us + 300 * kMs);
+		EXPECT_EQ(w.starts, 1);
+	}
+}
+
 } // namespace
--- a/test/test_poolmsg.cc
+++ b/test/test_poolmsg.cc
@@ -79,6 +79,7 @@
 	snprintf(change->updated[0].domain, PH_NAME_BYTES, "north");
 	change->updated[0].capacity.cpu_milli = 16000;
 	change->updated[0].draining = true;
+	change->updated[0].started_ms = 1700000000000;
 	change->removed_count = 1;
 	snprintf(change->removed[0], PH_NAME_BYTES, "x2");
 	for (int t = PH_POOLMSG_HEARTBEAT; t < PH_POOLMSG_TYPES; t++) {
@@ -137,6 +138,8 @@
 			EXPECT_EQ(got.change->updated[0].capacity.cpu_milli,
 				  16000U);
 			EXPECT_TRUE(got.change->updated[0].draining);
+			EXPECT_EQ(got.change->updated[0].started_ms,
+				  1700000000000U);
 			ASSERT_EQ(got.change->removed_count, 1U);
 			EXPECT_STREQ(got.change->removed[0], "x2");
 		}
