--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -156,6 +156,10 @@
 /** All callers that have disconnected are known: the other instances may go on
  * relying on this one. */
 void ph_dispatcher_callers_checked(struct ph_dispatcher *dispatcher);
+/** Cancels the open jobs with an id that callers of this instance have
+ * submitted. Returns how many there were. */
+size_t ph_dispatcher_cancel_job(struct ph_dispatcher *dispatcher,
+				uint64_t now_us, const char *job);
 /** The reply to the poll with this call_id; borrowed. */
 void ph_dispatcher_poll_done(struct ph_dispatcher *dispatcher, uint64_t now_us,
 			     uint64_t call_id,
--- a/src/dispatcher_jobs.c
+++ b/src/dispatcher_jobs.c
@@ -74,6 +74,12 @@
 	return ph_submitter_caller_disconnected(d->submitter, now_us, token);
 }
 
+size_t ph_dispatcher_cancel_job(struct ph_dispatcher *d, uint64_t now_us,
+				const char *job)
+{
+	return ph_submitter_cancel_job(d->submitter, now_us, job);
+}
+
 void ph_dispatcher_callers_checked(struct ph_dispatcher *d)
 {
 	ph_cluster_callers_checked(d->cluster);
--- a/src/pool_types.h
+++ b/src/pool_types.h
@@ -160,8 +160,8 @@
 	struct ph_capacity capacity;
 	/** It is being drained: no new tasks. */
 	bool draining;
-	/** Start time of the incarnation that the rest is true of, as it reports
-	 * it in polls; 0: unknown. */
+	/** Start time of the incarnation that the rest is true of, as it
+	 * reports it in polls; 0: unknown. */
 	uint64_t started_ms;
 };
 
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -611,6 +611,27 @@
 	return outcome;
 }
 
+size_t ph_submitter_cancel_job(struct ph_submitter *s, uint64_t now_us,
+			       const char *job)
+{
+	struct job *j = s->jobs;
+	size_t count = 0;
+
+	while (j) {
+		struct job *next = j->next;
+
+		if (!strcmp(j->batch->job, job)) {
+			if (!j->waiting_for_owner &&
+			    !j->waiting_for_first_owner)
+				cancel(s, j, now_us);
+			answer(s, j, PH_JOB_FAILED, 0, "cancelled", now_us);
+			count++;
+		}
+		j = next;
+	}
+	return count;
+}
+
 void ph_submitter_accepted(struct ph_submitter *s, uint64_t seq)
 {
 	struct job *j = find_job(s, seq);
--- a/src/submitter.h
+++ b/src/submitter.h
@@ -109,6 +109,11 @@
 ph_submitter_caller_disconnected(struct ph_submitter *submitter,
 				 uint64_t now_us, uint64_t token);
 
+/** Cancels the open jobs with an id, and answers their callers with
+ * PH_JOB_FAILED. Returns how many there were. */
+size_t ph_submitter_cancel_job(struct ph_submitter *submitter, uint64_t now_us,
+			       const char *job);
+
 /** The owner of a pool has accepted a batch; it is not sent again. */
 void ph_submitter_accepted(struct ph_submitter *submitter, uint64_t seq);
 /** The owner of a pool has acknowledged a cancellation. */
--- a/test/test_submitter.cc
+++ b/test/test_submitter.cc
@@ -554,6 +554,46 @@
 	EXPECT_TRUE(f.answers.empty());
 }
 
+/* A DELETE was answered as if there was no such job, which went on being
+ * started. */
+TEST(Submitter, ACancelledJobIsCancelledAtItsOwnerAndItsCallerAnswered)
+{
+	const struct {
+		const char *what;
+		const char *job;
+		bool owner_known;
+		/** How often the job has been submitted. */
+		size_t open;
+		size_t cancelled;
+	} cases[] = {
+		{ "open", "job4", true, 1, 1 },
+		{ "submitted twice", "job4", true, 2, 2 },
+		{ "another one", "job5", true, 1, 0 },
+		{ "no pool has an owner yet", "job4", false, 1, 1 },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.what);
+		Fixture f(&ph_pool_choice_wait, 5000 * kMs);
+		size_t cancellations = 0;
+
+		if (c.owner_known)
+			f.receive_heartbeat("n2", "north", 5, 64000);
+		for (size_t i = 0; i < c.open; i++)
+			f.submit(4);
+		EXPECT_EQ(ph_submitter_cancel_job(f.submitter, f.now_us, c.job),
+			  c.cancelled);
+		EXPECT_EQ(ph_submitter_count(f.submitter),
+			  c.open - c.cancelled);
+		ASSERT_EQ(f.answers.size(), c.cancelled);
+		for (const Answer &a : f.answers)
+			EXPECT_EQ(a.outcome, PH_JOB_FAILED);
+		for (const Sent &s : f.sent)
+			cancellations += s.type == PH_POOLMSG_CANCEL;
+		EXPECT_EQ(cancellations, c.owner_known ? c.cancelled : 0);
+	}
+}
+
 /* A caller that closes its side of the connection, and reads on, was told that
  * its job has not run although tasks of it had started. */
 TEST(Submitter, ADisconnectedCallersJobHasNotRunOnlyIfNoOwnerHasGotIt)
