--- a/test/standin_fleet.c
+++ b/test/standin_fleet.c
@@ -37,6 +37,9 @@
 #define TASK_BYTES 64
 #define TICK_US 5000
 #define US_PER_MS 1000U
+/* Threads of the store besides one for each instance: a watch takes one up
+ * until it is answered. */
+#define STORE_THREADS 4U
 /* CPU of one executor in millicores; a run takes up half of it. */
 #define EXECUTOR_CPU_MILLI 16000U
 /* Longest lease that a poll can set. */
@@ -992,7 +995,8 @@
 	for (i = 0; i < count && i < EXECUTORS_MAX; i++)
 		add_executor(address, (uint16_t)(port + 1 + i),
 			     domains[i * domain_count / count]);
-	fleet.store = start_server(address, (uint16_t)port, on_store, NULL, 4);
+	fleet.store = start_server(address, (uint16_t)port, on_store, NULL,
+				   STORE_THREADS + (uint32_t)fleet.entry_count);
 	if (!fleet.store)
 		return PH_EXIT_FAILED;
 	apr_thread_create(&thread, NULL, tick, NULL, fleet.pool);
