--- a/test/scenario.c
+++ b/test/scenario.c
@@ -427,7 +427,7 @@
 /* spawn(name, program, args...): starts a process that logs to NAME.log. */
 static int script_spawn(lua_State *lua)
 {
-	struct process *p = &processes[process_count++];
+	struct process *p = &processes[process_count];
 	char path[512];
 	char *argv[64] = { NULL };
 	int args = lua_gettop(lua);
@@ -446,6 +446,9 @@
 		execv(argv[0], argv);
 		_exit(127);
 	}
+	pthread_mutex_lock(&throttle_lock);
+	process_count++;
+	pthread_mutex_unlock(&throttle_lock);
 	return 0;
 }
 
@@ -575,12 +578,15 @@
 {
 	size_t i;
 
+	pthread_mutex_lock(&throttle_lock);
 	for (i = 0; i < process_count; i++) {
 		if (processes[i].ended)
 			continue;
 		kill(processes[i].pid, SIGKILL);
 		waitpid(processes[i].pid, NULL, 0);
+		processes[i].ended = 1;
 	}
+	pthread_mutex_unlock(&throttle_lock);
 }
 
 int main(int argc, char **argv)
