--- a/test/soak/resubmissions.lua
+++ b/test/soak/resubmissions.lua
@@ -59,12 +59,17 @@
 	set_share(n, share[n])
 end
 
+-- Gives each instance one of these shares.
+local function draw_shares(choices)
+	for n in pairs(dispatchers) do
+		set_share(n, choices[math.random(1, #choices)])
+	end
+end
+
 -- Each kind of run: how it begins, and what it does again and again.
 local kinds = {
 	{ name = "little processor time", begin = function()
-		for n in pairs(dispatchers) do
-			set_share(n, ({ 12, 25, 50 })[math.random(1, 3)])
-		end
+		draw_shares({ 12, 25, 50 })
 	end },
 	{ name = "changing shares of a processor", step = function()
 		set_share(random_instance(), ({ 0, 8, 12, 25, 50 })[math.random(1, 5)])
@@ -76,22 +81,16 @@
 		freeze(random_instance(), math.random(700, 4000))
 	end },
 	{ name = "little processor time and freezes", begin = function()
-		for n in pairs(dispatchers) do
-			set_share(n, ({ 12, 25, 50 })[math.random(1, 3)])
-		end
+		draw_shares({ 12, 25, 50 })
 	end, step = function()
 		freeze(random_instance(), math.random(100, 4000))
 	end },
 	{ name = "little processor time and lost answers", begin = function()
-		for n in pairs(dispatchers) do
-			set_share(n, ({ 12, 25, 50 })[math.random(1, 3)])
-		end
+		draw_shares({ 12, 25, 50 })
 		fleet_mode('{"lost_answer_interval":25}')
 	end },
 	{ name = "kills and little processor time", begin = function()
-		for n in pairs(dispatchers) do
-			set_share(n, ({ 0, 25, 50 })[math.random(1, 3)])
-		end
+		draw_shares({ 0, 25, 50 })
 	end, step = function()
 		kill_and_restart(random_instance())
 	end },
