--- a/test/test_submitter.cc
+++ b/test/test_submitter.cc
@@ -695,6 +695,37 @@
 	EXPECT_EQ(f.sent.size(), before);
 }
 
+/* An owner that stood still meanwhile was told of a later heartbeat before it
+ * had ended the batch for the age of the echo, and went on with it. */
+TEST(Submitter,
+     AnUnacknowledgedCancellationHoldsTheEchoUntilTheOwnerHasEndedTheBatch)
+{
+	/* The age of an echo at which the batches end, and the longest time for
+	 * which an owner stands still without giving up its pools. */
+	constexpr uint64_t kEndedUs = 850 * kMs + 700 * kMs;
+
+	for (bool acknowledged : { false, true }) {
+		SCOPED_TRACE(acknowledged);
+		Fixture f;
+		const ph_member *owner;
+		uint64_t echo_us;
+
+		f.receive_heartbeat("n2", "north", 5, 64000);
+		ph_cluster_callers_checked(f.cluster);
+		owner = ph_cluster_first_member(f.cluster);
+		f.submit(4);
+		ph_submitter_caller_disconnected(f.submitter, f.now_us, 4);
+		echo_us = ph_submitter_echo_us(f.submitter, owner);
+		if (acknowledged)
+			ph_submitter_cancelled(f.submitter, f.sent.back().seq);
+		f.advance(kEndedUs);
+		f.receive_heartbeat("n2", "north", 5, 64000);
+		ph_cluster_callers_checked(f.cluster);
+		EXPECT_EQ(ph_submitter_echo_us(f.submitter, owner) == echo_us,
+			  !acknowledged);
+	}
+}
+
 TEST(Submitter, AnUnacknowledgedCancellationIsSentForALimitedTime)
 {
 	Fixture f;
