--- a/test/standin_fleet.c
+++ b/test/standin_fleet.c
@@ -557,11 +557,12 @@
 		snprintf(key, sizeof(key), "servers/%s", x->id);
 		snprintf(doc, sizeof(doc),
 			 "{\"service\":\"desk\",\"address\":\"%s\",\"zone\":"
-			 "\"%s\",\"state\":\"%s\",\"capacity\":{\"cpu\":%u,"
-			 "\"memMb\":65536},\"labels\":[\"a\"]}",
+			 "\"%s\",\"state\":\"%s\",\"born\":%llu,"
+			 "\"capacity\":{\"cpu\":%u,\"memMb\":65536},"
+			 "\"labels\":[\"a\"]}",
 			 x->address, x->zone,
 			 x->draining ? "draining" : "ready",
-			 EXECUTOR_CPU_MILLI);
+			 (unsigned long long)x->started_ms, EXECUTOR_CPU_MILLI);
 		json_array_append_new(list, item(key, doc, fleet.revision));
 	}
 	return list;
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -297,7 +297,9 @@
 }
 
 /* Guards against an entry of another writer that is taken for an executor: its
- * address is polled for ever, and its texts go into headers and the log. */
+ * address is polled for ever, and its texts go into headers and the log. One
+ * that doesn't tell its incarnation lets tasks start by the labels and the size
+ * of an earlier one. */
 TEST(Wire, ExecutorEntryWithAnInvalidFieldIsRefused)
 {
 	const std::string deep = std::string(40000, '[');
@@ -367,7 +369,13 @@
 		{ "other", R"("slots":8)", R"("slots":"8")" },
 		{ "other", R"("slots":8)", R"("slots":-8)" },
 		{ "other", R"("coldLeftMs":0)", R"("coldLeftMs":1e300)" },
-		{ "other", R"("born":1700000000000)", R"("born":[])" },
+		{ "born", R"("born":1700000000000)", R"("born":[])" },
+		{ "born", R"("born":1700000000000)", R"("born":"1700")" },
+		{ "born", R"("born":1700000000000)", R"("born":null)" },
+		{ "born", R"("born":1700000000000)", R"("born":0)" },
+		{ "born", R"("born":1700000000000)", R"("born":-1)" },
+		{ "born", R"("born":1700000000000)", R"("born":1700.5)" },
+		{ "born", R"("born":1700000000000,)", "" },
 		{ "json", R"("slots":8)", R"("slots":)" + digits },
 		{ "json", R"("coldLeftMs":0)", R"("coldLeftMs":1e400)" },
 		{ "depth", R"("seq":4)", R"("seq":)" + deep },
