Nothing more starts where an unseen incarnation has answered

What callers could see: an executor restarts under its id as another kind, without a reset of its connections (power, a silent path). Until the poll that waits there times out, up to 0.45 s, tasks went on being started on it by the labels and the size that it had before (ROUTE, LIMIT).

Cause: the clock in the answer to the first start shows that another incarnation has answered. It was used for the end of the lease only.

Change: after such an answer, to a start or a stop, nothing starts there before a new poll is answered; it is sent at once, and the one under way counts no more. The restart that it shows then makes the entry in the list count as outdated.

The job of the older test of entries has a run number now, so that its starts aren't refused as old.

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -417,10 +417,15 @@
 void ph_executor_lost(struct ph_pool *pool, struct ph_executor *executor,
 		      enum ph_loss_cause cause,
 		      const struct ph_poll_reply *reply, uint64_t now_us);
-/** Notes the lease that a start has got, by the clock in its answer: an
- * incarnation that no poll has shown yet measures it on another clock. */
-void ph_lease_granted(struct ph_pool *pool, struct ph_executor *executor,
-		      uint64_t sent_us, uint64_t clock_ms, uint64_t now_us);
+/** Whether the clock in the answer to a command that was sent at sent_us is
+ * behind the known one: an incarnation that no poll has shown yet has answered.
+ */
+bool ph_answered_by_unseen(const struct ph_executor *executor, uint64_t sent_us,
+			   uint64_t clock_ms);
+/** Notes the lease that a start has got of such an incarnation, which measures
+ * it on another clock. */
+void ph_lease_granted_by_unseen(const struct ph_pool *pool,
+				struct ph_executor *executor, uint64_t now_us);
 /** Sends polls and stops that are due and drops runs whose lease expired. */
 void ph_lease_tick(struct ph_pool *pool, uint64_t now_us);
 
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -124,10 +124,8 @@
 					       : x->unseen_expiry_us;
 }
 
-/* True if a clock that an executor read after sent_us is behind the known one:
- * another incarnation has answered. */
-static bool clock_behind(const struct ph_executor *x, uint64_t sent_us,
-			 uint64_t clock_ms)
+bool ph_answered_by_unseen(const struct ph_executor *x, uint64_t sent_us,
+			   uint64_t clock_ms)
 {
 	int64_t since_ms = ((int64_t)sent_us - (int64_t)x->clock_us) /
 			   (int64_t)PH_US_PER_MS;
@@ -138,11 +136,9 @@
 					   CLOCK_ROUNDING_MS;
 }
 
-void ph_lease_granted(struct ph_pool *pool, struct ph_executor *x,
-		      uint64_t sent_us, uint64_t clock_ms, uint64_t now_us)
+void ph_lease_granted_by_unseen(const struct ph_pool *pool,
+				struct ph_executor *x, uint64_t now_us)
 {
-	if (!clock_behind(x, sent_us, clock_ms))
-		return;
 	ph_event(PART, "event=lease_of_unseen_incarnation executor=%s",
 		 x->info.id);
 	x->unseen_expiry_us = now_us + lease_time_us(PH_RESTARTED_LEASES *
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -369,19 +369,41 @@
 		ph_run_drop_requeue(pool, x, run);
 }
 
+/* Lets nothing start before the answer to a new poll. One that is under way may
+ * wait where nobody answers any more. */
+static void require_poll(struct ph_executor *x, uint64_t now_us)
+{
+	x->polled = false;
+	x->poll_call = 0;
+	x->next_poll_us = now_us;
+}
+
+/* An incarnation that no poll has shown yet may be of another kind or size than
+ * the entry in the list says. */
+static void unseen_answered(const struct ph_pool *pool, struct ph_executor *x,
+			    const struct ph_pending_command *c,
+			    enum ph_call_status status, uint64_t now_us)
+{
+	if (status == PH_CALL_OK && !c->stop)
+		ph_lease_granted_by_unseen(pool, x, now_us);
+	require_poll(x, now_us);
+}
+
 /* Removes an ended call from the list and finds its executor and run. Returns
  * false if the run no longer exists. */
 static bool call_ended(struct ph_pool *pool, uint64_t now_us, uint64_t call_id,
-		       enum ph_call_status status, struct ph_executor **x,
-		       struct ph_run **run)
+		       const struct ph_run_command_reply *reply,
+		       struct ph_executor **x, struct ph_run **run)
 {
 	struct ph_pending_command *c = call_take(pool, call_id);
 
 	if (!c)
 		return false;
-	record_call(pool, status, now_us - c->sent_us);
+	record_call(pool, reply->status, now_us - c->sent_us);
 	*x = ph_executor_find(pool, c->executor);
 	*run = *x ? ph_run_find(*x, c->job, c->index, c->run) : NULL;
+	if (*x && ph_answered_by_unseen(*x, c->sent_us, reply->clock_ms))
+		unseen_answered(pool, *x, c, reply->status, now_us);
 	pool->mem->free(c);
 	return *run;
 }
@@ -392,13 +414,11 @@
 	struct ph_executor *x;
 	struct ph_run *run;
 
-	if (!call_ended(pool, now_us, call_id, reply->status, &x, &run) ||
+	if (!call_ended(pool, now_us, call_id, reply, &x, &run) ||
 	    run->state == PH_RUN_ORPHANED)
 		return;
 	switch (reply->status) {
 	case PH_CALL_OK:
-		ph_lease_granted(pool, x, run->created_us, reply->clock_ms,
-				 now_us);
 		run->begun = true;
 		if (run->state == PH_RUN_STARTING) {
 			run->state = PH_RUN_RUNNING;
@@ -443,7 +463,7 @@
 	struct ph_run *run;
 
 	/* An answer to an earlier stop may come from an earlier incarnation. */
-	if (!call_ended(pool, now_us, call_id, reply->status, &x, &run) ||
+	if (!call_ended(pool, now_us, call_id, reply, &x, &run) ||
 	    run->stop_call != call_id)
 		return;
 	run->stop_call = 0;
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -351,11 +351,12 @@
 		World *w = o->world;
 		Executor *x = w->find(xid);
 
-		if (x->crashes != crashes) {
+		if (x->crashes != crashes && !x->restarts_silently) {
 			poll_failed(o, id, PH_CALL_UNKNOWN);
 			return;
 		}
-		if (x->unreachable_from.count(o->number) ||
+		if (x->crashes != crashes ||
+		    x->unreachable_from.count(o->number) ||
 		    x->unheard_by.count(o->number)) {
 			w->at(until_us + kLostAnswerUs,
 			      [=] { poll_failed(o, id, PH_CALL_UNKNOWN); });
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -110,6 +110,9 @@
 	double slow = 1.0;
 	/** Crashes so far; the calls that waited there are not answered. */
 	uint32_t crashes = 0;
+	/** A restart resets no connection: the calls that waited there time
+	 * out. */
+	bool restarts_silently = false;
 	/** Has crashed and not started again: nothing is carried out. */
 	bool down = false;
 	/** Refuses connections. */
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -337,6 +337,24 @@
 	ph_pool_update(o->pool, w->now_us, &info, 1);
 }
 
+/* A job of one task that requires the label a. */
+ph_batch_request request_with_label(const std::string &job)
+{
+	ph_batch_request request = {};
+
+	snprintf(request.job, sizeof(request.job), "%s", job.c_str());
+	snprintf(request.service, sizeof(request.service), "desk");
+	snprintf(request.label, sizeof(request.label), "a");
+	request.count = 1;
+	request.need = { 6800, 64, 0 };
+	request.estimate_us = 60 * kMs;
+	request.target_us = kLong;
+	request.caller_timeout_us = kLong;
+	request.max_attempts = 3;
+	request.first_run = 100;
+	return request;
+}
+
 /* An executor comes back as another kind under its id. Tasks were started there
  * by the labels and the size that its earlier incarnation had, until the list
  * was read again. */
@@ -347,25 +365,15 @@
 		World w(1, 16000);
 		Owner *o = ready_owner(&w);
 		Executor *x = &w.executors[0];
-		ph_batch_request request = {};
 		uint64_t restarted_us;
 
-		snprintf(request.job, sizeof(request.job), "needs-a");
-		snprintf(request.service, sizeof(request.service), "desk");
-		snprintf(request.label, sizeof(request.label), "a");
-		request.count = 1;
-		request.need = { 6800, 64, 0 };
-		request.estimate_us = 60 * kMs;
-		request.target_us = kLong;
-		request.caller_timeout_us = kLong;
-		request.max_attempts = 3;
 		list_executor(&w, o, " a ", tells ? x->started_ms : 0);
 		ph_pool_list_read(o->pool, w.now_us);
 		w.run_until(w.now_us + 300 * kMs);
 		w.restart(x);
 		restarted_us = w.now_us;
 		w.run_until(w.now_us + 300 * kMs);
-		w.submit_request(o, request, 60 * kMs);
+		w.submit_request(o, request_with_label("needs-a"), 60 * kMs);
 		w.run_until(w.now_us + 300 * kMs);
 		EXPECT_EQ(w.starts, 0);
 		/* A read that was sent before the restart doesn't show it. */
@@ -383,4 +391,34 @@
 	}
 }
 
+/* Guards against an executor that restarts as another kind while a poll waits
+ * there in vain: the answer to the first start shows it, by its clock, but more
+ * tasks were started by the entry of the earlier incarnation until that poll
+ * timed out. */
+TEST(PoolIncarnations, NothingMoreStartsWhereAnUnseenIncarnationHasAnswered)
+{
+	for (uint64_t after_ms = 10; after_ms <= 200; after_ms += 10) {
+		SCOPED_TRACE(after_ms);
+		World w(1, 64000);
+		Owner *o = ready_owner(&w, 300 * kMs);
+		Executor *x = &w.executors[0];
+
+		list_executor(&w, o, " a ", x->started_ms);
+		w.run_until(w.now_us + after_ms * kMs);
+		x->restarts_silently = true;
+		w.restart(x);
+		for (int i = 0; i < 8; i++) {
+			w.submit_request(
+				o, request_with_label("j" + std::to_string(i)),
+				60 * kMs);
+			w.run_until(w.now_us + 20 * kMs);
+		}
+		EXPECT_LE(w.starts, 1);
+		list_executor(&w, o, " a ", x->started_ms);
+		w.run_until(w.now_us + 600 * kMs);
+		EXPECT_EQ(w.starts, 8);
+		EXPECT_EQ(w.concurrent_runs, 0);
+	}
+}
+
 } // namespace
