The speed of an executor is that of its present incarnation

What callers saw: an executor that was slow and came back under its id, perhaps as another kind, got no tasks while others had room, as it was ranked by the run times of its earlier incarnation. A matter of speed only.

Change: a restart resets the learned run time, like the failures.

Evidence: PoolIncarnations.ARestartedExecutorIsNotRankedByItsEarlierSpeed fails on the parent.

--- a/src/pool.c
+++ b/src/pool.c
@@ -663,7 +663,7 @@
 
 	x->info = *info;
 	x->next_poll_us = now_us;
-	x->run_time_percent = 100;
+	x->run_time_percent = PH_RUN_TIME_PERCENT;
 	x->next = pool->executors;
 	pool->executors = x;
 	return x;
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -27,6 +27,10 @@
  * two instances may differ in their lists. */
 #define PH_UNLISTED_US (PH_UNLISTED_RENEWED_US + 1000000U + 1500000U)
 
+/* Run time of tasks on an executor of which nothing is known yet, in percent of
+ * the declared one. */
+#define PH_RUN_TIME_PERCENT 100U
+
 enum ph_batch_task_state {
 	PH_BATCH_TASK_WAITING,
 	/** Has a run, which may be starting, running or stopping. */
@@ -221,7 +225,8 @@
 	/** The poll answered last followed failed ones, so the ends that it
 	 * reported may be older than they seem. */
 	bool ends_delayed;
-	/** Smoothed actual run time in percent of the declared one. */
+	/** Smoothed actual run time in percent of the declared one, in its
+	 * present incarnation. */
 	uint32_t run_time_percent;
 	/** Nothing is started in this placement round, so that it gets empty
 	 * for a task that is to run alone. */
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -146,6 +146,7 @@
 		      PH_RESTARTED_LEASES * pool->opt.lease_us / PH_US_PER_MS;
 	memset(&x->faults, 0, sizeof(x->faults));
 	memset(&x->unanswered, 0, sizeof(x->unanswered));
+	x->run_time_percent = PH_RUN_TIME_PERCENT;
 	x->restarted_us = now_us;
 	ph_late_starts_stop_again(pool, x, now_us);
 }
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -421,4 +421,32 @@
 	}
 }
 
+/* Guards against the speed of an earlier incarnation that is attributed to the
+ * present one: it got no tasks for as long as others had room. */
+TEST(PoolIncarnations, ARestartedExecutorIsNotRankedByItsEarlierSpeed)
+{
+	World w(2, 16000);
+	Owner *o;
+	Executor *x = &w.executors[1];
+
+	/* A task fits more tightly here, so this one is preferred. */
+	x->cpu = 12000;
+	x->slow = 1.9;
+	o = ready_owner(&w);
+	for (int i = 0; i < 16; i++) {
+		w.submit(o, "slow" + std::to_string(i), 2, 60 * kMs, 60 * kMs,
+			 kLong, kLong);
+		w.run_until(w.now_us + 200 * kMs);
+	}
+	w.submit(o, "a", 1, 60 * kMs, 60 * kMs, kLong, kLong);
+	w.run_until(w.now_us + 20 * kMs);
+	ASSERT_TRUE(x->running.empty());
+	x->slow = 1.0;
+	w.restart(x);
+	w.run_until(w.now_us + 200 * kMs);
+	w.submit(o, "b", 1, 60 * kMs, 60 * kMs, kLong, kLong);
+	w.run_until(w.now_us + 20 * kMs);
+	EXPECT_EQ(x->running.size(), 1U);
+}
+
 } // namespace
