A task that may still start at an executor that is away does not run elsewhere

The executor crashes, is back under its id, has forgotten the stop, and carries the start out beside the other run.

Cause: the stop was repeated only after a poll had shown the new incarnation, and polls of an executor that is away are up to 0.4 s apart.

Change: while a batch waits for the task of such a start, the run elsewhere is stopped once the executor refuses connections or hasn't answered for a lease. The task waits until its present incarnation has acknowledged the stop. Failed polls are repeated without back-off meanwhile, so that lost calls are not taken for an absence.

Evidence: PoolIncarnations.AStoppedStartIsNoSecondRunAfterANoticedAbsence and ARunIsNotStoppedAsPollsToAnotherExecutorGetLost fail on the parent.

--- a/src/pool.h
+++ b/src/pool.h
@@ -180,6 +180,9 @@
 	uint64_t expired_runs;
 	/** Runs stopped because they were too slow, to restart elsewhere. */
 	uint64_t moved_runs;
+	/** Runs that were stopped as an earlier start of their task may still
+	 * be carried out. */
+	uint64_t stopped_for_late_starts;
 	/** Orphaned runs that no batch claimed in time. */
 	uint64_t orphans_stopped;
 	/** Orphaned runs that resumed batches claimed. */
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -445,6 +445,14 @@
 /** Forgets the starts that can't be carried out any more. */
 void ph_late_starts_forget(struct ph_pool *pool, struct ph_executor *executor,
 			   uint64_t now_us);
+/** Whether a batch waits for the task of a remembered start. */
+bool ph_late_starts_awaited(const struct ph_pool *pool,
+			    const struct ph_executor *executor);
+/** Stops the tasks of remembered starts where they run now, and lets them wait,
+ * if the executor may have crashed: its next incarnation would carry these
+ * starts out before the owner reaches it. */
+void ph_late_starts_check(struct ph_pool *pool, struct ph_executor *executor,
+			  uint64_t now_us);
 /** After a restart: adds the remembered starts to the runs that are to be
  * stopped, and discards what the earlier incarnation acknowledged. */
 void ph_late_starts_stop_again(struct ph_pool *pool,
--- a/src/pool_late.c
+++ b/src/pool_late.c
@@ -61,6 +61,8 @@
 			 s->sent_us);
 	run->state = PH_RUN_STOPPING;
 	run->first_stop_us = now_us;
+	/* Nothing of it is lost if the executor gets lost. */
+	run->forgotten = true;
 	ph_event(PART,
 		 "event=start_may_outlive_restart job=%s task=%u run=%llu "
 		 "executor=%s sent_before_us=%llu",
@@ -85,7 +87,76 @@
 			continue;
 		run->acked_us = 0;
 		run->stop_call = 0;
-		/* Nothing of it is lost if the executor gets lost. */
 		run->forgotten = true;
 	}
 }
+
+/* Whether a batch waits for the task of a start. */
+static bool task_left(const struct ph_pool *pool, const struct ph_late_start *s)
+{
+	const struct ph_batch *b;
+
+	for (b = pool->batches; b; b = b->next)
+		if (s->index < b->request->count &&
+		    b->tasks[s->index].state != PH_BATCH_TASK_DONE &&
+		    !strcmp(b->request->job, s->job))
+			return true;
+	return false;
+}
+
+bool ph_late_starts_awaited(const struct ph_pool *pool,
+			    const struct ph_executor *x)
+{
+	const struct ph_late_start *s;
+
+	for (s = x->late_starts; s; s = s->next)
+		if (task_left(pool, s))
+			return true;
+	return false;
+}
+
+/* Stops the runs of a task for which a batch waits. */
+static void stop_elsewhere(struct ph_pool *pool, const struct ph_late_start *s,
+			   uint64_t now_us)
+{
+	struct ph_executor *x;
+	struct ph_run *run;
+
+	for (x = pool->executors; x; x = x->next)
+		for (run = x->runs; run; run = run->next) {
+			if (!run->batch || run->index != s->index ||
+			    run->state == PH_RUN_STOPPING ||
+			    strcmp(run->job, s->job) != 0)
+				continue;
+			ph_event(PART,
+				 "event=run_stopped_for_late_start job=%s "
+				 "task=%u run=%llu executor=%s",
+				 run->job, run->index,
+				 (unsigned long long)run->run, x->info.id);
+			pool->counters.stopped_for_late_starts++;
+			ph_run_stop(pool, x, run, now_us);
+		}
+}
+
+void ph_late_starts_check(struct ph_pool *pool, struct ph_executor *x,
+			  uint64_t now_us)
+{
+	bool refuses = x->poll_failures && x->refuses;
+	bool silent = now_us >= x->poll_ok_us + pool->opt.lease_us;
+	struct ph_late_start **at = &x->late_starts;
+
+	if (!refuses && !silent)
+		return;
+	while (*at) {
+		struct ph_late_start *s = *at;
+
+		if (!task_left(pool, s)) {
+			at = &s->next;
+			continue;
+		}
+		*at = s->next;
+		stop_elsewhere(pool, s, now_us);
+		add_to_stop(pool, x, s, now_us);
+		pool->mem->free(s);
+	}
+}
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -23,6 +23,9 @@
  * POLL_RETRY_MAX_US. */
 #define POLL_RETRY_US 50000U
 #define POLL_RETRY_MAX_US 400000U
+/* Delay of each further retry while a task runs elsewhere that may still start
+ * here: it is stopped there once the executor has been silent for long. */
+#define AWAITED_POLL_RETRY_US 10000U
 /* Capacity reserved for an orphaned run whose usage wasn't reported. */
 #define ORPHANED_CPU_MILLI 1000U
 /* A run is too slow if it takes this many times its declared time, and a poll's
@@ -110,7 +113,9 @@
 	uint64_t wait_us = 0;
 
 	/* A single failure may be a lost message: retry at once. */
-	if (x->poll_failures)
+	if (x->poll_failures && ph_late_starts_awaited(pool, x))
+		wait_us = AWAITED_POLL_RETRY_US;
+	else if (x->poll_failures)
 		wait_us = (uint64_t)POLL_RETRY_US
 			  << (x->poll_failures < 4 ? x->poll_failures - 1 : 3);
 	if (reply->status == PH_CALL_FENCED)
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -198,6 +198,70 @@
 	EXPECT_EQ(unseen_restarts_that_run_twice(true), 0);
 }
 
+/* Guards against a start whose stop an executor has acknowledged, and that its
+ * next incarnation carries out as soon as it is up, while the task runs
+ * elsewhere: its owner has had time to notice that the executor is away. */
+TEST(PoolIncarnations, AStoppedStartIsNoSecondRunAfterANoticedAbsence)
+{
+	const struct {
+		bool silent;
+		uint64_t down_ms;
+	} cases[] = {
+		{ false, 100 },	 { false, 300 }, { false, 800 },
+		{ false, 4500 }, { true, 1000 }, { true, 4500 },
+	};
+	const uint64_t crashes_ms[] = { 300, 700, 1900, 5000 };
+
+	for (const auto &c : cases)
+		for (uint64_t crash_ms : crashes_ms) {
+			SCOPED_TRACE(std::to_string(c.silent) + " " +
+				     std::to_string(c.down_ms) + " " +
+				     std::to_string(crash_ms));
+			World w(4, 16000);
+			Owner *o = ready_owner(&w);
+			/* Placement fills this executor first. */
+			Executor *x = &w.executors.back();
+			uint64_t t0 = w.now_us;
+
+			x->start_delay_us = (crash_ms + c.down_ms + 2) * kMs;
+			w.submit(o, "a", 1, 9000 * kMs, 9000 * kMs, kLong,
+				 kLong);
+			w.at(t0 + 5 * kMs, [=] { x->start_delay_us = 0; });
+			w.at(t0 + 203 * kMs, [&w, o] { fill_another(&w, o); });
+			w.at(t0 + crash_ms * kMs, [&w, x, &c] {
+				w.crash(x, c.down_ms * kMs, c.silent);
+			});
+			w.run_until(t0 + 25000 * kMs);
+			EXPECT_EQ(w.concurrent_runs, 0);
+			EXPECT_EQ(w.done["a.0"], 1);
+		}
+}
+
+/* Guards against runs that are stopped as calls to another executor get lost:
+ * it is not away if it answers one of the polls within a lease. */
+TEST(PoolIncarnations, ARunIsNotStoppedAsPollsToAnotherExecutorGetLost)
+{
+	World w(4, 16000);
+	Owner *o = ready_owner(&w);
+	/* Placement fills this executor first. */
+	Executor *x = &w.executors.back();
+	uint64_t t0 = w.now_us;
+	uint64_t seq;
+
+	x->start_delay_us = 12000 * kMs;
+	seq = w.submit(o, "a", 1, 9000 * kMs, 9000 * kMs, kLong, kLong);
+	w.at(t0 + 5 * kMs, [=] { x->start_delay_us = 0; });
+	w.at(t0 + 203 * kMs, [&w, o] { fill_another(&w, o); });
+	w.run_until(t0 + 400 * kMs);
+	ASSERT_EQ(w.starts, 2);
+	x->loses_one_call_in = 1;
+	w.run_until(w.now_us + 590 * kMs);
+	x->loses_one_call_in = 2;
+	w.run_until(t0 + 10000 * kMs);
+	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+	EXPECT_EQ(ph_pool_counters(o->pool)->stopped_for_late_starts, 0U);
+}
+
 /* Guards against a lease that an owner takes for expired, where a start of the
  * earlier owner has reached the next incarnation, which the new owner polls
  * first and then can't reach. */
