A planned stop tells where it ends

dispatch_start_wait failed once with a dispatcher that logged event=stopped and had not exited with 0 nine seconds after SIGTERM. The logs can't tell a hang in the stop from one in the exit handlers of libraries, or from a crash there.

--- a/test/scenarios/dispatch_start_wait.lua
+++ b/test/scenarios/dispatch_start_wait.lua
@@ -3,7 +3,7 @@
 -- of being refused with 503.
 dofile("test/scenarios/lib_dispatch.lua")
 start_dispatch(1, 0)
-expect(stop_dispatcher(1, "TERM") == 0, "planned stop")
+planned_stop(1)
 delay("store", 100)
 start_dispatcher(1)
 local status
--- a/test/scenarios/lib_dispatch.lua
+++ b/test/scenarios/lib_dispatch.lua
@@ -103,6 +103,13 @@
 	return status
 end
 
+-- Stops a dispatcher as planned and expects that it exits with 0.
+function planned_stop(n)
+	local status = stop_dispatcher(n, "TERM")
+	expect(status == 0, "planned stop, exit status " ..
+		(status or "none, still running"))
+end
+
 -- Stops the jobs and checks the guarantees; served is the least share of the
 -- jobs that must be done.
 function check_guarantees(served)
