--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -237,6 +237,36 @@
 		}
 }
 
+/* The same, if the caller has left before the crash, and its second submission
+ * runs elsewhere. */
+TEST(PoolIncarnations, AStoppedStartIsNoSecondRunOfALaterSubmission)
+{
+	for (bool silent : { false, true }) {
+		SCOPED_TRACE(silent);
+		World w(4, 16000);
+		Owner *o = ready_owner(&w);
+		/* Placement fills this executor first. */
+		Executor *x = &w.executors.back();
+		uint64_t t0 = w.now_us;
+		uint64_t seq;
+
+		x->start_delay_us = 3002 * kMs;
+		seq = w.submit(o, "a", 1, 9000 * kMs, 9000 * kMs, kLong, kLong);
+		w.at(t0 + 5 * kMs, [=] { x->start_delay_us = 0; });
+		w.at(t0 + 203 * kMs, [&w, o] { fill_another(&w, o); });
+		w.run_until(t0 + 400 * kMs);
+		ph_pool_cancel(o->pool, w.now_us, "submitter", seq);
+		w.run_until(t0 + 1700 * kMs);
+		w.submit(o, "a", 1, 9000 * kMs, 9000 * kMs, kLong, kLong,
+			 w.now_us);
+		w.at(t0 + 2000 * kMs,
+		     [&w, x, silent] { w.crash(x, 1000 * kMs, silent); });
+		w.run_until(t0 + 25000 * kMs);
+		EXPECT_EQ(w.concurrent_runs, 0);
+		EXPECT_EQ(w.done["a.0"], 1);
+	}
+}
+
 /* Guards against runs that are stopped as calls to another executor get lost:
  * it is not away if it answers one of the polls within a lease. */
 TEST(PoolIncarnations, ARunIsNotStoppedAsPollsToAnotherExecutorGetLost)
