Late starts: jobs are compared by their hashes; the event tells which executor is away

For each start at an executor that is away all batches are searched in each tick; a comparison of ids costs more than the rest. No change of behaviour.

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -161,6 +161,8 @@
 struct ph_late_start {
 	struct ph_late_start *next;
 	char job[PH_JOB_BYTES];
+	/** Hash of the job's id. */
+	uint64_t job_hash;
 	uint32_t index;
 	uint64_t run;
 	uint64_t sent_us;
@@ -451,8 +453,9 @@
 /** Stops the tasks of remembered starts where they run now, and lets them wait,
  * if the executor may have crashed: its next incarnation would carry these
  * starts out before the owner reaches it. */
-void ph_late_starts_check(struct ph_pool *pool, struct ph_executor *executor,
-			  uint64_t now_us);
+void ph_late_starts_stop_elsewhere(struct ph_pool *pool,
+				   struct ph_executor *executor,
+				   uint64_t now_us);
 /** After a restart: adds the remembered starts to the runs that are to be
  * stopped, and discards what the earlier incarnation acknowledged. */
 void ph_late_starts_stop_again(struct ph_pool *pool,
--- a/src/pool_late.c
+++ b/src/pool_late.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "ident.h"
 #include "log.h"
 #include "pool_impl.h"
 
@@ -24,6 +25,7 @@
 		return;
 	s = pool->mem->calloc(1, sizeof(*s));
 	ph_strcopy(s->job, sizeof(s->job), run->job);
+	s->job_hash = ph_hash_str(run->job);
 	s->index = run->index;
 	s->run = run->run;
 	s->sent_us = run->created_us;
@@ -97,9 +99,9 @@
 	const struct ph_batch *b;
 
 	for (b = pool->batches; b; b = b->next)
-		if (s->index < b->request->count &&
-		    b->tasks[s->index].state != PH_BATCH_TASK_DONE &&
-		    !strcmp(b->request->job, s->job))
+		if (b->job_hash == s->job_hash &&
+		    s->index < b->request->count &&
+		    b->tasks[s->index].state != PH_BATCH_TASK_DONE)
 			return true;
 	return false;
 }
@@ -115,9 +117,10 @@
 	return false;
 }
 
-/* Stops the runs of a task for which a batch waits. */
+/* Stops the runs of a task for which a batch waits, as it may start on an
+ * executor that is away. */
 static void stop_elsewhere(struct ph_pool *pool, const struct ph_late_start *s,
-			   uint64_t now_us)
+			   const struct ph_executor *away, uint64_t now_us)
 {
 	struct ph_executor *x;
 	struct ph_run *run;
@@ -130,16 +133,20 @@
 				continue;
 			ph_event(PART,
 				 "event=run_stopped_for_late_start job=%s "
-				 "task=%u run=%llu executor=%s",
+				 "task=%u run=%llu executor=%s away=%s "
+				 "refuses=%d silent_for_us=%llu",
 				 run->job, run->index,
-				 (unsigned long long)run->run, x->info.id);
+				 (unsigned long long)run->run, x->info.id,
+				 away->info.id, away->refuses,
+				 (unsigned long long)(now_us -
+						      away->poll_ok_us));
 			pool->counters.stopped_for_late_starts++;
 			ph_run_stop(pool, x, run, now_us);
 		}
 }
 
-void ph_late_starts_check(struct ph_pool *pool, struct ph_executor *x,
-			  uint64_t now_us)
+void ph_late_starts_stop_elsewhere(struct ph_pool *pool, struct ph_executor *x,
+				   uint64_t now_us)
 {
 	bool refuses = x->poll_failures && x->refuses;
 	bool silent = now_us >= x->poll_ok_us + pool->opt.lease_us;
@@ -155,7 +162,7 @@
 			continue;
 		}
 		*at = s->next;
-		stop_elsewhere(pool, s, now_us);
+		stop_elsewhere(pool, s, x, now_us);
 		add_to_stop(pool, x, s, now_us);
 		pool->mem->free(s);
 	}
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -361,7 +361,7 @@
 
 	for (x = pool->executors; x; x = x->next) {
 		ph_late_starts_forget(pool, x, now_us);
-		ph_late_starts_check(pool, x, now_us);
+		ph_late_starts_stop_elsewhere(pool, x, now_us);
 		expire_runs(pool, x, now_us);
 		update_stops_overdue(x, now_us);
 		if (!x->poll_call && now_us >= x->next_poll_us &&
