A crash counts against a task only if its run was not being stopped

Cause: the loss of an executor counted as a crash for each run there that had begun, also for one whose stop had been sent before and may have ended it.

Evidence: CrashingTasks.NoTaskIsGivenUpForACrashAfterItsRunWasStopped fails on the parent.

--- a/src/pool_crashes.c
+++ b/src/pool_crashes.c
@@ -113,7 +113,7 @@
  * network partition that refuses connections. */
 static uint32_t crash_weight(const struct ph_loss *loss)
 {
-	if (!loss->begun || !loss->prompt)
+	if (!loss->running || !loss->prompt)
 		return 0;
 	return loss->runs > 1 || loss->doubtful ? WEIGHT_BESIDE_OTHERS
 						: WEIGHT_ALONE;
--- a/src/pool_crashes.h
+++ b/src/pool_crashes.h
@@ -79,9 +79,10 @@
 	/** It has crashed for certain: it refuses connections, or it is back in
 	 * another incarnation. */
 	bool crashed;
-	/** The task had begun there for certain; else its start may have been
-	 * lost, and no crash counts against it. */
-	bool begun;
+	/** The task was running there for certain; else its start may have
+	 * been lost, or a stop have ended it, and no crash counts against it.
+	 */
+	bool running;
 	/** It was lost so soon after the start that the task is the likely
 	 * cause. */
 	bool prompt;
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -187,6 +187,14 @@
 	return !run->forgotten && (!reply || ph_run_gone(x, run, reply));
 }
 
+/* Whether a run was under way for certain when its executor went away: it had
+ * begun, and no stop may have ended it. */
+static bool was_running(const struct ph_executor *x, const struct ph_run *run)
+{
+	return run->begun &&
+	       (!run->first_stop_us || run->first_stop_us >= x->unreachable_us);
+}
+
 void ph_executor_lost(struct ph_pool *pool, struct ph_executor *x,
 		      enum ph_loss_cause cause,
 		      const struct ph_poll_reply *reply, uint64_t now_us)
@@ -214,7 +222,7 @@
 	for (run = x->runs; run; run = run->next) {
 		if (!lost_with(x, run, reply))
 			continue;
-		loss.begun = run->begun;
+		loss.running = was_running(x, run);
 		loss.prompt =
 			x->unreachable_us < run->created_us + PROMPT_CRASH_US;
 		ph_crashes_add(pool->crashes, now_us, ph_hash_str(run->job),
--- a/test/test_crashing_tasks.cc
+++ b/test/test_crashing_tasks.cc
@@ -761,6 +761,49 @@
 	{ "to exactly what is used", 13600 },
 };
 
+// The executor on which a task runs; null: none.
+Executor *runs_on(CrashWorld *w)
+{
+	for (Executor &x : w->executors)
+		if (!x.running.empty())
+			return &x;
+	return nullptr;
+}
+
+// An executor that crashes when it has stopped a task's run counted against the
+// task: its job, submitted again, was answered as failed after one more crash.
+TEST(CrashingTasks, NoTaskIsGivenUpForACrashAfterItsRunWasStopped)
+{
+	CrashWorld w(6, 16000);
+	Owner *o = ready_owner(&w);
+	ph_batch_request request = request_of("a", 1, 2000 * kMs, kLongTimeout);
+	uint64_t first = w.submit_request(o, request, 2000 * kMs);
+	uint64_t second;
+	Executor *x;
+
+	w.run_until(w.now_us + 10 * kMs);
+	x = runs_on(&w);
+	ASSERT_NE(x, nullptr);
+	/* The crash takes the answer to the stop along. */
+	x->stop_answer_delay_us = 30000 * kMs;
+	ph_pool_cancel(o->pool, w.now_us, "submitter", first);
+	w.at(w.now_us + kLatencyUs + 100, [&w, x] {
+		EXPECT_TRUE(x->running.empty());
+		w.crash_now(x);
+	});
+	w.run_until(w.now_us + 1300 * kMs);
+	request.sent_us = w.now_us;
+	second = w.submit_request(o, request, 2000 * kMs);
+	while (!runs_on(&w) && !o->results.count(second))
+		w.run_until(w.now_us + 10 * kMs);
+	w.run_until(w.now_us + 50 * kMs);
+	ASSERT_NE(runs_on(&w), nullptr);
+	w.crash_now(runs_on(&w));
+	w.run_until(w.now_us + 15000 * kMs);
+	EXPECT_EQ(w.crashed_under["a.0"].size(), 1U);
+	EXPECT_TRUE(w.ended(o, second, PH_VERDICT_DONE));
+}
+
 // An executor whose capacity has shrunk below what is used counts as empty, or
 // is not used again when its capacity has grown.
 TEST(CrashingTasks, CapacityThatShrinksAndGrowsIsNeverExceeded)
