A refused batch logs what was ahead of it, free, and held by longer runs

Refusals for work ahead, for capacity held by runs that last longer than the batch can wait, and for fragments all said no room in time. No decision changes.

--- a/src/pool.c
+++ b/src/pool.c
@@ -381,13 +381,13 @@
 	return clamp_retry(load.backlog_milli_us / load.capacity_milli);
 }
 
-/* Latest first start of a batch. It is bounded by the time that is left before
- * its result is of no use, by the caller's timeout less the declared run time,
- * and by the part of the timeout after which another pool should be tried. */
-static uint64_t last_start_us(const struct ph_pool *pool,
-			      const struct ph_batch *b)
+/* Longest wait of a batch, counted from its caller's request, for its first
+ * start. It is bounded by the time that is left before its result is of no use,
+ * by the caller's timeout less the declared run time, and by the part of the
+ * timeout after which another pool should be tried. */
+static uint64_t longest_wait_us(const struct ph_pool *pool,
+				const struct ph_batch_request *w)
 {
-	const struct ph_batch_request *w = b->request;
 	uint64_t wait_us = w->caller_timeout_us * MAX_WAIT_PERCENT / 100;
 	uint64_t useful_us = ph_batch_request_max_useful_wait_us(w);
 
@@ -398,7 +398,7 @@
 		wait_us = w->caller_timeout_us > w->estimate_us
 				  ? w->caller_timeout_us - w->estimate_us
 				  : 0;
-	return b->arrived_us + wait_us;
+	return wait_us;
 }
 
 /* Lower bound of the time until the tasks ahead of a batch have been started:
@@ -419,7 +419,61 @@
 {
 	if (b->started)
 		return now_us >= b->arrived_us + b->request->caller_timeout_us;
-	return now_us + min_wait_us(pool, b) >= last_start_us(pool, b);
+	return now_us + min_wait_us(pool, b) >=
+	       b->arrived_us + longest_wait_us(pool, b->request);
+}
+
+/* Capacity that is held by runs which are declared to last for longer than a
+ * batch can wait, in thousandths of a core. */
+static uint64_t held_by_longer_milli(const struct ph_pool *pool,
+				     const struct ph_batch *b)
+{
+	uint64_t wait_us = longest_wait_us(pool, b->request);
+	const struct ph_executor *x;
+	const struct ph_run *run;
+	uint64_t sum = 0;
+
+	for (x = pool->executors; x; x = x->next)
+		for (run = x->runs; run; run = run->next)
+			if (run->batch &&
+			    run->batch->request->estimate_us > wait_us)
+				sum += run->need.cpu_milli;
+	return sum;
+}
+
+/* Logs what tells the causes of a refusal apart: work ahead of the batch,
+ * capacity held by runs that it can't outwait, or free capacity that is too
+ * small on each executor. */
+static void log_refusal(const struct ph_pool *pool, const struct ph_batch *b,
+			uint64_t now_us)
+{
+	const struct ph_executor *x;
+	struct ph_pool_load load;
+	uint32_t most_free = 0;
+
+	for (x = pool->executors; x; x = x->next)
+		if (ph_executor_usable(pool, x, now_us) &&
+		    x->info.capacity.cpu_milli > x->used.cpu_milli + most_free)
+			most_free =
+				x->info.capacity.cpu_milli - x->used.cpu_milli;
+	ph_pool_measure(pool, now_us, &load);
+	ph_event(PART,
+		 "event=batch_refused job=%s need_milli=%u min_wait_us=%llu "
+		 "ahead_milli_us=%llu possible_milli=%llu free_milli=%u "
+		 "most_free_milli=%u held_by_longer_milli=%llu",
+		 b->request->job, b->request->need.cpu_milli,
+		 (unsigned long long)min_wait_us(pool, b),
+		 (unsigned long long)b->ahead_milli_us,
+		 (unsigned long long)b->possible_milli, load.free_milli,
+		 most_free, (unsigned long long)held_by_longer_milli(pool, b));
+}
+
+static void batch_refuse(struct ph_pool *pool, struct ph_batch *b,
+			 uint64_t now_us)
+{
+	log_refusal(pool, b, now_us);
+	batch_report(pool, b, PH_VERDICT_NOT_RUN, retry_after_us(pool, now_us),
+		     "no room in time", now_us);
 }
 
 static void batch_expire(struct ph_pool *pool, struct ph_batch *b,
@@ -429,9 +483,7 @@
 		batch_report(pool, b, PH_VERDICT_BROKEN, 0,
 			     "caller's deadline passed", now_us);
 	else
-		batch_report(pool, b, PH_VERDICT_NOT_RUN,
-			     retry_after_us(pool, now_us), "no room in time",
-			     now_us);
+		batch_refuse(pool, b, now_us);
 	batch_end(pool, b, now_us);
 }
 
