--- a/src/pool.c
+++ b/src/pool.c
@@ -443,29 +443,25 @@
 
 /* Logs what tells the causes of a refusal apart: work ahead of the batch,
  * capacity held by runs that it can't outwait, or free capacity that is too
- * small on each executor. */
+ * small on each executor, or on those that no run has to succeed on first. */
 static void log_refusal(const struct ph_pool *pool, const struct ph_batch *b,
 			uint64_t now_us)
 {
-	const struct ph_executor *x;
-	struct ph_pool_load load;
-	uint32_t most_free = 0;
+	struct ph_room room;
 
-	for (x = pool->executors; x; x = x->next)
-		if (ph_executor_usable(pool, x, now_us) &&
-		    x->info.capacity.cpu_milli > x->used.cpu_milli + most_free)
-			most_free =
-				x->info.capacity.cpu_milli - x->used.cpu_milli;
-	ph_pool_measure(pool, now_us, &load);
+	ph_pool_room(pool, b, now_us, &room);
 	ph_event(PART,
 		 "event=batch_refused job=%s need_milli=%u min_wait_us=%llu "
-		 "ahead_milli_us=%llu possible_milli=%llu free_milli=%u "
-		 "most_free_milli=%u held_by_longer_milli=%llu",
+		 "ahead_milli_us=%llu possible_milli=%llu free_milli=%llu "
+		 "executors_fitting=%u executors_on_trial=%u "
+		 "held_by_longer_milli=%llu",
 		 b->request->job, b->request->need.cpu_milli,
 		 (unsigned long long)min_wait_us(pool, b),
 		 (unsigned long long)b->ahead_milli_us,
-		 (unsigned long long)b->possible_milli, load.free_milli,
-		 most_free, (unsigned long long)held_by_longer_milli(pool, b));
+		 (unsigned long long)b->possible_milli,
+		 (unsigned long long)room.free_milli, room.fitting,
+		 room.on_trial,
+		 (unsigned long long)held_by_longer_milli(pool, b));
 }
 
 static void batch_refuse(struct ph_pool *pool, struct ph_batch *b,
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -491,6 +491,20 @@
 
 /** Starts all waiting tasks that fit, in the order of the policy. */
 void ph_pool_place(struct ph_pool *pool, uint64_t now_us);
+/** Room for the tasks of one batch. */
+struct ph_room {
+	/** Free capacity of the executors that may run them, in thousandths of
+	 * a core, also where it is too little for one task. */
+	uint64_t free_milli;
+	/** Executors that have room for a task, and others that have it too,
+	 * but get one run at a time as one has failed there. */
+	uint32_t fitting;
+	uint32_t on_trial;
+};
+
+/** Measures the room for a batch, for the log. */
+void ph_pool_room(const struct ph_pool *pool, const struct ph_batch *batch,
+		  uint64_t now_us, struct ph_room *room);
 /** True if tasks may be placed on the executor. */
 bool ph_executor_usable(const struct ph_pool *pool,
 			const struct ph_executor *executor, uint64_t now_us);
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -281,6 +281,23 @@
 	return NULL;
 }
 
+/* Whether a task of the batch may be started on the executor if it had room.
+ * It is not known what an unclaimed run needs, and not all executors guard
+ * their capacity. */
+static bool suitable(const struct ph_pool *pool, const struct ph_executor *x,
+		     const struct ph_batch_request *w, uint64_t now_us)
+{
+	return !strcmp(x->info.service, w->service) &&
+	       ph_executor_usable(pool, x, now_us) && label_ok(x, w->label) &&
+	       !set_aside(x) && !ph_executor_has_unclaimed(x);
+}
+
+/* After a failure an executor gets one run at a time until one succeeds. */
+static bool on_trial(const struct ph_pool *pool, const struct ph_executor *x)
+{
+	return failures(pool, x) && x->runs;
+}
+
 static struct ph_executor *choose_executor(struct ph_pool *pool,
 					   const struct ph_batch *batch,
 					   uint64_t now_us)
@@ -290,17 +307,8 @@
 	struct ph_executor *x;
 
 	for (x = pool->executors; x; x = x->next) {
-		/* It is not known what an unclaimed run needs, and not all
-		 * executors guard their capacity. */
-		if (strcmp(x->info.service, w->service) != 0 ||
-		    !ph_executor_usable(pool, x, now_us) ||
-		    !ph_capacity_fits(&x->info.capacity, &x->used, &w->need) ||
-		    !label_ok(x, w->label) || set_aside(x) ||
-		    ph_executor_has_unclaimed(x))
-			continue;
-		/* After a failure an executor gets one run at a time until one
-		 * succeeds. */
-		if (failures(pool, x) && x->runs)
+		if (!ph_capacity_fits(&x->info.capacity, &x->used, &w->need) ||
+		    !suitable(pool, x, w, now_us) || on_trial(pool, x))
 			continue;
 		if (!best ||
 		    rank(pool, x, &w->need) < rank(pool, best, &w->need))
@@ -309,6 +317,26 @@
 	return best;
 }
 
+void ph_pool_room(const struct ph_pool *pool, const struct ph_batch *batch,
+		  uint64_t now_us, struct ph_room *room)
+{
+	const struct ph_batch_request *w = batch->request;
+	const struct ph_executor *x;
+
+	memset(room, 0, sizeof(*room));
+	for (x = pool->executors; x; x = x->next) {
+		if (!suitable(pool, x, w, now_us) ||
+		    x->info.capacity.cpu_milli <= x->used.cpu_milli)
+			continue;
+		room->free_milli +=
+			x->info.capacity.cpu_milli - x->used.cpu_milli;
+		if (!ph_capacity_fits(&x->info.capacity, &x->used, &w->need))
+			continue;
+		room->fitting += !on_trial(pool, x);
+		room->on_trial += on_trial(pool, x);
+	}
+}
+
 /* Time by which the leases of all runs that an earlier owner started for a
  * batch have expired. An owner that is cut off renews them until executors
  * refuse its token, or until it has ended the batch and a stop is overdue,
