--- a/bench/load_model.cc
+++ b/bench/load_model.cc
@@ -2,9 +2,9 @@
  * Simulates the load of a site on one pool and compares the policies for the
  * order of starts during a burst: jobs of three kinds run on executors in
  * memory, in simulated time. With --fronts it compares the policies for the
- * choice of a pool instead.
+ * choice of a pool instead, with --long it shows how jobs of usual length are
+ * served beside much longer ones, before and after a restart of all executors.
  */
-#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -12,8 +12,8 @@
 
 #include <argtable2.h>
 
+#include "job_mix.h"
 #include "submitter_world.h"
-#include "pool_world.h"
 
 extern "C" {
 #include "pool_impl.h"
@@ -23,49 +23,9 @@
 {
 
 using namespace world;
+using namespace job_mix;
 
-/* One kind of job. Widths and run times are log-normally distributed. */
-struct Kind {
-	const char *name;
-	/** Rate of a whole site of kSiteExecutors. */
-	double jobs_per_s;
-	/** Number of tasks, mean and maximum. */
-	double width;
-	double width_max;
-	/** Run time of a task, mean and maximum. */
-	double run_ms;
-	double run_max_ms;
-	uint32_t priority;
-	/** Credit for a job of mean size that ends in time. */
-	double mean_credit;
-};
-
-const Kind kKinds[] = {
-	{ "short and wide", 34.4, 8, 32, 60, 240, 0, 0.0291 },
-	{ "long", 6.25, 4, 16, 900, 3600, 2, 0.16 },
-	{ "small", 100, 2, 8, 200, 800, 1, 0.01 },
-};
-
-constexpr int kKindCount = 3;
-constexpr double kSiteExecutors = 48;
-/* Standard deviation of width and run time, relative to the mean. */
-constexpr double kRelativeSpread = 0.4;
-/* Declared run times are off by up to this much, relative to the real ones. */
-constexpr double kEstimateError = 0.4;
-/* Latency target: 1.6 times the run time plus 60 ms. A job that misses it but
- * ends within three targets is late and earns a part of its credit; one that
- * takes longer earns none. */
-constexpr double kTargetFactor = 1.6;
-constexpr double kTargetExtraMs = 60;
-constexpr double kLateTargets = 3;
 constexpr double kLateCreditShare = 0.2;
-/* Callers time out after this long plus five times the run time. */
-constexpr double kCallerTimeoutMs = 1500;
-constexpr double kCallerTimeoutRunTimes = 5;
-/* CPU that a task needs: mean, relative standard deviation, maximum. */
-constexpr double kCpuMilli = 6800;
-constexpr double kCpuSpread = 0.2;
-constexpr double kCpuMax = 10000;
 
 struct Load {
 	int executors = 16;
@@ -99,46 +59,6 @@
 	double earned_credit = 0;
 };
 
-double draw_lognormal(std::mt19937 *rng, double mean, double spread, double max)
-{
-	double sigma = std::sqrt(std::log(1 + spread * spread));
-	std::lognormal_distribution<double> d(
-		std::log(mean) - sigma * sigma / 2, sigma);
-
-	return std::min(d(*rng), max);
-}
-
-ph_batch_request job_of(const Kind &k, int number, std::mt19937 *rng,
-			double *run_ms)
-{
-	std::uniform_real_distribution<double> error_factor(1 - kEstimateError,
-							    1 + kEstimateError);
-	double width = std::max(
-		1.0, std::round(draw_lognormal(rng, k.width, kRelativeSpread,
-					       k.width_max)));
-	double estimate;
-	ph_batch_request w = {};
-
-	*run_ms = draw_lognormal(rng, k.run_ms, kRelativeSpread, k.run_max_ms);
-	estimate = *run_ms * error_factor(*rng);
-	snprintf(w.job, sizeof(w.job), "j%d", number);
-	snprintf(w.service, sizeof(w.service), "desk");
-	w.count = (uint32_t)width;
-	w.need = { (uint32_t)draw_lognormal(rng, kCpuMilli, kCpuSpread,
-					    kCpuMax),
-		   64, 0 };
-	w.estimate_us = (uint64_t)(estimate * kMs);
-	w.target_us =
-		(uint64_t)((estimate * kTargetFactor + kTargetExtraMs) * kMs);
-	w.caller_timeout_us = (uint64_t)((kCallerTimeoutMs +
-					  kCallerTimeoutRunTimes * *run_ms) *
-					 kMs);
-	w.priority = k.priority;
-	w.max_attempts = 3;
-	w.first_run = 100;
-	return w;
-}
-
 /* Credit of a job that ends in time: that of its kind, scaled by the job's size
  * relative to the mean size, up to four times. */
 double credit_of(const Kind &k, const ph_batch_request &w, double run_ms)
@@ -152,7 +72,7 @@
 void tally_job(const Sent &s, const Owner *o, uint64_t seq, Tally *t)
 {
 	auto it = o->results.find(seq);
-	double target_ms = s.run_ms * kTargetFactor + kTargetExtraMs;
+	double limit_ms = target_ms(s.run_ms);
 	double response_ms;
 
 	t->submitted++;
@@ -165,10 +85,10 @@
 		return;
 	}
 	response_ms = (double)(o->result_us.at(seq) - s.at_us) / kMs;
-	if (response_ms <= target_ms) {
+	if (response_ms <= limit_ms) {
 		t->in_time++;
 		t->earned_credit += s.credit;
-	} else if (response_ms <= kLateTargets * target_ms) {
+	} else if (response_ms <= kLateTargets * limit_ms) {
 		t->late++;
 		t->earned_credit += kLateCreditShare * s.credit;
 	} else {
@@ -211,7 +131,7 @@
 		int k = which(rng);
 		double run_ms;
 		ph_batch_request job =
-			job_of(kKinds[k], ++number, &rng, &run_ms);
+			job_of(kKinds[k], ++number, 1, &rng, &run_ms);
 
 		w.at(next, [&, k, job, run_ms] {
 			sent[w.submit_request(o, job,
@@ -310,6 +230,29 @@
 	}
 }
 
+void show_long_jobs(double share, double factor, double run_factor, int seeds)
+{
+	Outage load;
+
+	load.long_share = share;
+	load.long_factor = factor;
+	load.long_run_factor = run_factor;
+	printf("%.2f of a kind %.0f times as long, restart of all executors at "
+	       "%.0f s\n",
+	       share, factor, load.crash_s);
+	for (int s = 1; s <= seeds; s++) {
+		load.seed = (unsigned)s;
+		OutageResult r = simulate(load);
+
+		printf("seed %d, in time in each %.0f s:", s, kWindowS);
+		for (const Window &w : r.windows)
+			printf(" %.2f", (double)w.in_time / w.asked);
+		printf("\n  longer jobs: %d, done %d, not run %d, %.3f of the "
+		       "core time\n",
+		       r.long_asked, r.long_done, r.long_not_run, r.long_part);
+	}
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -326,8 +269,19 @@
 			 "compare the choice of a pool by N submitters");
 	struct arg_int *pools = arg_int0(NULL, "pools", "N",
 					 "number of pools with --fronts (7)");
+	struct arg_dbl *longer =
+		arg_dbl0(NULL, "long", "X",
+			 "show jobs of usual length beside longer ones: share "
+			 "of the longest kind that is longer");
+	struct arg_dbl *length = arg_dbl0(
+		NULL, "length", "X", "how many times longer, with --long (20)");
+	struct arg_dbl *off =
+		arg_dbl0(NULL, "outrun", "X",
+			 "actual run time of the longer jobs, relative to the "
+			 "declared one, with --long (1)");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { factor, burst, seeds, submitters, pools, end };
+	void *table[] = { factor, burst,  seeds, submitters, pools,
+			  longer, length, off,	 end };
 	int bad = arg_parse(argc, argv, table);
 	Load load;
 
@@ -337,7 +291,12 @@
 	}
 	load.factor = factor->count ? factor->dval[0] : 1.0;
 	load.burst = burst->count ? burst->dval[0] : 2.0;
-	if (submitters->count)
+	if (longer->count)
+		show_long_jobs(longer->dval[0],
+			       length->count ? length->dval[0] : 20,
+			       off->count ? off->dval[0] : 1,
+			       seeds->count ? seeds->ival[0] : 3);
+	else if (submitters->count)
 		compare_pool_choice(submitters->ival[0],
 				    pools->count ? pools->ival[0] : 7,
 				    seeds->count ? seeds->ival[0] : 3);
