Tasks that far outlast the wait of others hold a bounded part of a pool

Cause: each task starts when its turn comes and room is free; none is preempted, so those that stay for 18 s end up with every executor. Evidence: of 256 cores of a pool 200 to 257 are held by runs that are declared to last for longer than the refused batch can wait (event=batch_refused).

What is offered by jobs that can't outwait a task, measured over 4 s by octaves of their longest wait, is kept free of such tasks, and half as much again; they may always hold a quarter, and one task.

--- a/src/pool.c
+++ b/src/pool.c
@@ -68,10 +68,37 @@
 	}
 }
 
+static void forget_lengths(struct ph_pool *pool)
+{
+	while (pool->lengths) {
+		struct ph_lengths *l = pool->lengths;
+
+		pool->lengths = l->next;
+		pool->mem->free(l);
+	}
+}
+
+static struct ph_lengths *lengths_of(struct ph_pool *pool, const char *service,
+				     uint64_t now_us)
+{
+	struct ph_lengths *l;
+
+	for (l = pool->lengths; l; l = l->next)
+		if (!strcmp(l->service, service))
+			return l;
+	l = pool->mem->calloc(1, sizeof(*l));
+	ph_strcopy(l->service, sizeof(l->service), service);
+	l->since_us = now_us;
+	l->next = pool->lengths;
+	pool->lengths = l;
+	return l;
+}
+
 void ph_pool_free(struct ph_pool *pool)
 {
 	if (!pool)
 		return;
+	forget_lengths(pool);
 	while (pool->executors) {
 		struct ph_executor *x = pool->executors;
 
@@ -352,14 +379,20 @@
 
 /* ## Admission */
 
+/* Declared core time of a batch's waiting tasks. */
+static uint64_t core_time(const struct ph_batch *b)
+{
+	return (uint64_t)b->waiting * b->request->need.cpu_milli *
+	       b->request->estimate_us;
+}
+
 static uint64_t backlog_milli_us(const struct ph_pool *pool)
 {
 	const struct ph_batch *b;
 	uint64_t sum = 0;
 
 	for (b = pool->batches; b; b = b->next)
-		sum += (uint64_t)b->waiting * b->request->need.cpu_milli *
-		       b->request->estimate_us;
+		sum += core_time(b);
 	return sum;
 }
 
@@ -381,13 +414,10 @@
 	return clamp_retry(load.backlog_milli_us / load.capacity_milli);
 }
 
-/* Longest wait of a batch, counted from its caller's request, for its first
- * start. It is bounded by the time that is left before its result is of no use,
- * by the caller's timeout less the declared run time, and by the part of the
- * timeout after which another pool should be tried. */
-static uint64_t longest_wait_us(const struct ph_pool *pool,
-				const struct ph_batch_request *w)
+uint64_t ph_batch_longest_wait_us(const struct ph_pool *pool,
+				  const struct ph_batch *b)
 {
+	const struct ph_batch_request *w = b->request;
 	uint64_t wait_us = w->caller_timeout_us * MAX_WAIT_PERCENT / 100;
 	uint64_t useful_us = ph_batch_request_max_useful_wait_us(w);
 
@@ -420,7 +450,7 @@
 	if (b->started)
 		return now_us >= b->arrived_us + b->request->caller_timeout_us;
 	return now_us + min_wait_us(pool, b) >=
-	       b->arrived_us + longest_wait_us(pool, b->request);
+	       b->arrived_us + ph_batch_longest_wait_us(pool, b);
 }
 
 /* Capacity that is held by runs which are declared to last for longer than a
@@ -428,7 +458,7 @@
 static uint64_t held_by_longer_milli(const struct ph_pool *pool,
 				     const struct ph_batch *b)
 {
-	uint64_t wait_us = longest_wait_us(pool, b->request);
+	uint64_t wait_us = ph_batch_longest_wait_us(pool, b);
 	const struct ph_executor *x;
 	const struct ph_run *run;
 	uint64_t sum = 0;
@@ -585,6 +615,8 @@
 		batch_remove(pool, b, now_us);
 		return;
 	}
+	ph_lengths_offer(lengths_of(pool, request->service, now_us), now_us,
+			 ph_batch_longest_wait_us(pool, b), core_time(b));
 	if (!request->resumed)
 		return;
 	ph_event(PART,
@@ -654,6 +686,8 @@
 
 	ph_event(PART, "event=pool_acquired domain=%s token=%llu was_owner=%d",
 		 pool->opt.name, (unsigned long long)token, pool->owned);
+	if (!pool->owned)
+		forget_lengths(pool);
 	pool->token = token;
 	pool->fenced = false;
 	pool->dirty = true;
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -8,6 +8,7 @@
  * tasks start, and on which executors). */
 
 #include "pool.h"
+#include "pool_lengths.h"
 
 #define PH_US_PER_MS 1000U
 /* Longest wait for a call's answer: leaves time to repeat a poll before the
@@ -281,6 +282,9 @@
 	struct ph_batch **waiting;
 	size_t waiting_size;
 	struct ph_pending_command *calls;
+	/** What jobs of different lengths may hold, for each service of which
+	 * a batch has come since the pool was acquired. */
+	struct ph_lengths *lengths;
 	/** Ring buffer. */
 	struct ph_orphaned_end orphaned_ends[PH_ORPHANED_ENDS];
 	/** Number of ends stored so far; the next one's index, modulo the size.
@@ -327,6 +331,12 @@
 /** Marks a task as done; the batch is freed after its last task. */
 void ph_batch_task_done(struct ph_pool *pool, struct ph_batch *batch,
 			uint32_t index, uint64_t now_us);
+/** The longest wait of a batch, counted from its caller's request, for its
+ * first start. It is bounded by the time that is left before its result is of
+ * no use, by the caller's timeout less the declared run time, and by the part
+ * of the timeout after which another pool should be tried. */
+uint64_t ph_batch_longest_wait_us(const struct ph_pool *pool,
+				  const struct ph_batch *batch);
 /** Counts a failed attempt; the batch fails and is freed if the task has none
  * left, else the task waits again. */
 void ph_batch_task_failed(struct ph_pool *pool, struct ph_batch *batch,
--- /dev/null
+++ b/src/pool_lengths.c
@@ -0,0 +1,101 @@
+#include <string.h>
+
+#include "pool_lengths.h"
+
+/* Duration of a part of the time for which offered work is remembered. */
+#define SLOT_US 500000U
+/* Shortest time by which the offered work is divided: a few jobs right after
+ * the start say little. */
+#define SPAN_MIN_US 100000U
+/* A task is far longer than a job can wait if it is so by at least this many
+ * octaves, and comparable to another one if it is shorter by at most as many.
+ */
+#define FAR_OCTAVES 2U
+/* Capacity that is kept free, in percent of what is offered on average: jobs
+ * arrive unevenly, need room for several tasks at a time, and don't fill
+ * executors exactly. */
+#define KEPT_PERCENT 150U
+/* Part of the capacity that tasks may always hold, however much is offered by
+ * jobs that can't outwait them. */
+#define PART_PERCENT 25U
+#define PERCENT 100U
+
+static uint32_t octave(uint64_t us)
+{
+	uint32_t n = 0;
+
+	while (us >>= 1)
+		n++;
+	return n < PH_LENGTH_OCTAVES ? n : PH_LENGTH_OCTAVES - 1;
+}
+
+void ph_lengths_offer(struct ph_lengths *l, uint64_t now_us,
+		      uint64_t longest_wait_us, uint64_t milli_us)
+{
+	uint64_t number = now_us / SLOT_US + 1;
+	struct ph_offer_slot *slot = &l->offers[number % PH_OFFER_SLOTS];
+
+	if (slot->number != number) {
+		memset(slot, 0, sizeof(*slot));
+		slot->number = number;
+	}
+	slot->milli_us[octave(longest_wait_us)] += milli_us;
+}
+
+/* Core time per time that jobs offer whose longest wait is below an octave, in
+ * thousandths of a core. */
+static uint64_t offered_milli(const struct ph_lengths *l, uint64_t now_us,
+			      uint32_t below)
+{
+	uint64_t number = now_us / SLOT_US + 1;
+	uint64_t span_us = (PH_OFFER_SLOTS - 1) * SLOT_US + now_us % SLOT_US;
+	uint64_t sum = 0;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < PH_OFFER_SLOTS; i++)
+		for (k = 0;
+		     l->offers[i].number + PH_OFFER_SLOTS > number && k < below;
+		     k++)
+			sum += l->offers[i].milli_us[k];
+	if (span_us > now_us - l->since_us)
+		span_us = now_us - l->since_us;
+	return sum / (span_us > SPAN_MIN_US ? span_us : SPAN_MIN_US);
+}
+
+void ph_lengths_begin(struct ph_lengths *l, uint64_t capacity_milli)
+{
+	l->capacity_milli = capacity_milli;
+	memset(l->held_milli, 0, sizeof(l->held_milli));
+}
+
+void ph_lengths_hold(struct ph_lengths *l, uint64_t length_us, uint64_t milli)
+{
+	l->held_milli[octave(length_us)] += milli;
+}
+
+uint64_t ph_lengths_limit_milli(const struct ph_lengths *l, uint64_t now_us,
+				uint64_t length_us)
+{
+	uint32_t length = octave(length_us);
+	uint64_t most = l->capacity_milli * (PERCENT - PART_PERCENT) / PERCENT;
+	uint64_t kept = 0;
+
+	if (length > FAR_OCTAVES)
+		kept = offered_milli(l, now_us, length - FAR_OCTAVES) *
+		       KEPT_PERCENT / PERCENT;
+	return l->capacity_milli - (kept < most ? kept : most);
+}
+
+bool ph_lengths_allows(const struct ph_lengths *l, uint64_t now_us,
+		       uint64_t length_us, uint64_t milli)
+{
+	uint32_t length = octave(length_us);
+	uint64_t held = 0;
+	uint32_t k = length > FAR_OCTAVES ? length - FAR_OCTAVES : 0;
+
+	for (; k < PH_LENGTH_OCTAVES; k++)
+		held += l->held_milli[k];
+	return !held ||
+	       held + milli <= ph_lengths_limit_milli(l, now_us, length_us);
+}
--- /dev/null
+++ b/src/pool_lengths.h
@@ -0,0 +1,66 @@
+#ifndef PH_POOL_LENGTHS_H
+#define PH_POOL_LENGTHS_H
+
+/*
+ * How much of a pool's capacity tasks of different lengths may hold at a time.
+ * Tasks aren't preempted, so those that run for far longer than others can wait
+ * would in the end hold every executor: each of them stays long after a place
+ * has got free for it. What is offered by jobs that can't outwait a task is
+ * therefore kept free of such tasks, but for a part that these may always hold.
+ * Lengths and waits are those that jobs declare; they are told apart by
+ * octaves.
+ */
+
+#include <stdbool.h>
+
+#include "buf.h"
+
+/** Octaves of microseconds: up to 71 minutes, the last one without an end. */
+#define PH_LENGTH_OCTAVES 32U
+/** Parts of the time for which offered work is remembered. */
+#define PH_OFFER_SLOTS 8U
+
+/** Work that was offered in a part of the time. */
+struct ph_offer_slot {
+	/** Number of the part; 0: none. */
+	uint64_t number;
+	/** Core time in millicore-microseconds, by the octave of the longest
+	 * wait. */
+	uint64_t milli_us[PH_LENGTH_OCTAVES];
+};
+
+/** The executors of one service in one pool. */
+struct ph_lengths {
+	struct ph_lengths *next;
+	char service[PH_NAME_BYTES];
+	/** Since when offered work has been counted. */
+	uint64_t since_us;
+	/** Ring, by the number of the part. */
+	struct ph_offer_slot offers[PH_OFFER_SLOTS];
+	/** State of a placement round, in thousandths of a core: capacity of
+	 * the executors that may be usable, and what is held of it, by the
+	 * octave of the task's length. */
+	uint64_t capacity_milli;
+	uint64_t held_milli[PH_LENGTH_OCTAVES];
+};
+
+/** Counts the work of a job that can wait for this long. */
+void ph_lengths_offer(struct ph_lengths *lengths, uint64_t now_us,
+		      uint64_t longest_wait_us, uint64_t milli_us);
+
+/** Begins a round in which nothing is held yet of this much capacity. */
+void ph_lengths_begin(struct ph_lengths *lengths, uint64_t capacity_milli);
+/** Counts a task that runs, or that the round has started. length_us is the
+ * declared run time, or what it has become. */
+void ph_lengths_hold(struct ph_lengths *lengths, uint64_t length_us,
+		     uint64_t milli);
+
+/** Most that tasks of a length and comparable or longer ones may hold in all,
+ * in thousandths of a core. */
+uint64_t ph_lengths_limit_milli(const struct ph_lengths *lengths,
+				uint64_t now_us, uint64_t length_us);
+/** Whether one more task may be started. One may always run. */
+bool ph_lengths_allows(const struct ph_lengths *lengths, uint64_t now_us,
+		       uint64_t length_us, uint64_t milli);
+
+#endif
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -411,6 +411,99 @@
 	       !has_run(pool, b->request->job, index);
 }
 
+/* True if the executor may turn out to be usable: this owner has sent its first
+ * poll there and waits for the answer. */
+static bool first_poll_pending(const struct ph_pool *pool,
+			       const struct ph_executor *x)
+{
+	return ph_mechanism_on(pool->opt.off, PH_MECHANISM_PENDING_POLLS) &&
+	       x->listed && !x->polled && !x->poll_failures &&
+	       !x->info.draining;
+}
+
+/* Capacity of the service's executors that are usable, or may be as far as this
+ * owner knows. */
+static uint64_t possible_milli(const struct ph_pool *pool, const char *service,
+			       uint64_t now_us)
+{
+	const struct ph_executor *x;
+	uint64_t sum = 0;
+
+	for (x = pool->executors; x; x = x->next)
+		if (!strcmp(x->info.service, service) &&
+		    (ph_executor_usable(pool, x, now_us) ||
+		     first_poll_pending(pool, x)))
+			sum += x->info.capacity.cpu_milli;
+	return sum;
+}
+
+/* ## Jobs of different lengths */
+
+static struct ph_lengths *lengths_of(const struct ph_pool *pool,
+				     const struct ph_batch *b)
+{
+	struct ph_lengths *l = pool->lengths;
+
+	while (l && strcmp(l->service, b->request->service) != 0)
+		l = l->next;
+	return l;
+}
+
+/* Whether the length of a batch's tasks lets one more of them start. */
+static bool length_allows(const struct ph_pool *pool, const struct ph_batch *b,
+			  uint64_t now_us)
+{
+	const struct ph_lengths *l = lengths_of(pool, b);
+
+	return !l ||
+	       !ph_mechanism_on(pool->opt.off, PH_MECHANISM_LENGTH_LIMIT) ||
+	       ph_lengths_allows(l, now_us, b->request->estimate_us,
+				 b->request->need.cpu_milli);
+}
+
+/* Starts a task, and counts it among what tasks of its length hold. */
+static struct ph_run *start_task(struct ph_pool *pool, struct ph_executor *x,
+				 struct ph_batch *b, uint32_t index,
+				 uint64_t now_us)
+{
+	struct ph_lengths *l = lengths_of(pool, b);
+
+	if (l)
+		ph_lengths_hold(l, b->request->estimate_us,
+				b->request->need.cpu_milli);
+	return ph_run_start(pool, x, b, index, now_us);
+}
+
+/* A run that outlasts its declared time counts as what it has become. */
+static uint64_t run_length_us(const struct ph_run *run, uint64_t now_us)
+{
+	uint64_t elapsed_us = now_us - run->created_us;
+	uint64_t estimate_us = run->batch->request->estimate_us;
+
+	return elapsed_us > estimate_us ? elapsed_us : estimate_us;
+}
+
+/* Finds out what tasks of each length hold at the beginning of a round. */
+static void measure_lengths(struct ph_pool *pool, uint64_t now_us)
+{
+	const struct ph_executor *x;
+	const struct ph_run *run;
+	struct ph_lengths *l;
+
+	for (l = pool->lengths; l; l = l->next)
+		ph_lengths_begin(l, possible_milli(pool, l->service, now_us));
+	for (x = pool->executors; x; x = x->next) {
+		if (!ph_executor_usable(pool, x, now_us))
+			continue;
+		for (run = x->runs; run; run = run->next) {
+			l = run->batch ? lengths_of(pool, run->batch) : NULL;
+			if (l)
+				ph_lengths_hold(l, run_length_us(run, now_us),
+						run->need.cpu_milli);
+		}
+	}
+}
+
 /* Starts the waiting tasks of a batch that were on lost executors, alone, as
  * far as there are empty executors. Those that are not suspected start like
  * others if there is none. */
@@ -430,16 +523,18 @@
 		suspect = ph_crashes_find(pool->crashes, b->job_hash, i);
 		if (!suspect || !suspect->losses ||
 		    suspect->losses >= PH_LOSSES_MAX ||
+		    !length_allows(pool, b, now_us) ||
 		    !may_start(pool, b, i, now_us))
 			continue;
 		x = choose_empty(pool, b, suspect->suspected, now_us);
 		if (x)
-			ph_run_start(pool, x, b, i, now_us)->alone = true;
+			start_task(pool, x, b, i, now_us)->alone = true;
 	}
 }
 
-/* Starts the other waiting tasks of a batch until one finds no executor.
- * Returns false in this case. */
+/* Starts the other waiting tasks of a batch until one finds no executor, or
+ * tasks of their length hold as much as they may. Returns false in the first
+ * case. */
 static bool place_batch(struct ph_pool *pool, struct ph_batch *b,
 			uint64_t now_us)
 {
@@ -453,11 +548,13 @@
 		    (suspects &&
 		     ph_crashes_suspected(pool->crashes, b->job_hash, i)))
 			continue;
+		if (!length_allows(pool, b, now_us))
+			return true;
 		x = choose_executor(pool, b, now_us);
 		if (!x)
 			return false;
 		if (may_start(pool, b, i, now_us))
-			ph_run_start(pool, x, b, i, now_us);
+			start_task(pool, x, b, i, now_us);
 	}
 	return true;
 }
@@ -537,32 +634,6 @@
 	       need->gpu >= before->blocked->gpu;
 }
 
-/* True if the executor may turn out to be usable: this owner has sent its first
- * poll there and waits for the answer. */
-static bool first_poll_pending(const struct ph_pool *pool,
-			       const struct ph_executor *x)
-{
-	return ph_mechanism_on(pool->opt.off, PH_MECHANISM_PENDING_POLLS) &&
-	       x->listed && !x->polled && !x->poll_failures &&
-	       !x->info.draining;
-}
-
-/* Capacity of the service's executors that are usable, or may be as far as this
- * owner knows. */
-static uint64_t possible_milli(const struct ph_pool *pool, const char *service,
-			       uint64_t now_us)
-{
-	const struct ph_executor *x;
-	uint64_t sum = 0;
-
-	for (x = pool->executors; x; x = x->next)
-		if (!strcmp(x->info.service, service) &&
-		    (ph_executor_usable(pool, x, now_us) ||
-		     first_poll_pending(pool, x)))
-			sum += x->info.capacity.cpu_milli;
-	return sum;
-}
-
 /* Core time of the waiting tasks of a batch, and of those ahead of it. */
 static uint64_t core_time_up_to(const struct ph_batch *b)
 {
@@ -601,6 +672,8 @@
 	for (x = pool->executors; x; x = x->next)
 		x->held = false;
 	count = sort_waiting(pool, now_us);
+	if (count)
+		measure_lengths(pool, now_us);
 	for (i = 0; i < count; i++)
 		place_alone(pool, pool->waiting[i], now_us);
 	for (i = 0; i < count; i++)
--- /dev/null
+++ b/test/test_pool_lengths.cc
@@ -0,0 +1,148 @@
+/* How much tasks of different lengths may hold. */
+
+#include <cstring>
+
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "pool_lengths.h"
+}
+
+namespace
+{
+
+constexpr uint64_t kMs = 1000;
+constexpr uint64_t kSecond = 1000 * kMs;
+constexpr uint64_t kCapacity = 100000;
+
+/* Offers work of this many millicores, evenly, for 10 s until now_us. */
+void offer(ph_lengths *l, uint64_t now_us, uint64_t wait_us, uint64_t milli)
+{
+	constexpr uint64_t kEveryUs = 10 * kMs;
+
+	for (uint64_t us = now_us - 10 * kSecond; us < now_us; us += kEveryUs)
+		ph_lengths_offer(l, us, wait_us, milli * kEveryUs);
+}
+
+struct LimitCase {
+	const char *what;
+	/** Longest wait of the jobs that are offered, and what they take of the
+	 * capacity. */
+	uint64_t wait_us;
+	uint64_t offered_percent;
+	/** Length of the tasks whose limit is asked for. */
+	uint64_t length_us;
+	uint64_t limit_percent;
+};
+
+/* What is offered by jobs that can't outwait a task is kept free, and half as
+ * much again, but a quarter is never kept free. */
+TEST(Lengths, TheOffersOfJobsThatCannotWaitAreKeptFreeOfFarLongerTasks)
+{
+	const LimitCase cases[] = {
+		{ "nothing is offered", 400 * kMs, 0, 18 * kSecond, 100 },
+		{ "some is offered", 400 * kMs, 20, 18 * kSecond, 70 },
+		{ "much is offered", 400 * kMs, 70, 18 * kSecond, 25 },
+		{ "more than there is", 400 * kMs, 300, 18 * kSecond, 25 },
+		{ "the length of the others", 400 * kMs, 70, 200 * kMs, 100 },
+		{ "not much longer than they wait", 400 * kMs, 70, 900 * kMs,
+		  100 },
+		{ "they can wait", 20 * kSecond, 70, 18 * kSecond, 100 },
+	};
+
+	for (const LimitCase &c : cases) {
+		SCOPED_TRACE(c.what);
+		ph_lengths l = {};
+		uint64_t now_us = 20 * kSecond;
+
+		l.since_us = 10 * kSecond;
+		offer(&l, now_us, c.wait_us,
+		      kCapacity * c.offered_percent / 100);
+		ph_lengths_begin(&l, kCapacity);
+		EXPECT_NEAR(
+			(double)ph_lengths_limit_milli(&l, now_us, c.length_us),
+			kCapacity * (double)c.limit_percent / 100,
+			kCapacity * 0.02);
+	}
+}
+
+/* Shortly after a pool was acquired little has been offered yet, but that in
+ * little time. */
+TEST(Lengths, WorkCountsFromTheFirstOffersOn)
+{
+	ph_lengths l = {};
+	uint64_t now_us = 20 * kSecond;
+
+	offer(&l, now_us, 400 * kMs, kCapacity / 2);
+	memset(l.offers, 0, sizeof(l.offers));
+	l.since_us = now_us;
+	for (uint64_t us = now_us; us < now_us + 200 * kMs; us += 10 * kMs)
+		ph_lengths_offer(&l, us, 400 * kMs, kCapacity / 2 * 10 * kMs);
+	ph_lengths_begin(&l, kCapacity);
+	EXPECT_NEAR((double)ph_lengths_limit_milli(&l, now_us + 200 * kMs,
+						   18 * kSecond),
+		    kCapacity * 0.25, kCapacity * 0.02);
+}
+
+/* When the others have stopped coming, nothing is kept free for them. */
+TEST(Lengths, OldOffersAreForgotten)
+{
+	ph_lengths l = {};
+	uint64_t now_us = 20 * kSecond;
+
+	offer(&l, now_us, 400 * kMs, kCapacity);
+	ph_lengths_begin(&l, kCapacity);
+	EXPECT_EQ(
+		ph_lengths_limit_milli(&l, now_us + 5 * kSecond, 18 * kSecond),
+		kCapacity);
+}
+
+struct AllowCase {
+	const char *what;
+	/** Length of the tasks that run, and what they hold. */
+	uint64_t held_length_us;
+	uint64_t held_percent;
+	bool allowed;
+};
+
+/* A task of 18 s that needs a tenth, beside others that leave a quarter. */
+TEST(Lengths, TasksOfComparableLengthShareOnePart)
+{
+	const AllowCase cases[] = {
+		{ "nothing runs", 18 * kSecond, 0, true },
+		{ "tasks as long hold little", 18 * kSecond, 15, true },
+		{ "tasks as long hold much", 18 * kSecond, 16, false },
+		{ "so do longer ones", 300 * kSecond, 16, false },
+		{ "so do comparable ones", 6 * kSecond, 16, false },
+		{ "much shorter ones hold all", 900 * kMs, 90, true },
+	};
+
+	for (const AllowCase &c : cases) {
+		SCOPED_TRACE(c.what);
+		ph_lengths l = {};
+		uint64_t now_us = 20 * kSecond;
+
+		offer(&l, now_us, 400 * kMs, kCapacity);
+		ph_lengths_begin(&l, kCapacity);
+		ph_lengths_hold(&l, c.held_length_us,
+				kCapacity * c.held_percent / 100);
+		EXPECT_EQ(ph_lengths_allows(&l, now_us, 18 * kSecond,
+					    kCapacity / 10),
+			  c.allowed);
+	}
+}
+
+/* A task that needs more than its part may run by itself. */
+TEST(Lengths, OneTaskMayAlwaysRun)
+{
+	ph_lengths l = {};
+	uint64_t now_us = 20 * kSecond;
+
+	offer(&l, now_us, 400 * kMs, kCapacity);
+	ph_lengths_begin(&l, kCapacity);
+	EXPECT_TRUE(ph_lengths_allows(&l, now_us, 18 * kSecond, kCapacity));
+	ph_lengths_hold(&l, 18 * kSecond, kCapacity);
+	EXPECT_FALSE(ph_lengths_allows(&l, now_us, 18 * kSecond, 1));
+}
+
+} // namespace
