--- a/src/pool_lengths.c
+++ b/src/pool_lengths.c
@@ -3,24 +3,23 @@
 #include "pool_lengths.h"
 
 /* Duration of a part of the time for which offered work is remembered. */
-#define SLOT_US 500000U
+#define SLOT_US 2000000U
 /* Shortest time by which the offered work is divided: a few jobs right after
  * the start say little. */
 #define SPAN_MIN_US 100000U
-/* A task is far longer than a job can wait if it is so by at least this many
- * octaves, and comparable to another one if it is shorter by at most as many.
- */
-#define FAR_OCTAVES 2U
+/* A task is far longer than a job can wait if more than this many octaves lie
+ * between them. */
+#define FAR_OCTAVES 1U
 /* Capacity that is kept free, in percent of what is offered on average: jobs
  * arrive unevenly, need room for several tasks at a time, and don't fill
  * executors exactly. */
-#define KEPT_PERCENT 150U
+#define KEPT_PERCENT 200U
 /* Part of the capacity that tasks may always hold, however much is offered by
  * jobs that can't outwait them. */
 #define PART_PERCENT 25U
 #define PERCENT 100U
 
-static uint32_t octave(uint64_t us)
+uint32_t ph_lengths_octave(uint64_t us)
 {
 	uint32_t n = 0;
 
@@ -29,6 +28,13 @@
 	return n < PH_LENGTH_OCTAVES ? n : PH_LENGTH_OCTAVES - 1;
 }
 
+uint32_t ph_lengths_far_octave(uint64_t longest_wait_us)
+{
+	uint32_t far = ph_lengths_octave(longest_wait_us) + FAR_OCTAVES + 1;
+
+	return far < PH_LENGTH_OCTAVES ? far : PH_LENGTH_OCTAVES;
+}
+
 void ph_lengths_offer(struct ph_lengths *l, uint64_t now_us,
 		      uint64_t longest_wait_us, uint64_t milli_us)
 {
@@ -39,7 +45,7 @@
 		memset(slot, 0, sizeof(*slot));
 		slot->number = number;
 	}
-	slot->milli_us[octave(longest_wait_us)] += milli_us;
+	slot->milli_us[ph_lengths_octave(longest_wait_us)] += milli_us;
 }
 
 /* Core time per time that jobs offer whose longest wait is below an octave, in
@@ -71,31 +77,40 @@
 
 void ph_lengths_hold(struct ph_lengths *l, uint64_t length_us, uint64_t milli)
 {
-	l->held_milli[octave(length_us)] += milli;
+	l->held_milli[ph_lengths_octave(length_us)] += milli;
 }
 
-uint64_t ph_lengths_limit_milli(const struct ph_lengths *l, uint64_t now_us,
-				uint64_t length_us)
+/* Most that tasks from an octave on may hold in all. */
+static uint64_t limit_milli(const struct ph_lengths *l, uint64_t now_us,
+			    uint32_t from)
 {
-	uint32_t length = octave(length_us);
 	uint64_t most = l->capacity_milli * (PERCENT - PART_PERCENT) / PERCENT;
 	uint64_t kept = 0;
 
-	if (length > FAR_OCTAVES)
-		kept = offered_milli(l, now_us, length - FAR_OCTAVES) *
+	if (from > FAR_OCTAVES)
+		kept = offered_milli(l, now_us, from - FAR_OCTAVES) *
 		       KEPT_PERCENT / PERCENT;
 	return l->capacity_milli - (kept < most ? kept : most);
 }
 
+uint64_t ph_lengths_limit_milli(const struct ph_lengths *l, uint64_t now_us,
+				uint64_t length_us)
+{
+	return limit_milli(l, now_us, ph_lengths_octave(length_us));
+}
+
 bool ph_lengths_allows(const struct ph_lengths *l, uint64_t now_us,
 		       uint64_t length_us, uint64_t milli)
 {
-	uint32_t length = octave(length_us);
+	uint32_t length = ph_lengths_octave(length_us);
 	uint64_t held = 0;
-	uint32_t k = length > FAR_OCTAVES ? length - FAR_OCTAVES : 0;
+	uint32_t k = PH_LENGTH_OCTAVES;
 
-	for (; k < PH_LENGTH_OCTAVES; k++)
+	while (k--) {
 		held += l->held_milli[k];
-	return !held ||
-	       held + milli <= ph_lengths_limit_milli(l, now_us, length_us);
+		if (k <= length && held &&
+		    held + milli > limit_milli(l, now_us, k))
+			return false;
+	}
+	return true;
 }
--- a/src/pool_lengths.h
+++ b/src/pool_lengths.h
@@ -44,6 +44,12 @@
 	uint64_t held_milli[PH_LENGTH_OCTAVES];
 };
 
+/** The octave of a length or wait. */
+uint32_t ph_lengths_octave(uint64_t us);
+/** The first octave of lengths that are far longer than a wait: tasks of these
+ * are to leave capacity free for jobs that can wait for no longer. */
+uint32_t ph_lengths_far_octave(uint64_t longest_wait_us);
+
 /** Counts the work of a job that can wait for this long. */
 void ph_lengths_offer(struct ph_lengths *lengths, uint64_t now_us,
 		      uint64_t longest_wait_us, uint64_t milli_us);
@@ -55,11 +61,13 @@
 void ph_lengths_hold(struct ph_lengths *lengths, uint64_t length_us,
 		     uint64_t milli);
 
-/** Most that tasks of a length and comparable or longer ones may hold in all,
- * in thousandths of a core. */
+/** Most that tasks of a length and longer ones may hold in all, in thousandths
+ * of a core. */
 uint64_t ph_lengths_limit_milli(const struct ph_lengths *lengths,
 				uint64_t now_us, uint64_t length_us);
-/** Whether one more task may be started. One may always run. */
+/** Whether one more task may be started: neither the tasks of its length and
+ * longer ones, nor those from any shorter length on, would hold more than they
+ * may. One may always run. */
 bool ph_lengths_allows(const struct ph_lengths *lengths, uint64_t now_us,
 		       uint64_t length_us, uint64_t milli);
 
--- a/test/test_pool_lengths.cc
+++ b/test/test_pool_lengths.cc
@@ -35,15 +35,16 @@
 	uint64_t limit_percent;
 };
 
-/* What is offered by jobs that can't outwait a task is kept free, and half as
- * much again, but a quarter is never kept free. */
+/* What is offered by jobs that can't outwait a task is kept free, and as much
+ * again, but a quarter is never kept free. */
 TEST(Lengths, TheOffersOfJobsThatCannotWaitAreKeptFreeOfFarLongerTasks)
 {
 	const LimitCase cases[] = {
 		{ "nothing is offered", 400 * kMs, 0, 18 * kSecond, 100 },
-		{ "some is offered", 400 * kMs, 20, 18 * kSecond, 70 },
+		{ "some is offered", 400 * kMs, 20, 18 * kSecond, 60 },
 		{ "much is offered", 400 * kMs, 70, 18 * kSecond, 25 },
 		{ "more than there is", 400 * kMs, 300, 18 * kSecond, 25 },
+		{ "it also binds shorter ones", 400 * kMs, 20, 1100 * kMs, 60 },
 		{ "the length of the others", 400 * kMs, 70, 200 * kMs, 100 },
 		{ "not much longer than they wait", 400 * kMs, 70, 900 * kMs,
 		  100 },
@@ -93,7 +94,7 @@
 	offer(&l, now_us, 400 * kMs, kCapacity);
 	ph_lengths_begin(&l, kCapacity);
 	EXPECT_EQ(
-		ph_lengths_limit_milli(&l, now_us + 5 * kSecond, 18 * kSecond),
+		ph_lengths_limit_milli(&l, now_us + 16 * kSecond, 18 * kSecond),
 		kCapacity);
 }
 
@@ -106,15 +107,17 @@
 };
 
 /* A task of 18 s that needs a tenth, beside others that leave a quarter. */
-TEST(Lengths, TasksOfComparableLengthShareOnePart)
+TEST(Lengths, TasksThatOthersCannotOutwaitShareOnePart)
 {
 	const AllowCase cases[] = {
 		{ "nothing runs", 18 * kSecond, 0, true },
 		{ "tasks as long hold little", 18 * kSecond, 15, true },
 		{ "tasks as long hold much", 18 * kSecond, 16, false },
 		{ "so do longer ones", 300 * kSecond, 16, false },
-		{ "so do comparable ones", 6 * kSecond, 16, false },
-		{ "much shorter ones hold all", 900 * kMs, 90, true },
+		{ "so do shorter ones that are far longer, too", 6 * kSecond,
+		  16, false },
+		{ "tasks that others can outwait hold all", 900 * kMs, 90,
+		  true },
 	};
 
 	for (const AllowCase &c : cases) {
