Work that leaves capacity free for a batch doesn't count as ahead of it

What callers saw: short jobs are refused within 30 ms, as the core time of the waiting long ones ahead of them is shared by all executors. These are not to hold the capacity that is kept free for the short ones. Waiting batches that need executors of one kind form a line, which sums their core time by octaves of length, in place of a chain of sums.

--- a/src/pool.c
+++ b/src/pool.c
@@ -78,22 +78,33 @@
 	}
 }
 
-static struct ph_lengths *lengths_of(struct ph_pool *pool, const char *service,
-				     uint64_t now_us)
-{
-	struct ph_lengths *l;
-
-	for (l = pool->lengths; l; l = l->next)
-		if (!strcmp(l->service, service))
-			return l;
-	l = pool->mem->calloc(1, sizeof(*l));
-	ph_strcopy(l->service, sizeof(l->service), service);
-	l->since_us = now_us;
-	l->next = pool->lengths;
-	pool->lengths = l;
+struct ph_lengths *ph_lengths_of(const struct ph_pool *pool,
+				 const char *service)
+{
+	struct ph_lengths *l = pool->lengths;
+
+	while (l && strcmp(l->service, service) != 0)
+		l = l->next;
 	return l;
 }
 
+static void count_offer(struct ph_pool *pool, const struct ph_batch *b,
+			uint64_t now_us)
+{
+	const char *service = b->request->service;
+	struct ph_lengths *l = ph_lengths_of(pool, service);
+
+	if (!l) {
+		l = pool->mem->calloc(1, sizeof(*l));
+		ph_strcopy(l->service, sizeof(l->service), service);
+		l->since_us = now_us;
+		l->next = pool->lengths;
+		pool->lengths = l;
+	}
+	ph_lengths_offer(l, now_us, ph_batch_longest_wait_us(pool, b),
+			 ph_batch_core_time(b));
+}
+
 void ph_pool_free(struct ph_pool *pool)
 {
 	if (!pool)
@@ -379,8 +390,7 @@
 
 /* ## Admission */
 
-/* Declared core time of a batch's waiting tasks. */
-static uint64_t core_time(const struct ph_batch *b)
+uint64_t ph_batch_core_time(const struct ph_batch *b)
 {
 	return (uint64_t)b->waiting * b->request->need.cpu_milli *
 	       b->request->estimate_us;
@@ -392,7 +402,7 @@
 	uint64_t sum = 0;
 
 	for (b = pool->batches; b; b = b->next)
-		sum += core_time(b);
+		sum += ph_batch_core_time(b);
 	return sum;
 }
 
@@ -615,8 +625,7 @@
 		batch_remove(pool, b, now_us);
 		return;
 	}
-	ph_lengths_offer(lengths_of(pool, request->service, now_us), now_us,
-			 ph_batch_longest_wait_us(pool, b), core_time(b));
+	count_offer(pool, b, now_us);
 	if (!request->resumed)
 		return;
 	ph_event(PART,
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -75,12 +75,9 @@
 	bool owner_suspected;
 	/** When this owner last started a task of it; 0: it has not. */
 	uint64_t last_started_us;
-	/** What a task needed that found no executor in the last placement
-	 * round, this batch's or one's before it that needs the same
-	 * executors; NULL: all found one. Valid during the round. */
-	const struct ph_capacity *blocked;
 	/** Core time, in millicore-microseconds, of waiting tasks that need the
-	 * same executors and precede this batch; as of the last round. */
+	 * same executors and precede this batch, but for those that are to keep
+	 * capacity free for it; as of the last round. */
 	uint64_t ahead_milli_us;
 	/** Capacity of the service's executors that may start these tasks, in
 	 * thousandths of a core; set only if ahead_milli_us isn't 0. */
@@ -169,6 +166,20 @@
 	uint64_t sent_us;
 };
 
+/** In a placement round, what has been found out about batches that need
+ * executors of one kind. */
+struct ph_line {
+	struct ph_line *next;
+	const char *service;
+	const char *label;
+	/** What the last task needed that found no executor; NULL: all found
+	 * one. */
+	const struct ph_capacity *blocked;
+	/** Core time of tasks that still wait, in millicore-microseconds, by
+	 * the octave of their length. */
+	uint64_t waiting_milli_us[PH_LENGTH_OCTAVES];
+};
+
 struct ph_executor {
 	struct ph_executor *next;
 	struct ph_executor_info info;
@@ -281,6 +292,8 @@
 	 * tasks, and its size in entries. */
 	struct ph_batch **waiting;
 	size_t waiting_size;
+	/** Valid during a placement round. */
+	struct ph_line *lines;
 	struct ph_pending_command *calls;
 	/** What jobs of different lengths may hold, for each service of which
 	 * a batch has come since the pool was acquired. */
@@ -337,6 +350,12 @@
  * of the timeout after which another pool should be tried. */
 uint64_t ph_batch_longest_wait_us(const struct ph_pool *pool,
 				  const struct ph_batch *batch);
+/** Declared core time of a batch's waiting tasks, in millicore-microseconds. */
+uint64_t ph_batch_core_time(const struct ph_batch *batch);
+/** What jobs of different lengths may hold of a service's executors; a batch
+ * for it has to have come since the pool was acquired. */
+struct ph_lengths *ph_lengths_of(const struct ph_pool *pool,
+				 const char *service);
 /** Counts a failed attempt; the batch fails and is freed if the task has none
  * left, else the task waits again. */
 void ph_batch_task_failed(struct ph_pool *pool, struct ph_batch *batch,
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -439,24 +439,13 @@
 
 /* ## Jobs of different lengths */
 
-static struct ph_lengths *lengths_of(const struct ph_pool *pool,
-				     const struct ph_batch *b)
-{
-	struct ph_lengths *l = pool->lengths;
-
-	while (l && strcmp(l->service, b->request->service) != 0)
-		l = l->next;
-	return l;
-}
-
 /* Whether the length of a batch's tasks lets one more of them start. */
 static bool length_allows(const struct ph_pool *pool, const struct ph_batch *b,
 			  uint64_t now_us)
 {
-	const struct ph_lengths *l = lengths_of(pool, b);
+	const struct ph_lengths *l = ph_lengths_of(pool, b->request->service);
 
-	return !l ||
-	       !ph_mechanism_on(pool->opt.off, PH_MECHANISM_LENGTH_LIMIT) ||
+	return !ph_mechanism_on(pool->opt.off, PH_MECHANISM_LENGTH_LIMIT) ||
 	       ph_lengths_allows(l, now_us, b->request->estimate_us,
 				 b->request->need.cpu_milli);
 }
@@ -466,11 +455,8 @@
 				 struct ph_batch *b, uint32_t index,
 				 uint64_t now_us)
 {
-	struct ph_lengths *l = lengths_of(pool, b);
-
-	if (l)
-		ph_lengths_hold(l, b->request->estimate_us,
-				b->request->need.cpu_milli);
+	ph_lengths_hold(ph_lengths_of(pool, b->request->service),
+			b->request->estimate_us, b->request->need.cpu_milli);
 	return ph_run_start(pool, x, b, index, now_us);
 }
 
@@ -496,10 +482,11 @@
 		if (!ph_executor_usable(pool, x, now_us))
 			continue;
 		for (run = x->runs; run; run = run->next) {
-			l = run->batch ? lengths_of(pool, run->batch) : NULL;
-			if (l)
-				ph_lengths_hold(l, run_length_us(run, now_us),
-						run->need.cpu_milli);
+			if (!run->batch)
+				continue;
+			l = ph_lengths_of(pool, run->batch->request->service);
+			ph_lengths_hold(l, run_length_us(run, now_us),
+					run->need.cpu_milli);
 		}
 	}
 }
@@ -602,61 +589,68 @@
 	return n;
 }
 
-/* Whether two batches need executors of the same kind. */
-static bool same_executors(const struct ph_batch_request *a,
-			   const struct ph_batch_request *b)
+/* The line of a batch. */
+static struct ph_line *line_of(struct ph_pool *pool, const struct ph_batch *b)
 {
-	return !strcmp(a->service, b->service) && !strcmp(a->label, b->label);
+	struct ph_line *line;
+
+	for (line = pool->lines; line; line = line->next)
+		if (!strcmp(line->service, b->request->service) &&
+		    !strcmp(line->label, b->request->label))
+			return line;
+	line = pool->mem->calloc(1, sizeof(*line));
+	line->service = b->request->service;
+	line->label = b->request->label;
+	line->next = pool->lines;
+	pool->lines = line;
+	return line;
 }
 
-/* The last batch before index i in the order that needs the same executors;
- * NULL if there is none. */
-static const struct ph_batch *predecessor(const struct ph_pool *pool, size_t i)
+static void free_lines(struct ph_pool *pool)
 {
-	const struct ph_batch_request *w = pool->waiting[i]->request;
-	size_t k = i;
+	while (pool->lines) {
+		struct ph_line *line = pool->lines;
 
-	while (k--)
-		if (same_executors(pool->waiting[k]->request, w))
-			return pool->waiting[k];
-	return NULL;
+		pool->lines = line->next;
+		pool->mem->free(line);
+	}
 }
 
 /* Whether a batch finds no executor, since one that precedes it and needs no
  * more has found none. */
-static bool blocked(const struct ph_batch *b, const struct ph_batch *before)
+static bool blocked(const struct ph_batch *b, const struct ph_line *line)
 {
 	const struct ph_capacity *need = &b->request->need;
 
-	return before && before->blocked &&
-	       need->cpu_milli >= before->blocked->cpu_milli &&
-	       need->mem_mb >= before->blocked->mem_mb &&
-	       need->gpu >= before->blocked->gpu;
-}
-
-/* Core time of the waiting tasks of a batch, and of those ahead of it. */
-static uint64_t core_time_up_to(const struct ph_batch *b)
-{
-	return b->ahead_milli_us + (uint64_t)b->waiting *
-					   b->request->need.cpu_milli *
-					   b->request->estimate_us;
+	return line->blocked && need->cpu_milli >= line->blocked->cpu_milli &&
+	       need->mem_mb >= line->blocked->mem_mb &&
+	       need->gpu >= line->blocked->gpu;
 }
 
-/* Places the batch at index i in the order, and notes what is ahead of it.
- * Tasks for other executors are not: they need not delay it. */
-static void place_in_turn(struct ph_pool *pool, size_t i, uint64_t now_us)
+/* Places a batch, and notes what is ahead of it. Tasks for other executors are
+ * not: they need not delay it. Nor are tasks of which what it needs is kept
+ * free. */
+static void place_in_turn(struct ph_pool *pool, struct ph_batch *b,
+			  uint64_t now_us)
 {
-	struct ph_batch *b = pool->waiting[i];
-	const struct ph_batch *before = predecessor(pool, i);
-
-	b->blocked = before ? before->blocked : NULL;
-	if (!blocked(b, before) && !place_batch(pool, b, now_us))
-		b->blocked = &b->request->need;
-	b->ahead_milli_us = before ? core_time_up_to(before) : 0;
-	b->possible_milli = before ? before->possible_milli : 0;
-	if (b->ahead_milli_us && !b->possible_milli)
-		b->possible_milli =
-			possible_milli(pool, b->request->service, now_us);
+	struct ph_line *line = line_of(pool, b);
+	uint32_t octaves = PH_LENGTH_OCTAVES;
+	uint32_t k;
+
+	if (!blocked(b, line) && !place_batch(pool, b, now_us))
+		line->blocked = &b->request->need;
+	if (ph_mechanism_on(pool->opt.off, PH_MECHANISM_LENGTH_LIMIT))
+		octaves = ph_lengths_far_octave(
+			ph_batch_longest_wait_us(pool, b));
+	b->ahead_milli_us = 0;
+	for (k = 0; k < octaves; k++)
+		b->ahead_milli_us += line->waiting_milli_us[k];
+	b->possible_milli = b->ahead_milli_us
+				    ? ph_lengths_of(pool, b->request->service)
+					      ->capacity_milli
+				    : 0;
+	line->waiting_milli_us[ph_lengths_octave(b->request->estimate_us)] +=
+		ph_batch_core_time(b);
 }
 
 void ph_pool_place(struct ph_pool *pool, uint64_t now_us)
@@ -677,7 +671,8 @@
 	for (i = 0; i < count; i++)
 		place_alone(pool, pool->waiting[i], now_us);
 	for (i = 0; i < count; i++)
-		place_in_turn(pool, i, now_us);
+		place_in_turn(pool, pool->waiting[i], now_us);
+	free_lines(pool);
 	pool->dirty = false;
 	pool->placed_us = now_us;
 }
