A run that is on schedule ends the trial of an executor after a failure

What callers saw: refusals while executors stand half empty. After a failure an executor gets one run at a time until one succeeds; with a task of 18 s on it that takes as long, and any task may fail.

--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -505,6 +505,9 @@
 
 /** When the progress of a batch's run should be looked at next. */
 uint64_t ph_progress_check_us(const struct ph_run *run, uint64_t now_us);
+/** Whether a run is likely to end about when its declared time says, by the
+ * progress that the last poll has reported. */
+bool ph_progress_on_schedule(const struct ph_run *run);
 /** Whether the task of a batch's run would end much sooner on another executor,
  * by the progress that was last reported. */
 bool ph_progress_worth_move(const struct ph_pool *pool,
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -292,10 +292,18 @@
 	       !set_aside(x) && !ph_executor_has_unclaimed(x);
 }
 
-/* After a failure an executor gets one run at a time until one succeeds. */
+/* After a failure an executor gets one run at a time until one succeeds, or is
+ * on schedule: a long one would else keep it half empty. */
 static bool on_trial(const struct ph_pool *pool, const struct ph_executor *x)
 {
-	return failures(pool, x) && x->runs;
+	const struct ph_run *run;
+
+	if (!failures(pool, x))
+		return false;
+	for (run = x->runs; run; run = run->next)
+		if (!ph_progress_on_schedule(run))
+			return true;
+	return false;
 }
 
 static struct ph_executor *choose_executor(struct ph_pool *pool,
--- a/src/pool_progress.c
+++ b/src/pool_progress.c
@@ -17,6 +17,9 @@
 /* Shortest time of a run, in percent of the declared one, after which its
  * progress says something. */
 #define MIN_ELAPSED_PERCENT 50U
+/* A run is on schedule if, as it goes on, it takes at most this many times as
+ * long as declared: declared times are rough. */
+#define SCHEDULE_FACTOR 2U
 #define PERCENT 100U
 
 uint64_t ph_progress_check_us(const struct ph_run *run, uint64_t now_us)
@@ -30,6 +33,18 @@
 	       CHECK_EXTRA_US;
 }
 
+bool ph_progress_on_schedule(const struct ph_run *run)
+{
+	const struct ph_executor *x = run->executor;
+	uint64_t elapsed_us = x->poll_ok_us > run->created_us
+				      ? x->poll_ok_us - run->created_us
+				      : 0;
+
+	return run->batch && run->state == PH_RUN_RUNNING && run->percent &&
+	       elapsed_us * PERCENT <= run->batch->request->estimate_us *
+					       run->percent * SCHEDULE_FACTOR;
+}
+
 bool ph_progress_worth_move(const struct ph_pool *pool,
 			    const struct ph_run *run, uint64_t now_us)
 {
