--- a/src/pool_lengths.c
+++ b/src/pool_lengths.c
@@ -16,7 +16,7 @@
 #define KEPT_PERCENT 200U
 /* Part of the capacity that tasks may always hold, however much is offered by
  * jobs that can't outwait them. */
-#define PART_PERCENT 25U
+#define PART_PERCENT 12U
 #define PERCENT 100U
 
 uint32_t ph_lengths_octave(uint64_t us)
--- a/test/test_pool_lengths.cc
+++ b/test/test_pool_lengths.cc
@@ -36,14 +36,14 @@
 };
 
 /* What is offered by jobs that can't outwait a task is kept free, and as much
- * again, but a quarter is never kept free. */
+ * again, but an eighth is never kept free. */
 TEST(Lengths, TheOffersOfJobsThatCannotWaitAreKeptFreeOfFarLongerTasks)
 {
 	const LimitCase cases[] = {
 		{ "nothing is offered", 400 * kMs, 0, 18 * kSecond, 100 },
 		{ "some is offered", 400 * kMs, 20, 18 * kSecond, 60 },
-		{ "much is offered", 400 * kMs, 70, 18 * kSecond, 25 },
-		{ "more than there is", 400 * kMs, 300, 18 * kSecond, 25 },
+		{ "much is offered", 400 * kMs, 70, 18 * kSecond, 12 },
+		{ "more than there is", 400 * kMs, 300, 18 * kSecond, 12 },
 		{ "it also binds shorter ones", 400 * kMs, 20, 1100 * kMs, 60 },
 		{ "the length of the others", 400 * kMs, 70, 200 * kMs, 100 },
 		{ "not much longer than they wait", 400 * kMs, 70, 900 * kMs,
@@ -82,7 +82,7 @@
 	ph_lengths_begin(&l, kCapacity);
 	EXPECT_NEAR((double)ph_lengths_limit_milli(&l, now_us + 200 * kMs,
 						   18 * kSecond),
-		    kCapacity * 0.25, kCapacity * 0.02);
+		    kCapacity * 0.12, kCapacity * 0.02);
 }
 
 /* When the others have stopped coming, nothing is kept free for them. */
@@ -106,16 +106,16 @@
 	bool allowed;
 };
 
-/* A task of 18 s that needs a tenth, beside others that leave a quarter. */
+/* A task of 18 s that needs a tenth, beside others that leave an eighth. */
 TEST(Lengths, TasksThatOthersCannotOutwaitShareOnePart)
 {
 	const AllowCase cases[] = {
 		{ "nothing runs", 18 * kSecond, 0, true },
-		{ "tasks as long hold little", 18 * kSecond, 15, true },
-		{ "tasks as long hold much", 18 * kSecond, 16, false },
-		{ "so do longer ones", 300 * kSecond, 16, false },
-		{ "so do shorter ones that are far longer, too", 6 * kSecond,
-		  16, false },
+		{ "tasks as long hold little", 18 * kSecond, 2, true },
+		{ "tasks as long hold much", 18 * kSecond, 3, false },
+		{ "so do longer ones", 300 * kSecond, 3, false },
+		{ "so do shorter ones that are far longer, too", 6 * kSecond, 3,
+		  false },
 		{ "tasks that others can outwait hold all", 900 * kMs, 90,
 		  true },
 	};
