Batches that are held back by their length don't count as backlog

What callers saw: refusals while other pools have room. Instances choose a pool by its backlog, in which one long job that waits for its part counts as much as hundreds of short ones, so that all short ones go to the pool with the fewest long ones.

--- a/src/pool.c
+++ b/src/pool.c
@@ -396,13 +396,14 @@
 	       b->request->estimate_us;
 }
 
+/* Core time of the waiting tasks that may delay others. */
 static uint64_t backlog_milli_us(const struct ph_pool *pool)
 {
 	const struct ph_batch *b;
 	uint64_t sum = 0;
 
 	for (b = pool->batches; b; b = b->next)
-		sum += ph_batch_core_time(b);
+		sum += b->held_back ? 0 : ph_batch_core_time(b);
 	return sum;
 }
 
--- a/src/pool.h
+++ b/src/pool.h
@@ -161,7 +161,9 @@
 	uint32_t usable;
 	uint32_t capacity_milli;
 	uint32_t free_milli;
-	/** Estimated core time of waiting tasks, in millicore-microseconds. */
+	/** Estimated core time of waiting tasks, in millicore-microseconds, but
+	 * for those that are held back by their length: they delay no others.
+	 */
 	uint64_t backlog_milli_us;
 	uint32_t batches;
 };
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -79,6 +79,9 @@
 	 * same executors and precede this batch, but for those that are to keep
 	 * capacity free for it; as of the last round. */
 	uint64_t ahead_milli_us;
+	/** In the last round its tasks were held back by their length: they
+	 * don't delay others. */
+	bool held_back;
 	/** Capacity of the service's executors that may start these tasks, in
 	 * thousandths of a core; set only if ahead_milli_us isn't 0. */
 	uint64_t possible_milli;
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -536,6 +536,7 @@
 	bool suspects = ph_crashes_has_job(pool->crashes, b->job_hash);
 	uint32_t i;
 
+	b->held_back = false;
 	for (i = 0; i < b->request->count && b->waiting; i++) {
 		struct ph_executor *x;
 
@@ -543,7 +544,8 @@
 		    (suspects &&
 		     ph_crashes_suspected(pool->crashes, b->job_hash, i)))
 			continue;
-		if (!length_allows(pool, b, now_us))
+		b->held_back = !length_allows(pool, b, now_us);
+		if (b->held_back)
 			return true;
 		x = choose_executor(pool, b, now_us);
 		if (!x)
--- a/test/test_job_lengths.cc
+++ b/test/test_job_lengths.cc
@@ -8,6 +8,7 @@
 {
 
 using namespace job_mix;
+using namespace world;
 
 /** Longer jobs beside those of usual length. */
 struct LengthCase {
@@ -50,4 +51,84 @@
 	}
 }
 
+/* ## One pool of eight places */
+
+constexpr uint64_t kShort = 200 * kMs;
+constexpr uint64_t kShortTarget = 380 * kMs;
+constexpr uint64_t kLong = 18000 * kMs;
+
+/* Submits four jobs of one short task each 150 ms for this long: two thirds of
+ * eight places. Returns the batches. */
+std::vector<uint64_t> offer_short_jobs(World *w, Owner *o, uint64_t for_us)
+{
+	std::vector<uint64_t> seqs;
+
+	for (uint64_t end = w->now_us + for_us; w->now_us < end;
+	     w->run_until(w->now_us + 150 * kMs))
+		for (int i = 0; i < 4; i++)
+			seqs.push_back(w->submit(
+				o, "s" + std::to_string(w->now_us + i), 1,
+				kShort, kShort, kShortTarget, 2500 * kMs));
+	return seqs;
+}
+
+/* Submits jobs of four long tasks. */
+void submit_long_jobs(World *w, Owner *o, int count)
+{
+	for (int i = 0; i < count; i++)
+		w->submit(o, "l" + std::to_string(i), 4, kLong, kLong,
+			  30000 * kMs, 75000 * kMs);
+}
+
+/* Long jobs wait for their part of the pool: short ones that find no room at
+ * once must not be refused for the core time of those. */
+TEST(JobLengths, ShortJobsAreNotRefusedForTheWorkOfLongOnesThatAreHeldBack)
+{
+	World w(4, 16000);
+	Owner *o = ready_owner(&w);
+	std::vector<uint64_t> seqs;
+
+	offer_short_jobs(&w, o, 3000 * kMs);
+	submit_long_jobs(&w, o, 5);
+	seqs = offer_short_jobs(&w, o, 3000 * kMs);
+	w.run_until(w.now_us + 2000 * kMs);
+	for (uint64_t seq : seqs)
+		EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+}
+
+/* Other instances choose a pool by its backlog. Long jobs that wait for their
+ * part must not drive short ones to other pools. */
+TEST(JobLengths, WhatIsHeldBackDoesNotCountAsBacklog)
+{
+	World w(4, 16000);
+	Owner *o = ready_owner(&w);
+	ph_pool_load load;
+
+	offer_short_jobs(&w, o, 3000 * kMs);
+	submit_long_jobs(&w, o, 5);
+	w.run_until(w.now_us + 500 * kMs);
+	ph_pool_measure(o->pool, w.now_us, &load);
+	EXPECT_EQ(load.backlog_milli_us, 0U);
+	EXPECT_EQ(load.batches, 5U);
+}
+
+/* A task failed on an executor beside a long run. The executor must not stand
+ * half empty until that run ends. */
+TEST(JobLengths, ALongRunOnScheduleEndsTheTrialOfAnExecutor)
+{
+	World w(1, 16000);
+	Owner *o = ready_owner(&w);
+	uint64_t seq;
+
+	w.submit(o, "long", 1, kLong, kLong, 30000 * kMs, 75000 * kMs);
+	w.run_until(w.now_us + 500 * kMs);
+	w.executors[0].fails_all = true;
+	seq = w.submit(o, "fails", 1, kShort, kShort, kShortTarget, 2500 * kMs);
+	w.run_until(w.now_us + 30 * kMs);
+	w.executors[0].fails_all = false;
+	w.run_until(w.now_us + 5000 * kMs);
+	EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+	EXPECT_EQ(w.executors[0].running.size(), 1U);
+}
+
 } // namespace
