Long jobs that their part of a pool can't serve in time are refused at once

What callers saw: long jobs are held for tens of seconds and then refused. Their least wait was counted as if they had all executors to themselves. It is now also that of their part: what is left of the tasks that run in it, what precedes the batch, and its own tasks but the last, shared by what tasks from each length on may hold. That time is their Retry-After, too (8 s at most, as before).

--- a/src/pool.c
+++ b/src/pool.c
@@ -415,14 +415,19 @@
 }
 
 /* Time after which a batch that is refused now is likely to find capacity. */
-static uint64_t retry_after_us(const struct ph_pool *pool, uint64_t now_us)
+static uint64_t retry_after_us(const struct ph_pool *pool,
+			       const struct ph_batch *b, uint64_t now_us)
 {
 	struct ph_pool_load load;
+	uint64_t wait_us;
 
 	ph_pool_measure(pool, now_us, &load);
 	if (!load.capacity_milli)
 		return clamp_retry(US_PER_S);
-	return clamp_retry(load.backlog_milli_us / load.capacity_milli);
+	wait_us = load.backlog_milli_us / load.capacity_milli;
+	if (b->part_wait_us > wait_us)
+		wait_us = b->part_wait_us;
+	return clamp_retry(wait_us);
 }
 
 uint64_t ph_batch_longest_wait_us(const struct ph_pool *pool,
@@ -442,17 +447,19 @@
 	return wait_us;
 }
 
-/* Lower bound of the time until the tasks ahead of a batch have been started:
- * assumes that all executors that may be usable run only these, faster than
- * declared. */
+/* Lower bound of a batch's wait. For the tasks ahead of it, it assumes that all
+ * executors that may be usable run only these, faster than declared. */
 static uint64_t min_wait_us(const struct ph_pool *pool,
 			    const struct ph_batch *b)
 {
-	if (!b->possible_milli ||
-	    !ph_mechanism_on(pool->opt.off, PH_MECHANISM_EARLY_REFUSAL))
+	uint64_t wait_us = b->part_wait_us;
+
+	if (!ph_mechanism_on(pool->opt.off, PH_MECHANISM_EARLY_REFUSAL))
 		return 0;
-	return b->ahead_milli_us * MIN_RUN_TIME_PERCENT / 100 /
-	       b->possible_milli;
+	if (b->possible_milli &&
+	    b->ahead_milli_us / b->possible_milli > wait_us)
+		wait_us = b->ahead_milli_us / b->possible_milli;
+	return wait_us * MIN_RUN_TIME_PERCENT / 100;
 }
 
 static bool batch_overdue(const struct ph_pool *pool, const struct ph_batch *b,
@@ -493,11 +500,13 @@
 	ph_pool_room(pool, b, now_us, &room);
 	ph_event(PART,
 		 "event=batch_refused job=%s need_milli=%u min_wait_us=%llu "
-		 "ahead_milli_us=%llu possible_milli=%llu free_milli=%llu "
+		 "part_wait_us=%llu ahead_milli_us=%llu possible_milli=%llu "
+		 "free_milli=%llu "
 		 "executors_fitting=%u executors_on_trial=%u "
 		 "held_by_longer_milli=%llu",
 		 b->request->job, b->request->need.cpu_milli,
 		 (unsigned long long)min_wait_us(pool, b),
+		 (unsigned long long)b->part_wait_us,
 		 (unsigned long long)b->ahead_milli_us,
 		 (unsigned long long)b->possible_milli,
 		 (unsigned long long)room.free_milli, room.fitting,
@@ -509,8 +518,9 @@
 			 uint64_t now_us)
 {
 	log_refusal(pool, b, now_us);
-	batch_report(pool, b, PH_VERDICT_NOT_RUN, retry_after_us(pool, now_us),
-		     "no room in time", now_us);
+	batch_report(pool, b, PH_VERDICT_NOT_RUN,
+		     retry_after_us(pool, b, now_us), "no room in time",
+		     now_us);
 }
 
 static void batch_expire(struct ph_pool *pool, struct ph_batch *b,
@@ -621,7 +631,7 @@
 		batch_report(pool, b,
 			     request->resumed ? PH_VERDICT_BROKEN
 					      : PH_VERDICT_NOT_RUN,
-			     retry_after_us(pool, now_us), "long on its way",
+			     retry_after_us(pool, b, now_us), "long on its way",
 			     now_us);
 		batch_remove(pool, b, now_us);
 		return;
@@ -661,7 +671,7 @@
 			batch_report(pool, b,
 				     b->started ? PH_VERDICT_BROKEN
 						: PH_VERDICT_NOT_RUN,
-				     retry_after_us(pool, now_us),
+				     retry_after_us(pool, b, now_us),
 				     "its instance is silent", now_us);
 			batch_end(pool, b, now_us);
 		}
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -79,6 +79,10 @@
 	 * same executors and precede this batch, but for those that are to keep
 	 * capacity free for it; as of the last round. */
 	uint64_t ahead_milli_us;
+	/** Least time until the last of its tasks is started in the part of the
+	 * pool that tasks of its length and longer ones may hold, by declared
+	 * run times; 0: they are not bounded. As of the last round. */
+	uint64_t part_wait_us;
 	/** In the last round its tasks were held back by their length: they
 	 * don't delay others. */
 	bool held_back;
--- a/src/pool_lengths.h
+++ b/src/pool_lengths.h
@@ -38,10 +38,13 @@
 	/** Ring, by the number of the part. */
 	struct ph_offer_slot offers[PH_OFFER_SLOTS];
 	/** State of a placement round, in thousandths of a core: capacity of
-	 * the executors that may be usable, and what is held of it, by the
-	 * octave of the task's length. */
+	 * the executors that may be usable, most that tasks from an octave of
+	 * length on may hold, and what tasks of each octave hold. */
 	uint64_t capacity_milli;
+	uint64_t limit_milli[PH_LENGTH_OCTAVES];
 	uint64_t held_milli[PH_LENGTH_OCTAVES];
+	/** What is left of the declared core time of these. */
+	uint64_t left_milli_us[PH_LENGTH_OCTAVES];
 };
 
 /** The octave of a length or wait. */
@@ -55,20 +58,28 @@
 		      uint64_t longest_wait_us, uint64_t milli_us);
 
 /** Begins a round in which nothing is held yet of this much capacity. */
-void ph_lengths_begin(struct ph_lengths *lengths, uint64_t capacity_milli);
+void ph_lengths_begin(struct ph_lengths *lengths, uint64_t now_us,
+		      uint64_t capacity_milli);
 /** Counts a task that runs, or that the round has started. length_us is the
- * declared run time, or what it has become. */
+ * declared run time, or what it has become, left_us what is left of it. */
 void ph_lengths_hold(struct ph_lengths *lengths, uint64_t length_us,
-		     uint64_t milli);
+		     uint64_t left_us, uint64_t milli);
 
 /** Most that tasks of a length and longer ones may hold in all, in thousandths
  * of a core. */
 uint64_t ph_lengths_limit_milli(const struct ph_lengths *lengths,
-				uint64_t now_us, uint64_t length_us);
+				uint64_t length_us);
 /** Whether one more task may be started: neither the tasks of its length and
  * longer ones, nor those from any shorter length on, would hold more than they
  * may. One may always run. */
-bool ph_lengths_allows(const struct ph_lengths *lengths, uint64_t now_us,
-		       uint64_t length_us, uint64_t milli);
+bool ph_lengths_allows(const struct ph_lengths *lengths, uint64_t length_us,
+		       uint64_t milli);
+/** Least time until tasks that wait have been started, and the own ones of a
+ * batch with this length but the last, if what the tasks may hold stays as it
+ * is. waiting_milli_us is their core time by octave, the own one included. 0 if
+ * the length is not bounded. */
+uint64_t ph_lengths_wait_us(const struct ph_lengths *lengths,
+			    const uint64_t *waiting_milli_us,
+			    uint64_t length_us, uint64_t milli);
 
 #endif
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -448,13 +448,12 @@
 /* ## Jobs of different lengths */
 
 /* Whether the length of a batch's tasks lets one more of them start. */
-static bool length_allows(const struct ph_pool *pool, const struct ph_batch *b,
-			  uint64_t now_us)
+static bool length_allows(const struct ph_pool *pool, const struct ph_batch *b)
 {
 	const struct ph_lengths *l = ph_lengths_of(pool, b->request->service);
 
 	return !ph_mechanism_on(pool->opt.off, PH_MECHANISM_LENGTH_LIMIT) ||
-	       ph_lengths_allows(l, now_us, b->request->estimate_us,
+	       ph_lengths_allows(l, b->request->estimate_us,
 				 b->request->need.cpu_milli);
 }
 
@@ -464,7 +463,8 @@
 				 uint64_t now_us)
 {
 	ph_lengths_hold(ph_lengths_of(pool, b->request->service),
-			b->request->estimate_us, b->request->need.cpu_milli);
+			b->request->estimate_us, b->request->estimate_us,
+			b->request->need.cpu_milli);
 	return ph_run_start(pool, x, b, index, now_us);
 }
 
@@ -477,6 +477,12 @@
 	return elapsed_us > estimate_us ? elapsed_us : estimate_us;
 }
 
+/* What is left of the declared time of a run. */
+static uint64_t run_left_us(const struct ph_run *run, uint64_t now_us)
+{
+	return run_length_us(run, now_us) - (now_us - run->created_us);
+}
+
 /* Finds out what tasks of each length hold at the beginning of a round. */
 static void measure_lengths(struct ph_pool *pool, uint64_t now_us)
 {
@@ -485,7 +491,8 @@
 	struct ph_lengths *l;
 
 	for (l = pool->lengths; l; l = l->next)
-		ph_lengths_begin(l, possible_milli(pool, l->service, now_us));
+		ph_lengths_begin(l, now_us,
+				 possible_milli(pool, l->service, now_us));
 	for (x = pool->executors; x; x = x->next) {
 		if (!ph_executor_usable(pool, x, now_us))
 			continue;
@@ -494,6 +501,7 @@
 				continue;
 			l = ph_lengths_of(pool, run->batch->request->service);
 			ph_lengths_hold(l, run_length_us(run, now_us),
+					run_left_us(run, now_us),
 					run->need.cpu_milli);
 		}
 	}
@@ -518,8 +526,7 @@
 		suspect = ph_crashes_find(pool->crashes, b->job_hash, i);
 		if (!suspect || !suspect->losses ||
 		    suspect->losses >= PH_LOSSES_MAX ||
-		    !length_allows(pool, b, now_us) ||
-		    !may_start(pool, b, i, now_us))
+		    !length_allows(pool, b) || !may_start(pool, b, i, now_us))
 			continue;
 		x = choose_empty(pool, b, suspect->suspected, now_us);
 		if (x)
@@ -536,7 +543,6 @@
 	bool suspects = ph_crashes_has_job(pool->crashes, b->job_hash);
 	uint32_t i;
 
-	b->held_back = false;
 	for (i = 0; i < b->request->count && b->waiting; i++) {
 		struct ph_executor *x;
 
@@ -544,7 +550,7 @@
 		    (suspects &&
 		     ph_crashes_suspected(pool->crashes, b->job_hash, i)))
 			continue;
-		b->held_back = !length_allows(pool, b, now_us);
+		b->held_back = !length_allows(pool, b);
 		if (b->held_back)
 			return true;
 		x = choose_executor(pool, b, now_us);
@@ -637,30 +643,42 @@
 	       need->gpu >= line->blocked->gpu;
 }
 
-/* Places a batch, and notes what is ahead of it. Tasks for other executors are
- * not: they need not delay it. Nor are tasks of which what it needs is kept
- * free. */
-static void place_in_turn(struct ph_pool *pool, struct ph_batch *b,
-			  uint64_t now_us)
+/* Notes what is ahead of a batch. Tasks for other executors are not: they need
+ * not delay it. Nor are tasks of which what it needs is kept free. */
+static void measure_wait(const struct ph_pool *pool, struct ph_batch *b,
+			 struct ph_line *line)
 {
-	struct ph_line *line = line_of(pool, b);
-	uint32_t octaves = PH_LENGTH_OCTAVES;
+	const struct ph_lengths *l = ph_lengths_of(pool, b->request->service);
+	uint64_t length_us = b->request->estimate_us;
+	bool limited =
+		ph_mechanism_on(pool->opt.off, PH_MECHANISM_LENGTH_LIMIT);
+	uint32_t octaves = limited ? ph_lengths_far_octave(
+					     ph_batch_longest_wait_us(pool, b))
+				   : PH_LENGTH_OCTAVES;
 	uint32_t k;
 
-	if (!blocked(b, line) && !place_batch(pool, b, now_us))
-		line->blocked = &b->request->need;
-	if (ph_mechanism_on(pool->opt.off, PH_MECHANISM_LENGTH_LIMIT))
-		octaves = ph_lengths_far_octave(
-			ph_batch_longest_wait_us(pool, b));
 	b->ahead_milli_us = 0;
 	for (k = 0; k < octaves; k++)
 		b->ahead_milli_us += line->waiting_milli_us[k];
-	b->possible_milli = b->ahead_milli_us
-				    ? ph_lengths_of(pool, b->request->service)
-					      ->capacity_milli
-				    : 0;
-	line->waiting_milli_us[ph_lengths_octave(b->request->estimate_us)] +=
+	b->possible_milli = b->ahead_milli_us ? l->capacity_milli : 0;
+	line->waiting_milli_us[ph_lengths_octave(length_us)] +=
 		ph_batch_core_time(b);
+	b->part_wait_us =
+		limited ? ph_lengths_wait_us(l, line->waiting_milli_us,
+					     length_us,
+					     b->request->need.cpu_milli)
+			: 0;
+}
+
+static void place_in_turn(struct ph_pool *pool, struct ph_batch *b,
+			  uint64_t now_us)
+{
+	struct ph_line *line = line_of(pool, b);
+
+	b->held_back = false;
+	if (!blocked(b, line) && !place_batch(pool, b, now_us))
+		line->blocked = &b->request->need;
+	measure_wait(pool, b, line);
 }
 
 void ph_pool_place(struct ph_pool *pool, uint64_t now_us)
