A round that is given a time just before a start counts that run as new

A run, or the first offer, may be a little later than the time of the round: the difference wrapped, and a task counted as hours long, or the offers as next to nothing.

--- a/src/pool_lengths.c
+++ b/src/pool_lengths.c
@@ -58,8 +58,8 @@
 	uint32_t i;
 	uint32_t k;
 
-	if (span_us > now_us - l->since_us)
-		span_us = now_us - l->since_us;
+	if (now_us < l->since_us + span_us)
+		span_us = now_us > l->since_us ? now_us - l->since_us : 0;
 	if (span_us < SPAN_MIN_US)
 		span_us = SPAN_MIN_US;
 	for (k = 0; k < PH_LENGTH_OCTAVES; k++) {
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -468,10 +468,17 @@
 	return ph_run_start(pool, x, b, index, now_us);
 }
 
+/* How long a run has been going on. It may have been started a little later
+ * than now_us, by an event of the same iteration of the control thread. */
+static uint64_t run_elapsed_us(const struct ph_run *run, uint64_t now_us)
+{
+	return now_us > run->created_us ? now_us - run->created_us : 0;
+}
+
 /* A run that outlasts its declared time counts as what it has become. */
 static uint64_t run_length_us(const struct ph_run *run, uint64_t now_us)
 {
-	uint64_t elapsed_us = now_us - run->created_us;
+	uint64_t elapsed_us = run_elapsed_us(run, now_us);
 	uint64_t estimate_us = run->batch->request->estimate_us;
 
 	return elapsed_us > estimate_us ? elapsed_us : estimate_us;
@@ -480,7 +487,7 @@
 /* What is left of the declared time of a run. */
 static uint64_t run_left_us(const struct ph_run *run, uint64_t now_us)
 {
-	return run_length_us(run, now_us) - (now_us - run->created_us);
+	return run_length_us(run, now_us) - run_elapsed_us(run, now_us);
 }
 
 /* Finds out what tasks of each length hold at the beginning of a round. */
--- a/test/test_pool_lengths.cc
+++ b/test/test_pool_lengths.cc
@@ -83,6 +83,19 @@
 		    kCapacity * 0.12, kCapacity * 0.02);
 }
 
+/* A round may be given a time just before that of the first offer. */
+TEST(Lengths, AnOfferThatIsLaterThanTheRoundCounts)
+{
+	ph_lengths l = {};
+	uint64_t now_us = 20 * kSecond;
+
+	l.since_us = now_us;
+	ph_lengths_offer(&l, now_us, 400 * kMs, kCapacity * 200 * kMs);
+	ph_lengths_begin(&l, now_us - 1, kCapacity);
+	EXPECT_NEAR((double)ph_lengths_limit_milli(&l, 18 * kSecond),
+		    kCapacity * 0.12, kCapacity * 0.02);
+}
+
 /* When the others have stopped coming, nothing is kept free for them. */
 TEST(Lengths, OldOffersAreForgotten)
 {
