--- a/test/test_job_lengths.cc
+++ b/test/test_job_lengths.cc
@@ -15,6 +15,8 @@
 	const char *what;
 	double long_share;
 	double long_factor;
+	/** Their actual run time, relative to the declared one. */
+	double long_run_factor;
 	/** Least share of the jobs of usual length that end in time. */
 	double in_time_min;
 };
@@ -29,9 +31,11 @@
 TEST(JobLengths, ShortJobsAreServedBesideLongOnesAfterARestartOfAllExecutors)
 {
 	const LengthCase cases[] = {
-		{ "all of usual length", 0, 1, 0.9 },
-		{ "most of one kind 20 times as long", 0.8, 20, 0.6 },
-		{ "some of one kind 20 times as long", 0.4, 20, 0.75 },
+		{ "all of usual length", 0, 1, 1, 0.9 },
+		{ "most of one kind 20 times as long", 0.8, 20, 1, 0.6 },
+		{ "some of one kind 20 times as long", 0.4, 20, 1, 0.75 },
+		{ "they run for three times the declared time", 0.8, 20, 3,
+		  0.6 },
 	};
 
 	for (const LengthCase &c : cases) {
@@ -40,6 +44,7 @@
 
 		load.long_share = c.long_share;
 		load.long_factor = c.long_factor;
+		load.long_run_factor = c.long_run_factor;
 		for (load.seed = 1; load.seed <= 3; load.seed++) {
 			OutageResult r = simulate(load);
 
