--- a/test/test_job_lengths.cc
+++ b/test/test_job_lengths.cc
@@ -88,8 +88,8 @@
 	return seqs;
 }
 
-/* Long jobs wait for their part of the pool: short ones that find no room at
- * once must not be refused for the core time of those. */
+/* A long job has begun, and most of its tasks wait for their part of the pool.
+ * Short jobs that find no room at once must not be refused for their work. */
 TEST(JobLengths, ShortJobsAreNotRefusedForTheWorkOfLongOnesThatAreHeldBack)
 {
 	World w(4, 16000);
@@ -97,7 +97,8 @@
 	std::vector<uint64_t> seqs;
 
 	offer_short_jobs(&w, o, 3000 * kMs);
-	submit_long_jobs(&w, o, 3);
+	w.submit(o, "wide", 12, 2500 * kMs, 2500 * kMs, 30000 * kMs,
+		 75000 * kMs);
 	seqs = offer_short_jobs(&w, o, 3000 * kMs);
 	w.run_until(w.now_us + 2000 * kMs);
 	for (uint64_t seq : seqs)
