--- a/src/pool.c
+++ b/src/pool.c
@@ -501,8 +501,7 @@
 	ph_event(PART,
 		 "event=batch_refused job=%s need_milli=%u min_wait_us=%llu "
 		 "part_wait_us=%llu ahead_milli_us=%llu possible_milli=%llu "
-		 "free_milli=%llu "
-		 "executors_fitting=%u executors_on_trial=%u "
+		 "free_milli=%llu executors_fitting=%u executors_on_trial=%u "
 		 "held_by_longer_milli=%llu",
 		 b->request->job, b->request->need.cpu_milli,
 		 (unsigned long long)min_wait_us(pool, b),
--- a/src/pool_lengths.c
+++ b/src/pool_lengths.c
@@ -2,7 +2,7 @@
 
 #include "pool_lengths.h"
 
-/* Duration of a part of the time for which offered work is remembered. */
+/* Duration of an interval for which offered work is remembered. */
 #define SLOT_US 2000000U
 /* Shortest time by which the offered work is divided: a few jobs right after
  * the start say little. */
--- a/src/pool_lengths.h
+++ b/src/pool_lengths.h
@@ -17,12 +17,12 @@
 
 /** Octaves of microseconds: up to 71 minutes, the last one without an end. */
 #define PH_LENGTH_OCTAVES 32U
-/** Parts of the time for which offered work is remembered. */
+/** Intervals for which offered work is remembered. */
 #define PH_OFFER_SLOTS 8U
 
-/** Work that was offered in a part of the time. */
+/** Work that was offered in one interval. */
 struct ph_offer_slot {
-	/** Number of the part; 0: none. */
+	/** Number of the interval; 0: none. */
 	uint64_t number;
 	/** Core time in millicore-microseconds, by the octave of the longest
 	 * wait. */
@@ -35,7 +35,7 @@
 	char service[PH_NAME_BYTES];
 	/** Since when offered work has been counted. */
 	uint64_t since_us;
-	/** Ring, by the number of the part. */
+	/** Ring, by the number of the interval. */
 	struct ph_offer_slot offers[PH_OFFER_SLOTS];
 	/** State of a placement round, in thousandths of a core: capacity of
 	 * the executors that may be usable, most that tasks from an octave of
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -677,6 +677,7 @@
 			: 0;
 }
 
+/* Starts what may start of a batch, and notes what is ahead of it. */
 static void place_in_turn(struct ph_pool *pool, struct ph_batch *b,
 			  uint64_t now_us)
 {
