--- a/review/standin-2/standin.c
+++ b/review/standin-2/standin.c
@@ -23,7 +23,7 @@
 /* Ports at each address; every process has an address of its own. */
 enum { PORT_STORE = 8169, PORT_EXECUTOR = 8170, PORT_FRONT = 8161,
        PORT_CONTROL = 8166, PORT_READY = 8167, PORT_METRICS = 9464 };
-enum { HOLD_MAX_MS = 1000, KEYS_MAX = 64, ENDS_MAX = 512, TASKS_MAX = 1024,
+enum { HOLD_MAX_MS = 1000, KEYS_MAX = 64, ENDS_MAX = 512, TASKS_MAX = 8192,
        INSTANCES_MAX = 8, BODY_MAX = 65536 };
 
 static FILE *record_file;
@@ -508,20 +508,45 @@
 	pthread_mutex_unlock(&store.lock);
 }
 
-void store_put_config(uint64_t version)
+static void add_route(json_t *routes, json_t *services, const char *prefix,
+		      const char *service)
 {
-	char doc[1024];
+	json_array_append_new(
+		routes,
+		json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:i}", "name",
+			  prefix, "host", "desk.example", "prefix", prefix,
+			  "service", service, "timeoutMs", 30000,
+			  "targetDurationMs", 2000, "priority", 0,
+			  "maxAttempts", 4, "stretch", 8));
+	json_array_append_new(services,
+			      json_pack("{s:s,s:b}", "name", service,
+					"enforcesCapacity", 1));
+}
 
-	snprintf(doc, sizeof(doc),
-		 "{\"version\":%llu,\"routes\":[{\"name\":\"r1\",\"host\":"
-		 "\"desk.example\",\"prefix\":\"/q/\",\"service\":\"desk\","
-		 "\"timeoutMs\":30000,\"targetDurationMs\":2000,\"priority\":0,"
-		 "\"maxAttempts\":4,\"stretch\":8}],\"services\":[{\"name\":"
-		 "\"desk\",\"enforcesCapacity\":true}],\"limits\":{}}",
-		 (unsigned long long)version);
+void store_put_config_with(uint64_t version, const char *prefix,
+			   const char *service)
+{
+	json_t *routes = json_array();
+	json_t *services = json_array();
+	json_t *o;
+	char *doc;
+
+	add_route(routes, services, "/q/", "desk");
+	if (prefix)
+		add_route(routes, services, prefix, service);
+	o = json_pack("{s:I,s:o,s:o,s:{}}", "version", (json_int_t)version,
+		      "routes", routes, "services", services, "limits");
+	doc = json_dumps(o, JSON_COMPACT);
 	store_put("op/config", doc);
-	record("operator: config version %llu written",
-	       (unsigned long long)version);
+	free(doc);
+	json_decref(o);
+	record("operator: config version %llu written, routes: /q/ %s",
+	       (unsigned long long)version, prefix ? prefix : "");
+}
+
+void store_put_config(uint64_t version)
+{
+	store_put_config_with(version, NULL, NULL);
 }
 
 static json_t *item_json(const struct key *k)
@@ -717,6 +742,7 @@
 struct executor {
 	char id[32];
 	char zone[32];
+	char service[64];
 	char labels[256];
 	unsigned cpu;
 	int host;
@@ -758,12 +784,12 @@
 
 	snprintf(key, sizeof(key), "servers/%s", x->id);
 	snprintf(doc, sizeof(doc),
-		 "{\"service\":\"desk\",\"address\":\"127.%d.%d.%d:%d\","
+		 "{\"service\":\"%s\",\"address\":\"127.%d.%d.%d:%d\","
 		 "\"zone\":\"%s\",\"version\":\"1.0\",\"slots\":8,\"state\":"
 		 "\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":%llu,"
 		 "\"capacity\":{\"cpu\":%u,\"memMb\":65536,\"gpu\":0},"
 		 "\"labels\":%s}",
-		 net_a, net_b, x->host, PORT_EXECUTOR, x->zone,
+		 x->service, net_a, net_b, x->host, PORT_EXECUTOR, x->zone,
 		 (unsigned long long)x->born_unix_ms, x->cpu, x->labels);
 	store_put(key, doc);
 }
@@ -1093,8 +1119,8 @@
 	x->calls = 0;
 }
 
-int executor_add(const char *id, const char *zone, const char *labels,
-		 unsigned cpu)
+int executor_add_to(const char *service, const char *id, const char *zone,
+		    const char *labels, unsigned cpu)
 {
 	struct executor *x = &executors[executor_count];
 
@@ -1102,6 +1128,7 @@
 		spawn_thread(executors_tick, NULL);
 	snprintf(x->id, sizeof(x->id), "%s", id);
 	snprintf(x->zone, sizeof(x->zone), "%s", zone);
+	snprintf(x->service, sizeof(x->service), "%s", service);
 	snprintf(x->labels, sizeof(x->labels), "%s", labels);
 	x->cpu = cpu;
 	x->host = 100 + executor_count;
@@ -1112,6 +1139,12 @@
 	return executor_count++;
 }
 
+int executor_add(const char *id, const char *zone, const char *labels,
+		 unsigned cpu)
+{
+	return executor_add_to("desk", id, zone, labels, cpu);
+}
+
 const char *executor_id(int x)
 {
 	return executors[x].id;
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -34,10 +34,13 @@
 void store_remove(const char *key);
 /* Writes op/config with one route, /q/ at desk.example, to the service desk. */
 void store_put_config(uint64_t version);
+/* The same with a second route. */
+void store_put_config_with(uint64_t version, const char *prefix,
+			   const char *service);
 
 /* ## Executors */
 
-enum { EXECUTORS_MAX = 8, RUNS_MAX = 256 };
+enum { EXECUTORS_MAX = 8, RUNS_MAX = 8192 };
 
 struct executor;
 
@@ -53,6 +56,8 @@
 /* Adds an executor and lists it in the store; labels: JSON text of a list. */
 int executor_add(const char *id, const char *zone, const char *labels,
 		 unsigned cpu);
+int executor_add_to(const char *service, const char *id, const char *zone,
+		    const char *labels, unsigned cpu);
 const char *executor_id(int x);
 /* The process dies: connections break and its port refuses. */
 void executor_crash(int x);
