--- a/review/standin-2/standin.c
+++ b/review/standin-2/standin.c
@@ -33,6 +33,10 @@
 static pid_t pids[INSTANCES_MAX];
 static int instance_count;
 static char log_dir[64];
+static struct {
+	char name[32];
+	char zone[32];
+} instances[INSTANCES_MAX];
 
 static uint64_t steady_ms(void)
 {
@@ -95,6 +99,15 @@
 			waitpid(pids[i], NULL, 0);
 			pids[i] = 0;
 		}
+	/* KEEP_LOGS=1 leaves the logs of the instances in the temporary folder. */
+	for (i = 0; i < instance_count && !getenv("KEEP_LOGS"); i++) {
+		char log[160];
+
+		snprintf(log, sizeof(log), "%s/%s.log", log_dir,
+			 instances[i].name);
+		unlink(log);
+	}
+	rmdir(log_dir);
 	record("exit status %d", status);
 	_exit(status);
 }
@@ -1323,11 +1336,6 @@
 
 /* ## Instances */
 
-static struct {
-	char name[32];
-	char zone[32];
-} instances[INSTANCES_MAX];
-
 static void instance_exec(int i)
 {
 	char name[64], zone[64], ip[32], control[64], front[64], ready[64];
@@ -1374,8 +1382,7 @@
 		instance_exec(i);
 	if (pids[i] < 0)
 		die("cannot fork");
-	record("%s: started in zone %s, log %s/%s.log", name, zone, log_dir,
-	       name);
+	record("%s: started in zone %s", name, zone);
 	return i;
 }
 
