--- a/review/standin-2/standin.c
+++ b/review/standin-2/standin.c
@@ -101,7 +101,7 @@
 		}
 	/* KEEP_LOGS=1 leaves the logs of the instances in the temporary folder. */
 	for (i = 0; i < instance_count && !getenv("KEEP_LOGS"); i++) {
-		char log[160];
+		char log[700];
 
 		snprintf(log, sizeof(log), "%s/%s.log", log_dir,
 			 instances[i].name);
@@ -793,7 +793,7 @@
 static void list_executor(const struct executor *x)
 {
 	char key[64];
-	char doc[512];
+	char doc[1024];
 
 	snprintf(key, sizeof(key), "servers/%s", x->id);
 	snprintf(doc, sizeof(doc),
@@ -816,7 +816,7 @@
 		die("too many ends");
 	e = &x->ends[x->end_count++];
 	e->number = ++x->last_end;
-	snprintf(e->task, sizeof(e->task), "%s", r->task);
+	memcpy(e->task, r->task, sizeof(e->task));
 	e->run = r->run;
 	snprintf(e->how, sizeof(e->how), "%s", how);
 	views[r->view].to_ms = now_ms();
@@ -1043,6 +1043,8 @@
 		pthread_mutex_unlock(&fleet);
 		sleep_ms(2);
 		pthread_mutex_lock(&fleet);
+		if (x->cut)
+			return -1;
 		if (incarnation != x->incarnation || !x->server) {
 			if (number_of(in, "deadlineMs")) {
 				json_decref(x->lost_poll);
@@ -1050,7 +1052,7 @@
 			}
 			return 0;
 		}
-		if (x->cut || peer_gone(fd))
+		if (peer_gone(fd))
 			return -1;
 		expire(x);
 	}
@@ -1176,8 +1178,14 @@
 	for (k = x->run_count; k-- > 0;)
 		end_run(x, k, "crashed");
 	x->end_count = 0;
+	/* Behind a cut nobody sees connections break or its port refuse. */
+	if (x->cut) {
+		x->server = s;
+		x->incarnation++;
+	}
 	pthread_mutex_unlock(&fleet);
-	server_stop(s);
+	if (!x->cut)
+		server_stop(s);
 }
 
 void executor_restart(int i)
@@ -1188,7 +1196,9 @@
 	begin_incarnation(x, 0);
 	record("%s: starts again, born %llu", x->id,
 	       (unsigned long long)x->born_unix_ms);
-	x->server = server_start(x->host, PORT_EXECUTOR, executor_handler, x);
+	if (!x->server)
+		x->server = server_start(x->host, PORT_EXECUTOR,
+					 executor_handler, x);
 	pthread_mutex_unlock(&fleet);
 	list_executor(x);
 }
@@ -1341,7 +1351,7 @@
 	char name[64], zone[64], ip[32], control[64], front[64], ready[64];
 	char seeds[256] = "";
 	char at_store[64];
-	char log[160];
+	char log[700];
 	int fd;
 	int k;
 
