--- a/bench/cluster_bench.c
+++ b/bench/cluster_bench.c
@@ -11,6 +11,7 @@
 
 #include "log.h"
 #include "cluster.h"
+#include "intern.h"
 #include "pool_shard.h"
 
 #define DOMAIN_COUNT 5U
@@ -86,10 +87,14 @@
 static void make_heartbeat(uint32_t i, uint32_t peers, uint32_t pools,
 			   struct ph_poolmsg *m)
 {
+	char name[PH_NAME_BYTES];
+
 	memset(m, 0, sizeof(*m));
 	m->type = PH_POOLMSG_HEARTBEAT;
-	snprintf(m->name, sizeof(m->name), "entry-%u", i);
-	snprintf(m->domain, sizeof(m->domain), "domain-%u", i % DOMAIN_COUNT);
+	snprintf(name, sizeof(name), "entry-%u", i);
+	m->name = ph_intern(name);
+	snprintf(name, sizeof(name), "domain-%u", i % DOMAIN_COUNT);
+	m->domain = ph_intern(name);
 	snprintf(m->addr, sizeof(m->addr), "10.0.%u.%u:7000", i / 250, i % 250);
 	m->incarnation = 1;
 	m->interval_us = 500000;
@@ -102,7 +107,8 @@
 	if (i >= pools)
 		return;
 	m->claim_count = 1;
-	ph_pool_shard_name(m->domain, i / DOMAIN_COUNT, m->claims[0].pool_name);
+	m->claims[0].pool_name =
+		ph_pool_shard_name(m->domain, i / DOMAIN_COUNT);
 	m->claims[0].token = 1000 + i;
 	m->claims[0].load.usable = EXECUTORS_PER_POOL;
 }
--- a/fuzz/fuzz_list.c
+++ b/fuzz/fuzz_list.c
@@ -27,9 +27,9 @@
 	for (i = 0; i < list->count; i++) {
 		const struct ph_executor_info *x = &list->list[i];
 
-		check(ph_platform_name_valid(x->id, sizeof(x->id)));
-		check(ph_platform_name_valid(x->domain, sizeof(x->domain)));
-		check(ph_platform_name_valid(x->service, sizeof(x->service)));
+		check(ph_platform_name_valid(x->id));
+		check(ph_platform_name_valid(x->domain));
+		check(ph_platform_name_valid(x->service));
 		check(ph_addr_valid(x->addr));
 		check(x->capacity.cpu_milli > 0);
 	}
--- a/fuzz/fuzz_wire.c
+++ b/fuzz/fuzz_wire.c
@@ -17,9 +17,10 @@
 
 	if (!ph_wire_read_config(mem, text, size, &routing))
 		ph_routing_free(routing);
-	ph_wire_read_job(mem, text, size, &batch, &reason);
+	ph_wire_read_job(mem, "s-1", text, size, &batch, &reason);
 	ph_batch_request_free(mem, batch);
-	ph_wire_read_executor("i-1", text, size, &info);
+	if (!ph_wire_read_executor(mem, "i-1", text, size, &info))
+		ph_executor_info_clear(mem, &info);
 	ph_wire_poll_reply(mem, 200, text, size, &poll);
 	ph_wire_poll_clear(mem, &poll);
 	if (!ph_wire_read_items(mem, text, size, &items))
--- a/src/cluster.c
+++ b/src/cluster.c
@@ -189,6 +189,23 @@
 		m->echoed_us = echo_us;
 }
 
+/* The names in a message last no longer than the message. */
+static void copy_claims(struct ph_member *m, const struct ph_poolmsg *heartbeat,
+			bool same_pools)
+{
+	uint32_t i;
+
+	m->claim_count = heartbeat->claim_count;
+	for (i = 0; i < m->claim_count; i++) {
+		const char *pool =
+			same_pools ? m->claims[i].pool_name
+				   : ph_intern(heartbeat->claims[i].pool_name);
+
+		m->claims[i] = heartbeat->claims[i];
+		m->claims[i].pool_name = pool;
+	}
+}
+
 const struct ph_member *
 ph_cluster_heartbeat_received(struct ph_cluster *cluster, uint64_t now_us,
 			      const struct ph_poolmsg *heartbeat)
@@ -205,7 +222,7 @@
 		return NULL;
 	if (!m) {
 		m = cluster->mem->calloc(1, sizeof(*m));
-		ph_strcopy(m->name, sizeof(m->name), heartbeat->name);
+		m->name = ph_intern(heartbeat->name);
 		m->name_hash = ph_hash_str(m->name);
 		m->link_reset_us = now_us;
 		m->next = cluster->first;
@@ -236,7 +253,8 @@
 		m->echo_us = 0;
 	}
 	m->incarnation = heartbeat->incarnation;
-	ph_strcopy(m->domain, sizeof(m->domain), heartbeat->domain);
+	if (!m->domain || strcmp(m->domain, heartbeat->domain) != 0)
+		m->domain = ph_intern(heartbeat->domain);
 	ph_strcopy(m->addr, sizeof(m->addr), heartbeat->addr);
 	m->heard_us = now_us;
 	m->connection_refused = false;
@@ -253,9 +271,7 @@
 	had_claims = m->claim_count;
 	unchanged = ph_claims_unchanged(m, heartbeat);
 	m->leaving = heartbeat->leaving;
-	m->claim_count = heartbeat->claim_count;
-	memcpy(m->claims, heartbeat->claims,
-	       heartbeat->claim_count * sizeof(m->claims[0]));
+	copy_claims(m, heartbeat, unchanged);
 	if (!unchanged) {
 		ph_claims_resolve(cluster, m);
 		cluster->claims_indexed = false;
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -39,8 +39,8 @@
 	/** Next peer that claims at least one pool. */
 	struct ph_member *next_owner;
 	uint64_t name_hash;
-	char name[PH_NAME_BYTES];
-	char domain[PH_NAME_BYTES];
+	const char *name;
+	const char *domain;
 	char addr[PH_ADDR_BYTES];
 	uint64_t incarnation;
 	/** When the first heartbeat of this incarnation was received. */
@@ -177,8 +177,8 @@
 				   const char *addr);
 
 /** Adds pools by name; those already present are ignored. */
-void ph_cluster_add_pools(struct ph_cluster *cluster,
-			  char (*names)[PH_NAME_BYTES], size_t count);
+void ph_cluster_add_pools(struct ph_cluster *cluster, const char *const *names,
+			  size_t count);
 
 /**
  * Stops claiming pools; an owned pool is released as soon as another instance
@@ -211,7 +211,7 @@
 
 /** The owner of a pool as known to this instance. */
 struct ph_owner {
-	char name[PH_NAME_BYTES];
+	const char *name;
 	char addr[PH_ADDR_BYTES];
 	uint64_t token;
 	uint64_t incarnation;
@@ -262,7 +262,8 @@
 /** The echo_us of a peer; 0 if it is not known. */
 uint64_t ph_cluster_echo_us(const struct ph_cluster *cluster, const char *name);
 
-/** Name of the pool at an index; NULL past the end. */
+/** Name of the pool at an index, valid for the life of the process; NULL past
+ * the end. */
 const char *ph_cluster_pool_name(const struct ph_cluster *cluster, size_t i);
 
 /**
--- a/src/cluster_impl.h
+++ b/src/cluster_impl.h
@@ -5,6 +5,7 @@
  * (heartbeats and connections) and cluster_ownership.c (claims of pools). */
 
 #include "cluster.h"
+#include "intern.h"
 
 /* Time after the last heartbeat for which a peer counts as a possibly
  * partitioned member; heartbeats are sent to it until then. */
@@ -15,7 +16,7 @@
 
 /** State of the claims of ownership of one pool. */
 struct ph_pool_claim {
-	char name[PH_NAME_BYTES];
+	const char *name;
 	/** This instance owns the pool, under token. */
 	bool owned;
 	uint64_t token;
--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -190,8 +190,8 @@
 	cluster->by_name[i] = index;
 }
 
-void ph_cluster_add_pools(struct ph_cluster *cluster,
-			  char (*names)[PH_NAME_BYTES], size_t count)
+void ph_cluster_add_pools(struct ph_cluster *cluster, const char *const *names,
+			  size_t count)
 {
 	struct ph_member *m;
 	size_t i;
@@ -205,8 +205,7 @@
 		cluster->by_name = ph_array_grow(cluster->mem, cluster->by_name,
 						 cluster->pool_count,
 						 sizeof(*cluster->by_name));
-		ph_strcopy(cluster->pools[cluster->pool_count].name,
-			   PH_NAME_BYTES, names[i]);
+		cluster->pools[cluster->pool_count].name = ph_intern(names[i]);
 		add_by_name(cluster, cluster->pool_count++);
 	}
 	for (m = cluster->first_owner; m; m = m->next_owner)
@@ -224,10 +223,11 @@
 	const struct ph_claim *c;
 
 	memset(owner, 0, sizeof(*owner));
+	owner->name = "";
 	if (!p)
 		return false;
 	if (p->owned) {
-		ph_strcopy(owner->name, sizeof(owner->name), cluster->opt.name);
+		owner->name = cluster->opt.name;
 		ph_strcopy(owner->addr, sizeof(owner->addr), cluster->opt.addr);
 		owner->token = p->token;
 		owner->incarnation = cluster->opt.incarnation;
@@ -243,7 +243,7 @@
 	if (!m)
 		return false;
 	c = claim_of(m, name);
-	ph_strcopy(owner->name, sizeof(owner->name), m->name);
+	owner->name = m->name;
 	ph_strcopy(owner->addr, sizeof(owner->addr), m->addr);
 	owner->token = c->token;
 	owner->incarnation = m->incarnation;
--- a/src/directory.c
+++ b/src/directory.c
@@ -38,12 +38,22 @@
 	return d;
 }
 
+static void free_list(const struct ph_mem *mem, struct ph_executor_info *list,
+		      size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		ph_executor_info_clear(mem, &list[i]);
+	mem->free(list);
+}
+
 void ph_directory_free(struct ph_directory *d)
 {
 	if (!d)
 		return;
-	d->mem->free(d->list);
-	d->mem->free(d->previous);
+	free_list(d->mem, d->list, d->count);
+	free_list(d->mem, d->previous, d->previous_count);
 	d->mem->free(d);
 }
 
@@ -77,9 +87,8 @@
 static const struct ph_executor_info *find(const struct ph_executor_info *list,
 					   size_t count, const char *id)
 {
-	struct ph_executor_info key;
+	struct ph_executor_info key = { .id = id };
 
-	ph_strcopy(key.id, sizeof(key.id), id);
 	return count ? bsearch(&key, list, count, sizeof(*list), compare)
 		     : NULL;
 }
@@ -150,18 +159,22 @@
 
 /* ## Reads */
 
-/* Makes a list sorted by id the current one, and takes ownership of it. Returns
- * false, and frees it, if its content is that of the current list. */
+/* Makes a list sorted by id, whose texts are borrowed, the current one, and
+ * takes ownership of the array. Returns false, and frees it, if its content is
+ * that of the current list. */
 static bool replace_list(struct ph_directory *d, struct ph_executor_info *list,
 			 size_t count)
 {
 	uint64_t digest = digest_of(list, count);
+	size_t i;
 
 	if (d->count && digest == d->digest) {
 		d->mem->free(list);
 		return false;
 	}
-	d->mem->free(d->previous);
+	for (i = 0; i < count; i++)
+		ph_executor_info_copy(d->mem, &list[i], &list[i]);
+	free_list(d->mem, d->previous, d->previous_count);
 	d->previous = d->list;
 	d->previous_count = d->count;
 	d->previous_digest = ph_directory_digest(d);
@@ -228,8 +241,7 @@
 			continue;
 		if (change->removed_count == PH_LIST_CHANGES_MAX)
 			return false;
-		ph_strcopy(change->removed[change->removed_count++],
-			   PH_NAME_BYTES, d->previous[i].id);
+		change->removed[change->removed_count++] = d->previous[i].id;
 	}
 	return true;
 }
--- a/src/directory.h
+++ b/src/directory.h
@@ -19,7 +19,7 @@
  */
 #define PH_LIST_CHANGES_MAX 128U
 
-/** The difference between two successive lists. */
+/** The difference between two successive lists; its texts are borrowed. */
 struct ph_list_change {
 	/** Digest of the list that the change applies to, and of the list that
 	 * results; 0: no list. */
@@ -32,7 +32,7 @@
 	struct ph_executor_info updated[PH_LIST_CHANGES_MAX];
 	/** Ids of entries that are no longer listed. */
 	size_t removed_count;
-	char removed[PH_LIST_CHANGES_MAX][PH_NAME_BYTES];
+	const char *removed[PH_LIST_CHANGES_MAX];
 };
 
 struct ph_directory *ph_directory_new(const struct ph_mem *mem);
@@ -47,8 +47,9 @@
 		       size_t count);
 
 /**
- * Fills in the change made by the last read or applied change. Returns false if
- * it has more than PH_LIST_CHANGES_MAX entries.
+ * Fills in the change made by the last read or applied change, whose texts are
+ * valid until the next one. Returns false if it has more than
+ * PH_LIST_CHANGES_MAX entries.
  */
 bool ph_directory_last_change(const struct ph_directory *directory,
 			      uint64_t now_us, struct ph_list_change *change);
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -10,6 +10,7 @@
 
 #include "histogram.h"
 #include "dispatcher.h"
+#include "intern.h"
 #include "transport.h"
 
 /* Bits of a call id below the index of its pool. */
@@ -18,13 +19,13 @@
 /** The pool of one shard of a failure domain; this instance may own it. */
 struct ph_dispatcher_pool {
 	/** Name of the shard, which for shard 0 is that of the domain. */
-	char name[PH_NAME_BYTES];
+	const char *name;
 	struct ph_pool *pool;
 };
 
 /** A failure domain that has or had executors. */
 struct ph_dispatcher_domain {
-	char name[PH_NAME_BYTES];
+	const char *name;
 	uint32_t executors;
 	uint32_t shards;
 };
@@ -38,7 +39,7 @@
 /** A result of a batch that the submitting instance has not acknowledged. */
 struct ph_unacked_result {
 	struct ph_unacked_result *next;
-	char submitter[PH_NAME_BYTES];
+	const char *submitter;
 	uint64_t seq;
 	struct ph_result result;
 	uint64_t created_us;
--- a/src/dispatcher_peers.c
+++ b/src/dispatcher_peers.c
@@ -35,8 +35,8 @@
 void ph_dispatcher_send(struct ph_dispatcher *d, const char *addr,
 			struct ph_poolmsg *msg)
 {
-	ph_strcopy(msg->name, sizeof(msg->name), d->settings.name);
-	ph_strcopy(msg->domain, sizeof(msg->domain), d->settings.domain);
+	msg->name = d->settings.name;
+	msg->domain = d->settings.domain;
 	ph_strcopy(msg->addr, sizeof(msg->addr), d->addr);
 	msg->incarnation = d->incarnation;
 	if (!strcmp(addr, d->addr)) {
@@ -82,7 +82,7 @@
 	struct ph_unacked_result *o = d->mem->calloc(1, sizeof(*o));
 	uint64_t now_us = ph_clock_us();
 
-	ph_strcopy(o->submitter, sizeof(o->submitter), submitter);
+	o->submitter = ph_intern(submitter);
 	o->seq = seq;
 	o->result = *result;
 	o->created_us = now_us;
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -59,7 +59,8 @@
 		       : &ph_scheduling_last_moment;
 }
 
-/* Creates a pool. The upper bits of its call ids are its index. */
+/* Creates a pool, whose name the process keeps. The upper bits of its call ids
+ * are its index. */
 static void pool_add(struct ph_dispatcher *d, const char *pool_name)
 {
 	struct ph_dispatcher_pool *p;
@@ -79,7 +80,7 @@
 	d->pools = ph_array_grow(d->mem, d->pools, d->pool_count,
 				 sizeof(*d->pools));
 	p = &d->pools[d->pool_count];
-	ph_strcopy(p->name, sizeof(p->name), pool_name);
+	p->name = pool_name;
 	p->pool = ph_pool_new(&options);
 	d->pool_count++;
 }
@@ -136,7 +137,7 @@
 	d->domains = ph_array_grow(d->mem, d->domains, d->domain_count,
 				   sizeof(*d->domains));
 	domain = &d->domains[d->domain_count++];
-	ph_strcopy(domain->name, sizeof(domain->name), name);
+	domain->name = ph_intern(name);
 	return domain;
 }
 
@@ -144,13 +145,12 @@
 			       struct ph_dispatcher_domain *domain,
 			       uint32_t shards)
 {
-	char name[PH_NAME_BYTES];
-
 	while (domain->shards < shards) {
-		ph_pool_shard_name(domain->name, domain->shards++, name);
+		const char *name =
+			ph_pool_shard_name(domain->name, domain->shards++);
+
 		pool_add(d, name);
-		ph_cluster_add_pools(d->cluster,
-				     &d->pools[d->pool_count - 1].name, 1);
+		ph_cluster_add_pools(d->cluster, &name, 1);
 	}
 }
 
@@ -224,8 +224,7 @@
 		if (msg->claim_count == PH_CLAIMS_MAX ||
 		    !ph_pool_owned(d->pools[i].pool))
 			continue;
-		ph_strcopy(c->pool_name, sizeof(c->pool_name),
-			   d->pools[i].name);
+		c->pool_name = d->pools[i].name;
 		c->token = ph_pool_token(d->pools[i].pool);
 		c->offered = ph_cluster_pool_offered(d->cluster, now_us,
 						     d->pools[i].name);
--- a/src/ident.c
+++ b/src/ident.c
@@ -38,9 +38,9 @@
 	return in_alphabet(text, PH_ID_BYTES, "ABCDEFGHIJKLMNOPQRSTUVWXYZ._~-");
 }
 
-bool ph_platform_name_valid(const char *text, size_t size)
+bool ph_platform_name_valid(const char *text)
 {
-	return in_alphabet(text, size, "ABCDEFGHIJKLMNOPQRSTUVWXYZ._~:@+-");
+	return in_alphabet(text, SIZE_MAX, "ABCDEFGHIJKLMNOPQRSTUVWXYZ._~:@+-");
 }
 
 bool ph_addr_valid(const char *text)
--- a/src/ident.h
+++ b/src/ident.h
@@ -14,10 +14,10 @@
 bool ph_id_valid(const char *text);
 
 /** Whether text is a valid name given by the platform, such as that of an
- * executor, a failure domain, a service or a label: 1 to size - 1 characters of
- * [A-Za-z0-9._~:@+-]. Such a name may stand in a header, a line of the log or a
- * metric as it is. */
-bool ph_platform_name_valid(const char *text, size_t size);
+ * executor, a failure domain, a service or a label: at least one character, all
+ * of [A-Za-z0-9._~:@+-]. Such a name may stand in a header, a line of the log
+ * or a metric as it is. */
+bool ph_platform_name_valid(const char *text);
 
 /** Whether text is an IPv4 address, a colon and a port from 1 to 65535. */
 bool ph_addr_valid(const char *text);
--- a/src/log.c
+++ b/src/log.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "buf.h"
+#include "intern.h"
 #include "log.h"
 
 #define LINE_BYTES 512
@@ -13,7 +14,7 @@
 #define US_PER_S 1000000U
 #define NS_PER_US 1000U
 
-static char instance[PH_NAME_BYTES];
+static const char *instance = "";
 static int quiet_flag;
 
 /* Event lines of the present second and those dropped, for all threads. */
@@ -27,7 +28,7 @@
 
 void ph_log_name(const char *name)
 {
-	ph_strcopy(instance, sizeof(instance), name);
+	instance = ph_intern(name);
 }
 
 void ph_log_quiet(int quiet)
--- a/src/platform.c
+++ b/src/platform.c
@@ -187,11 +187,16 @@
 	json_decref(doc);
 }
 
+/* Whether text is a name of at most size - 1 bytes. */
+static bool name_fits(const char *text, size_t size)
+{
+	return strlen(text) < size && ph_platform_name_valid(text);
+}
+
 /* Whether text is an IPv4 address or a host name. */
 static bool host_valid(const char *text)
 {
-	return ph_platform_name_valid(text, HOST_BYTES) &&
-	       !strpbrk(text, "_~:@+");
+	return name_fits(text, HOST_BYTES) && !strpbrk(text, "_~:@+");
 }
 
 /* Reads a number of slots. Returns false if it is not one up to SLOTS_MAX. */
@@ -222,10 +227,9 @@
 	if (json_unpack(service, "{s:s,s:s,s:I}", "ID", &id, "Address",
 			&address, "Port", &port))
 		return false;
-	if (!ph_platform_name_valid(id, ID_BYTES) || !host_valid(address) ||
-	    port < 1 || port > UINT16_MAX ||
-	    (domain && domain[0] &&
-	     !ph_platform_name_valid(domain, sizeof(out->domain))))
+	if (!name_fits(id, ID_BYTES) || !host_valid(address) || port < 1 ||
+	    port > UINT16_MAX ||
+	    (domain && domain[0] && !name_fits(domain, sizeof(out->domain))))
 		return false;
 	ph_strcopy(out->name, sizeof(out->name), id);
 	snprintf(out->addr, sizeof(out->addr), "%s:%d", address, (int)port);
--- a/src/pool.c
+++ b/src/pool.c
@@ -35,7 +35,7 @@
 	struct ph_pool *pool = options->mem->calloc(1, sizeof(*pool));
 
 	pool->opt = *options;
-	ph_strcopy(pool->name, sizeof(pool->name), options->name);
+	pool->name = ph_intern(options->name);
 	pool->opt.name = pool->name;
 	pool->mem = options->mem;
 	pool->last_call = options->first_call;
@@ -74,6 +74,7 @@
 		struct ph_lengths *l = pool->lengths;
 
 		pool->lengths = l->next;
+		pool->mem->free(l->service);
 		pool->mem->free(l);
 	}
 }
@@ -96,7 +97,7 @@
 
 	if (!l) {
 		l = pool->mem->calloc(1, sizeof(*l));
-		ph_strcopy(l->service, sizeof(l->service), service);
+		l->service = ph_memdup(pool->mem, service, strlen(service));
 		l->since_us = now_us;
 		l->next = pool->lengths;
 		pool->lengths = l;
@@ -126,6 +127,7 @@
 	if (pool->own_crashes)
 		ph_crashes_free(pool->crashes);
 	pool->mem->free(pool->waiting);
+	pool->mem->free(pool->probed_last);
 	while (pool->calls) {
 		struct ph_pending_command *c = pool->calls;
 
@@ -237,7 +239,7 @@
 	c->closed_us = now_us;
 	c->next = pool->closed;
 	pool->closed = c;
-	ph_strcopy(c->submitter, sizeof(c->submitter), submitter);
+	c->submitter = ph_intern(submitter);
 	c->seq = seq;
 }
 
@@ -572,7 +574,7 @@
 	struct ph_batch *b = pool->mem->calloc(1, sizeof(*b));
 	uint32_t i;
 
-	ph_strcopy(b->submitter, sizeof(b->submitter), submitter);
+	b->submitter = ph_intern(submitter);
 	b->seq = seq;
 	b->job_hash = ph_hash_str(request->job);
 	b->request = request;
@@ -762,7 +764,7 @@
 {
 	struct ph_executor *x = pool->mem->calloc(1, sizeof(*x));
 
-	x->info = *info;
+	ph_executor_info_copy(pool->mem, &x->info, info);
 	x->next_poll_us = now_us;
 	x->run_time_percent = PH_RUN_TIME_PERCENT;
 	x->next = pool->executors;
@@ -812,9 +814,12 @@
 	}
 	for (i = 0; i < count; i++) {
 		x = ph_executor_find(pool, list[i].id);
-		if (!x)
+		if (x) {
+			ph_executor_info_clear(pool->mem, &x->info);
+			ph_executor_info_copy(pool->mem, &x->info, &list[i]);
+		} else {
 			x = executor_add(pool, now_us, &list[i]);
-		x->info = list[i];
+		}
 		x->listed = true;
 	}
 	pool->dirty = true;
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -7,6 +7,7 @@
  * (reachability of executors of other owners), pool_placement.c (in which order
  * tasks start, and on which executors). */
 
+#include "intern.h"
 #include "pool.h"
 #include "pool_lengths.h"
 
@@ -57,7 +58,7 @@
 
 struct ph_batch {
 	struct ph_batch *next;
-	char submitter[PH_NAME_BYTES];
+	const char *submitter;
 	uint64_t seq;
 	/** Hash of the job's id. */
 	uint64_t job_hash;
@@ -259,11 +260,12 @@
 	struct ph_pending_command *next;
 	uint64_t id;
 	bool stop;
-	char executor[PH_NAME_BYTES];
 	char job[PH_JOB_BYTES];
 	uint32_t index;
 	uint64_t run;
 	uint64_t sent_us;
+	/** Id of the executor. */
+	char executor[];
 };
 
 /** A successful end, reported before the resumed batch that it belongs to was
@@ -281,14 +283,14 @@
 struct ph_closed_batch {
 	struct ph_closed_batch *next;
 	uint64_t closed_us;
-	char submitter[PH_NAME_BYTES];
+	const char *submitter;
 	uint64_t seq;
 };
 
 struct ph_pool {
 	struct ph_pool_options opt;
 	const struct ph_mem *mem;
-	char name[PH_NAME_BYTES];
+	const char *name;
 	bool owned;
 	bool fenced;
 	uint64_t token;
@@ -340,7 +342,7 @@
 	 * when the last probes were sent, and the executor probed last. */
 	uint64_t reached_us;
 	uint64_t probed_us;
-	char probed_last[PH_NAME_BYTES];
+	char *probed_last;
 };
 
 /* ## pool.c */
--- a/src/pool_lengths.h
+++ b/src/pool_lengths.h
@@ -32,7 +32,8 @@
 /** The executors of one service in one pool. */
 struct ph_lengths {
 	struct ph_lengths *next;
-	char service[PH_NAME_BYTES];
+	/** Owned; of any length. */
+	char *service;
 	/** Since when offered work has been counted. */
 	uint64_t since_us;
 	/** Ring, by the number of the interval. */
--- a/src/pool_probe.c
+++ b/src/pool_probe.c
@@ -1,6 +1,8 @@
 /* Probes: whether this instance reaches the executors of a pool that it does
  * not own, as after a network partition it may be unable to. */
 
+#include <string.h>
+
 #include "pool_impl.h"
 
 /* Executors probed at a time: some may have failed. */
@@ -44,7 +46,9 @@
 
 static void send_probes(struct ph_pool *pool)
 {
-	struct ph_executor *x = ph_executor_find(pool, pool->probed_last);
+	struct ph_executor *x =
+		pool->probed_last ? ph_executor_find(pool, pool->probed_last)
+				  : NULL;
 	struct ph_executor *first = NULL;
 	uint32_t i;
 
@@ -55,8 +59,9 @@
 		if (!first)
 			first = x;
 		send_probe(pool, x);
-		ph_strcopy(pool->probed_last, sizeof(pool->probed_last),
-			   x->info.id);
+		pool->mem->free(pool->probed_last);
+		pool->probed_last =
+			ph_memdup(pool->mem, x->info.id, strlen(x->info.id));
 	}
 }
 
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -150,6 +150,7 @@
 	while (x->runs)
 		ph_run_drop(pool, x, x->runs);
 	ph_late_starts_forget(pool, x, UINT64_MAX);
+	ph_executor_info_clear(pool->mem, &x->info);
 	pool->mem->free(x);
 }
 
@@ -160,11 +161,13 @@
 					   const struct ph_run *run, bool stop,
 					   uint64_t now_us)
 {
-	struct ph_pending_command *c = pool->mem->calloc(1, sizeof(*c));
+	size_t id_bytes = strlen(x->info.id) + 1;
+	struct ph_pending_command *c =
+		pool->mem->calloc(1, sizeof(*c) + id_bytes);
 
 	c->id = ++pool->last_call;
 	c->stop = stop;
-	ph_strcopy(c->executor, sizeof(c->executor), x->info.id);
+	memcpy(c->executor, x->info.id, id_bytes);
 	ph_strcopy(c->job, sizeof(c->job), run->job);
 	c->index = run->index;
 	c->run = run->run;
--- a/src/pool_shard.c
+++ b/src/pool_shard.c
@@ -1,8 +1,9 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "buf.h"
 #include "ident.h"
+#include "intern.h"
 #include "pool_shard.h"
 
 /* Executors per shard: their starts and polls take at most a tenth of the
@@ -42,14 +43,18 @@
 	return best;
 }
 
-void ph_pool_shard_name(const char *domain, uint32_t shard,
-			char name[PH_NAME_BYTES])
+const char *ph_pool_shard_name(const char *domain, uint32_t shard)
 {
-	if (shard)
-		snprintf(name, PH_NAME_BYTES, "%.24s#%u", domain,
-			 shard % PH_POOL_SHARDS_MAX);
-	else
-		snprintf(name, PH_NAME_BYTES, "%s", domain);
+	const char *name;
+	struct ph_buf text;
+
+	if (!shard)
+		return ph_intern(domain);
+	ph_buf_init(&text, ph_mem_default());
+	ph_buf_printf(&text, "%.24s#%u", domain, shard % PH_POOL_SHARDS_MAX);
+	name = ph_intern(text.data);
+	ph_buf_free(&text);
+	return name;
 }
 
 bool ph_pool_shard_in(const char *pool, const char *domain)
--- a/src/pool_shard.h
+++ b/src/pool_shard.h
@@ -25,10 +25,8 @@
  * executors that the new shard gets. */
 uint32_t ph_pool_shard_of(const char *executor, uint32_t shards);
 
-/** Writes the name of a shard's pool. With a shard number, only the first 24
- * bytes of the domain's name are part of it. */
-void ph_pool_shard_name(const char *domain, uint32_t shard,
-			char name[PH_NAME_BYTES]);
+/** Name of a shard's pool, which the process keeps. */
+const char *ph_pool_shard_name(const char *domain, uint32_t shard);
 
 /** True if the pool is a shard of the failure domain. */
 bool ph_pool_shard_in(const char *pool, const char *domain);
--- a/src/pool_types.c
+++ b/src/pool_types.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "ident.h"
 #include "pool_types.h"
 
@@ -32,6 +34,37 @@
 	from->gpu -= what->gpu;
 }
 
+/* Appends len bytes of a text and a terminator; returns the copy. */
+static const char *append_text(char **at, const char *text, size_t len)
+{
+	char *copy = *at;
+
+	if (len)
+		memcpy(copy, text, len);
+	copy[len] = '\0';
+	*at += len + 1;
+	return copy;
+}
+
+/* ## Batch requests */
+
+void ph_batch_request_set_texts(const struct ph_mem *mem,
+				struct ph_batch_request *request,
+				const char *service, const char *label,
+				const char *spec, size_t spec_len)
+{
+	size_t service_len = service ? strlen(service) : 0;
+	size_t label_len = label ? strlen(label) : 0;
+	char *texts = mem->calloc(1, service_len + label_len + spec_len + 3);
+	char *at = texts;
+
+	request->service = append_text(&at, service, service_len);
+	request->label = append_text(&at, label, label_len);
+	request->spec = append_text(&at, spec, spec_len);
+	request->spec_len = spec_len;
+	request->texts = texts;
+}
+
 struct ph_batch_request *
 ph_batch_request_copy(const struct ph_mem *mem,
 		      const struct ph_batch_request *request)
@@ -39,7 +72,8 @@
 	struct ph_batch_request *copy = mem->calloc(1, sizeof(*copy));
 
 	*copy = *request;
-	copy->spec = ph_memdup(mem, request->spec, request->spec_len);
+	ph_batch_request_set_texts(mem, copy, request->service, request->label,
+				   request->spec, request->spec_len);
 	return copy;
 }
 
@@ -66,10 +100,55 @@
 {
 	if (!request)
 		return;
-	mem->free(request->spec);
+	mem->free(request->texts);
 	mem->free(request);
 }
 
+/* ## Executors */
+
+void ph_executor_info_set_texts(const struct ph_mem *mem,
+				struct ph_executor_info *info, const char *id,
+				const char *domain, const char *service,
+				const char *labels)
+{
+	const char *from[] = { id, domain, service, labels };
+	const char **to[] = { &info->id, &info->domain, &info->service,
+			      &info->labels };
+	size_t len[sizeof(from) / sizeof(from[0])];
+	size_t size = 0;
+	char *at;
+	size_t i;
+
+	for (i = 0; i < sizeof(from) / sizeof(from[0]); i++) {
+		len[i] = from[i] ? strlen(from[i]) : 0;
+		size += len[i] + 1;
+	}
+	info->texts = mem->calloc(1, size);
+	at = info->texts;
+	for (i = 0; i < sizeof(from) / sizeof(from[0]); i++)
+		*to[i] = append_text(&at, from[i], len[i]);
+}
+
+void ph_executor_info_copy(const struct ph_mem *mem,
+			   struct ph_executor_info *to,
+			   const struct ph_executor_info *from)
+{
+	struct ph_executor_info copy = *from;
+
+	ph_executor_info_set_texts(mem, &copy, from->id, from->domain,
+				   from->service, from->labels);
+	*to = copy;
+}
+
+void ph_executor_info_clear(const struct ph_mem *mem,
+			    struct ph_executor_info *info)
+{
+	mem->free(info->texts);
+	memset(info, 0, sizeof(*info));
+}
+
+/* ## Outcomes */
+
 const char *ph_verdict_name(enum ph_verdict verdict)
 {
 	static const char *const names[] = { "done", "failed", "not-run",
--- a/src/pool_types.h
+++ b/src/pool_types.h
@@ -13,7 +13,6 @@
 #include "buf.h"
 
 #define PH_JOB_BYTES 24U
-#define PH_LABEL_BYTES 32U
 #define PH_TASK_BYTES 64U
 
 /** Resources that a task needs or that an executor has. */
@@ -48,12 +47,16 @@
 /** A job's tasks for one pool. */
 struct ph_batch_request {
 	char job[PH_JOB_BYTES];
-	char service[PH_NAME_BYTES];
+	/** Names may have any length. */
+	const char *service;
 	/** Label that the executor must have; empty: any executor will do. */
-	char label[PH_LABEL_BYTES];
-	/** Passed to the executor unchanged; owned by the request. */
-	char *spec;
+	const char *label;
+	/** Passed to the executor unchanged. */
+	const char *spec;
 	size_t spec_len;
+	/** Memory of the three texts above, which the request owns; NULL: they
+	 * are borrowed. */
+	char *texts;
 	uint32_t count;
 	struct ph_capacity need;
 	/** Declared run time of a task; only a rough estimate. */
@@ -98,6 +101,11 @@
 bool ph_batch_request_too_late(const struct ph_batch_request *request,
 			       uint64_t waited_us);
 
+/** Gives a request its own copies of its texts; NULL stands for "". */
+void ph_batch_request_set_texts(const struct ph_mem *mem,
+				struct ph_batch_request *request,
+				const char *service, const char *label,
+				const char *spec, size_t spec_len);
 /** Deep copy; the caller frees it with ph_batch_request_free(). */
 struct ph_batch_request *
 ph_batch_request_copy(const struct ph_mem *mem,
@@ -151,12 +159,16 @@
 
 /** An executor as listed by the platform. */
 struct ph_executor_info {
-	char id[PH_NAME_BYTES];
-	char addr[PH_ADDR_BYTES];
-	char domain[PH_NAME_BYTES];
-	char service[PH_NAME_BYTES];
+	/** Names may have any length. */
+	const char *id;
+	const char *domain;
+	const char *service;
 	/** Separated by spaces, with a space at both ends. */
-	char labels[PH_ADDR_BYTES];
+	const char *labels;
+	/** Memory of the four texts above, which the entry owns; NULL: they are
+	 * borrowed. */
+	char *texts;
+	char addr[PH_ADDR_BYTES];
 	struct ph_capacity capacity;
 	/** It is being drained: no new tasks. */
 	bool draining;
@@ -165,6 +177,19 @@
 	uint64_t started_ms;
 };
 
+/** Gives an entry its own copies of its texts; NULL stands for "". */
+void ph_executor_info_set_texts(const struct ph_mem *mem,
+				struct ph_executor_info *info, const char *id,
+				const char *domain, const char *service,
+				const char *labels);
+/** Deep copy; the caller frees it with ph_executor_info_clear(). */
+void ph_executor_info_copy(const struct ph_mem *mem,
+			   struct ph_executor_info *to,
+			   const struct ph_executor_info *from);
+/** Frees the texts that an entry owns. */
+void ph_executor_info_clear(const struct ph_mem *mem,
+			    struct ph_executor_info *info);
+
 /* ## Calls to executors */
 
 /** Start or stop of one run; a stop has no lease and no spec. */
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -36,9 +36,10 @@
 	msgpack_pack_bin_body(pk, data, len);
 }
 
+/* NULL stands for "". */
 static void put_str(msgpack_packer *pk, const char *text)
 {
-	put_bytes(pk, text, strlen(text));
+	put_bytes(pk, text, text ? strlen(text) : 0);
 }
 
 /* Packs short executor ids in native byte order: all instances of a deployment
@@ -121,7 +122,7 @@
 {
 	msgpack_pack_uint32(pk, (uint32_t)r->verdict);
 	msgpack_pack_uint64(pk, r->retry_after_us);
-	put_str(pk, r->reason ? r->reason : "");
+	put_str(pk, r->reason);
 	put_bytes(pk, r->done, sizeof(r->done));
 	put_executor_ids(pk, r->possible_executor, r->count);
 }
@@ -242,6 +243,9 @@
 struct reader {
 	const msgpack_object *at;
 	size_t left;
+	/** Free memory for strings; as each takes more bytes in the frame than
+	 * with its terminator, memory of the size of the frame is enough. */
+	char *texts;
 	bool bad;
 };
 
@@ -294,7 +298,23 @@
 	return data;
 }
 
-static void get_str(struct reader *r, char *out, size_t size)
+static const char *get_str(struct reader *r)
+{
+	char *text = r->texts;
+	size_t len;
+	const char *data = get_bytes(r, &len);
+
+	r->bad = r->bad || memchr(data, '\0', len);
+	if (r->bad)
+		return "";
+	memcpy(text, data, len);
+	text[len] = '\0';
+	r->texts += len + 1;
+	return text;
+}
+
+/* Reads a string of at most size - 1 bytes. */
+static void get_short_str(struct reader *r, char *out, size_t size)
 {
 	size_t len;
 	const char *data = get_bytes(r, &len);
@@ -333,7 +353,7 @@
 
 static void get_claim(struct reader *r, struct ph_claim *c)
 {
-	get_str(r, c->pool_name, sizeof(c->pool_name));
+	c->pool_name = get_str(r);
 	c->token = get_u64(r);
 	c->offered = get_u32(r) != 0;
 	c->load.executors = get_u32(r);
@@ -381,13 +401,16 @@
 static void get_batch_request(const struct ph_mem *mem, struct reader *r,
 			      struct ph_batch_request *w)
 {
+	const char *service;
+	const char *label;
 	const char *spec;
+	size_t spec_len;
 
-	get_str(r, w->job, sizeof(w->job));
-	get_str(r, w->service, sizeof(w->service));
-	get_str(r, w->label, sizeof(w->label));
-	spec = get_bytes(r, &w->spec_len);
-	w->spec = ph_memdup(mem, spec, w->spec_len);
+	get_short_str(r, w->job, sizeof(w->job));
+	service = get_str(r);
+	label = get_str(r);
+	spec = get_bytes(r, &spec_len);
+	ph_batch_request_set_texts(mem, w, service, label, spec, spec_len);
 	w->count = (uint32_t)get_uint(r, PH_MAX_TASKS);
 	get_capacity(r, &w->need);
 	w->estimate_us = get_u64(r);
@@ -410,19 +433,18 @@
 {
 	m->result.verdict = (enum ph_verdict)get_uint(r, PH_VERDICT_MOVED);
 	m->result.retry_after_us = get_u64(r);
-	get_str(r, m->reason_text, sizeof(m->reason_text));
-	m->result.reason = m->reason_text;
+	m->result.reason = get_str(r);
 	get_bits(r, m->result.done, sizeof(m->result.done));
 	m->result.count = get_executor_ids(r, m->result.possible_executor);
 }
 
 static void get_executor(struct reader *r, struct ph_executor_info *x)
 {
-	get_str(r, x->id, sizeof(x->id));
-	get_str(r, x->addr, sizeof(x->addr));
-	get_str(r, x->domain, sizeof(x->domain));
-	get_str(r, x->service, sizeof(x->service));
-	get_str(r, x->labels, sizeof(x->labels));
+	x->id = get_str(r);
+	get_short_str(r, x->addr, sizeof(x->addr));
+	x->domain = get_str(r);
+	x->service = get_str(r);
+	x->labels = get_str(r);
 	get_capacity(r, &x->capacity);
 	x->draining = get_u32(r) != 0;
 }
@@ -439,7 +461,7 @@
 	for (i = 0; i < c->updated_count; i++)
 		get_executor(r, &c->updated[i]);
 	for (i = 0; i < c->removed_count; i++)
-		get_str(r, c->removed[i], sizeof(c->removed[i]));
+		c->removed[i] = get_str(r);
 	for (i = 0; i < c->updated_count && !r->bad && r->left; i++)
 		c->updated[i].started_ms = get_u64(r);
 }
@@ -455,7 +477,7 @@
 		break;
 	case PH_POOLMSG_SUBMIT:
 		m->seq = get_u64(r);
-		get_str(r, m->pool, sizeof(m->pool));
+		m->pool = get_str(r);
 		m->owner_incarnation = get_u64(r);
 		m->batch_request = mem->calloc(1, sizeof(*m->batch_request));
 		get_batch_request(mem, r, m->batch_request);
@@ -483,7 +505,7 @@
 static int decode_message(const struct ph_mem *mem, const msgpack_object *root,
 			  struct ph_poolmsg *m)
 {
-	struct reader r = { 0 };
+	struct reader r = { .texts = m->texts };
 
 	if (root->type != MSGPACK_OBJECT_ARRAY)
 		return PH_ERR_SYNTAX;
@@ -492,9 +514,9 @@
 	if (get_u32(&r) != PH_POOLMSG_PROTOCOL)
 		return PH_ERR_VERSION;
 	m->type = (enum ph_poolmsg_type)get_uint(&r, PH_POOLMSG_TYPES - 1);
-	get_str(&r, m->name, sizeof(m->name));
-	get_str(&r, m->domain, sizeof(m->domain));
-	get_str(&r, m->addr, sizeof(m->addr));
+	m->name = get_str(&r);
+	m->domain = get_str(&r);
+	get_short_str(&r, m->addr, sizeof(m->addr));
 	m->incarnation = get_u64(&r);
 	if (!r.bad && m->type)
 		get_body(mem, &r, m);
@@ -510,6 +532,7 @@
 	memset(m, 0, sizeof(*m));
 	if (!ph_msg_sizes_valid(data, len))
 		return PH_ERR_SYNTAX;
+	m->texts = mem->calloc(1, len);
 	msgpack_unpacked_init(&unpacked);
 	if (msgpack_unpack_next(&unpacked, data, len, NULL) ==
 	    MSGPACK_UNPACK_SUCCESS)
@@ -522,9 +545,8 @@
 
 static bool executor_valid(const struct ph_executor_info *x)
 {
-	return ph_platform_name_valid(x->id, sizeof(x->id)) &&
-	       ph_platform_name_valid(x->domain, sizeof(x->domain)) &&
-	       ph_addr_valid(x->addr);
+	return ph_platform_name_valid(x->id) &&
+	       ph_platform_name_valid(x->domain) && ph_addr_valid(x->addr);
 }
 
 bool ph_poolmsg_names_valid(const struct ph_poolmsg *m)
@@ -534,9 +556,8 @@
 	for (i = 0; m->change && i < m->change->updated_count; i++)
 		if (!executor_valid(&m->change->updated[i]))
 			return false;
-	return ph_platform_name_valid(m->name, sizeof(m->name)) &&
-	       ph_platform_name_valid(m->domain, sizeof(m->domain)) &&
-	       ph_addr_valid(m->addr);
+	return ph_platform_name_valid(m->name) &&
+	       ph_platform_name_valid(m->domain) && ph_addr_valid(m->addr);
 }
 
 void ph_poolmsg_clear(const struct ph_mem *mem, struct ph_poolmsg *m)
@@ -544,6 +565,8 @@
 	ph_batch_request_free(mem, m->batch_request);
 	mem->free(m->doc);
 	mem->free(m->change);
+	mem->free(m->texts);
+	m->texts = NULL;
 	m->batch_request = NULL;
 	m->doc = NULL;
 	m->change = NULL;
--- a/src/poolmsg.h
+++ b/src/poolmsg.h
@@ -38,7 +38,7 @@
 
 /** Claim of ownership of one pool, by the sender of a heartbeat. */
 struct ph_claim {
-	char pool_name[PH_NAME_BYTES];
+	const char *pool_name;
 	/** Fencing token. */
 	uint64_t token;
 	/** The sender releases the pool when another instance claims it. */
@@ -46,13 +46,16 @@
 	struct ph_pool_load load;
 };
 
-/** A message; fields that its type does not carry are unused, 0 if decoded. */
+/** A message; fields that its type does not carry are unused, 0 if decoded. Its
+ * strings are borrowed when it is encoded. */
 struct ph_poolmsg {
+	/** Memory of its strings; owned by the message when decoded. */
+	char *texts;
 	enum ph_poolmsg_type type;
 	/** The sender's name, failure domain, address and incarnation; in every
 	 * message. */
-	char name[PH_NAME_BYTES];
-	char domain[PH_NAME_BYTES];
+	const char *name;
+	const char *domain;
 	char addr[PH_ADDR_BYTES];
 	uint64_t incarnation;
 	/* The fields from here to echo_us are those of HEARTBEAT. */
@@ -88,17 +91,15 @@
 	uint64_t seq;
 	/** SUBMIT: the pool, and the incarnation of its owner for which the
 	 * batch request is meant. */
-	char pool[PH_NAME_BYTES];
+	const char *pool;
 	uint64_t owner_incarnation;
 	/** SUBMIT: the batch request; owned by the message when decoded. */
 	struct ph_batch_request *batch_request;
-	/** RESULT: when decoded, its reason points to reason_text. */
 	struct ph_result result;
-	char reason_text[PH_ADDR_BYTES];
 	/** CONFIG: the configuration; owned by the message when decoded. */
 	char *doc;
 	size_t doc_len;
-	/** LIST: owned by the message when decoded. */
+	/** LIST: owned by the message when decoded, but for its texts. */
 	struct ph_list_change *change;
 };
 
--- a/src/routing.c
+++ b/src/routing.c
@@ -3,10 +3,23 @@
 
 #include "routing.h"
 
+void ph_route_clear(const struct ph_mem *mem, struct ph_route *route)
+{
+	mem->free(route->name);
+	mem->free(route->host);
+	mem->free(route->prefix);
+	mem->free(route->service);
+	memset(route, 0, sizeof(*route));
+}
+
 void ph_routing_free(struct ph_routing *routing)
 {
+	size_t i;
+
 	if (!routing)
 		return;
+	for (i = 0; i < routing->route_count; i++)
+		ph_route_clear(routing->mem, &routing->routes[i]);
 	routing->mem->free(routing->routes);
 	routing->mem->free(routing);
 }
--- a/src/routing.h
+++ b/src/routing.h
@@ -7,16 +7,14 @@
 
 #include "pool_types.h"
 
-#define PH_HOST_BYTES 128U
-#define PH_PREFIX_BYTES 128U
-
 /** A queue of jobs and the requests that belong to it. */
 struct ph_route {
-	char name[PH_HOST_BYTES];
-	char host[PH_HOST_BYTES];
+	/** Owned by the routing, of any length. */
+	char *name;
+	char *host;
 	/** Prefix of the requests' path; begins with '/'. */
-	char prefix[PH_PREFIX_BYTES];
-	char service[PH_NAME_BYTES];
+	char *prefix;
+	char *service;
 	/** 0 is the highest. */
 	uint32_t priority;
 	/** Failed runs of one task after which its job fails. */
@@ -41,6 +39,9 @@
 
 void ph_routing_free(struct ph_routing *routing);
 
+/** Frees the strings of a route. */
+void ph_route_clear(const struct ph_mem *mem, struct ph_route *route);
+
 /**
  * Finds the route of a request: the host must match (ignoring case and port),
  * and of the matching prefixes of the path the longest wins. Returns NULL if
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -52,7 +52,7 @@
 	struct ph_batch_request *batch;
 	uint64_t arrived_us;
 	/** Name of the pool that the batch was sent to. */
-	char pool[PH_NAME_BYTES];
+	const char *pool;
 	struct ph_owner owner;
 	uint64_t sent_us;
 	uint64_t first_sent_us;
@@ -93,7 +93,7 @@
 	/** What this instance sent to each pool since its owner's last
 	 * heartbeat, by index of the pool. */
 	struct sent {
-		char pool[PH_NAME_BYTES];
+		const char *pool;
 		/** When that heartbeat arrived. */
 		uint64_t heard_us;
 		/** Millicores x microseconds. */
@@ -275,9 +275,9 @@
 static void add_sent_load(struct ph_submitter *s, size_t i, const char *pool,
 			  struct ph_owner *o)
 {
-	if (strcmp(s->sent[i].pool, pool) != 0 ||
+	if (!s->sent[i].pool || strcmp(s->sent[i].pool, pool) != 0 ||
 	    s->sent[i].heard_us != o->heard_us) {
-		ph_strcopy(s->sent[i].pool, PH_NAME_BYTES, pool);
+		s->sent[i].pool = pool;
 		s->sent[i].heard_us = o->heard_us;
 		s->sent[i].sent_milli = 0;
 		s->sent[i].sent_milli_us = 0;
@@ -358,7 +358,7 @@
 	pool_name = ph_cluster_pool_name(s->opt.cluster, i);
 	if (!owner_with_load(s, i, pool_name, now_us, &j->owner))
 		return false;
-	ph_strcopy(j->pool, sizeof(j->pool), pool_name);
+	j->pool = pool_name;
 	*pool = i;
 	return true;
 }
@@ -369,7 +369,7 @@
 {
 	struct ph_poolmsg m = { .type = PH_POOLMSG_SUBMIT, .seq = j->seq };
 
-	ph_strcopy(m.pool, sizeof(m.pool), j->pool);
+	m.pool = j->pool;
 	m.owner_incarnation = j->owner.incarnation;
 	j->batch->age_us = now_us - j->arrived_us;
 	m.batch_request = j->batch;
@@ -578,6 +578,8 @@
 	j->token = token;
 	j->batch = batch;
 	j->arrived_us = now_us - batch->age_us;
+	j->pool = "";
+	j->owner.name = "";
 	j->next = s->jobs;
 	s->jobs = j;
 	if (ends_too_late(s, batch, now_us))
--- a/test/job_mix.cc
+++ b/test/job_mix.cc
@@ -99,7 +99,7 @@
 		  draw_lognormal(rng, k.run_ms, kRelativeSpread, k.run_max_ms);
 	estimate = *run_ms * error_factor(*rng);
 	snprintf(w.job, sizeof(w.job), "j%d", number);
-	snprintf(w.service, sizeof(w.service), "desk");
+	w.service = "desk";
 	w.count = (uint32_t)width;
 	w.need = { (uint32_t)draw_lognormal(rng, kCpuMilli, kCpuSpread,
 					    kCpuMax),
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -511,10 +511,10 @@
 
 		if (x.unlisted)
 			continue;
-		snprintf(info.id, sizeof(info.id), "%s", x.id.c_str());
+		info.id = ph_intern(x.id.c_str());
 		snprintf(info.addr, sizeof(info.addr), "%s", x.id.c_str());
-		snprintf(info.domain, sizeof(info.domain), "north");
-		snprintf(info.service, sizeof(info.service), "desk");
+		info.domain = "north";
+		info.service = "desk";
 		info.capacity = { x.cpu, 65536, 0 };
 		infos.push_back(info);
 	}
@@ -591,11 +591,14 @@
 	uint64_t seq = ++last_seq;
 
 	*w = request;
-	w->spec = ph_memdup(ph_mem_default(), "x", 1);
-	w->spec_len = 1;
+	ph_batch_request_set_texts(ph_mem_default(), w, request.service,
+				   request.label, "x", 1);
 	duration_us[w->job] = duration;
 	cpu_of[w->job] = w->need.cpu_milli;
-	requests[seq] = *w;
+	requests[seq] = request;
+	requests[seq].service = ph_intern(request.service);
+	requests[seq].label = ph_intern(request.label);
+	requests[seq].texts = nullptr;
 	ph_pool_submit(owner->pool, now_us, "submitter", seq, w);
 	ph_pool_handle_changes(owner->pool, now_us);
 	return seq;
@@ -608,7 +611,7 @@
 	ph_batch_request w = {};
 
 	snprintf(w.job, sizeof(w.job), "%s", job.c_str());
-	snprintf(w.service, sizeof(w.service), "desk");
+	w.service = "desk";
 	w.count = count;
 	w.need = { 6800, 64, 0 };
 	w.estimate_us = estimate;
@@ -626,7 +629,8 @@
 		ph_mem_default()->calloc(1, sizeof(ph_batch_request)));
 
 	*w = requests[seq];
-	w->spec = ph_memdup(ph_mem_default(), "x", 1);
+	ph_batch_request_set_texts(ph_mem_default(), w, w->service, w->label,
+				   "x", 1);
 	w->resumed = true;
 	for (uint32_t i = 0; i < w->count; i++)
 		w->possible_executor[i] = PH_EXECUTOR_UNKNOWN;
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 extern "C" {
+#include "intern.h"
 #include "log.h"
 #include "pool.h"
 }
--- a/test/submitter_world.cc
+++ b/test/submitter_world.cc
@@ -125,11 +125,8 @@
 						on_caller_connected };
 
 	for (int i = 0; i < l.pools; i++) {
-		char name[PH_NAME_BYTES];
-
-		ph_pool_shard_name("north", (uint32_t)i, name);
 		pools.emplace_back();
-		pools.back().name = name;
+		pools.back().name = ph_pool_shard_name("north", (uint32_t)i);
 	}
 	for (int i = 0; i < l.submitters; i++) {
 		auto s = std::make_unique<Submitter>();
@@ -147,10 +144,9 @@
 		m.suspect_us = 350 * kMs;
 		s->cluster = ph_cluster_new(&m);
 		for (const Pool &p : pools) {
-			char name[1][PH_NAME_BYTES];
+			const char *name = p.name.c_str();
 
-			snprintf(name[0], PH_NAME_BYTES, "%s", p.name.c_str());
-			ph_cluster_add_pools(s->cluster, name, 1);
+			ph_cluster_add_pools(s->cluster, &name, 1);
 		}
 		o.mem = ph_mem_default();
 		o.name = m.name;
@@ -210,15 +206,14 @@
 		uint64_t backlog = 0;
 
 		m.type = PH_POOLMSG_HEARTBEAT;
-		snprintf(m.name, sizeof(m.name), "owner-%s", p.name.c_str());
-		snprintf(m.domain, sizeof(m.domain), "north");
+		m.name = ph_intern(("owner-" + p.name).c_str());
+		m.domain = "north";
 		snprintf(m.addr, sizeof(m.addr), "%s", m.name);
 		m.incarnation = 1;
 		m.interval_us = kHeartbeatUs;
 		m.clock_us = now_us;
 		m.claim_count = 1;
-		snprintf(c->pool_name, sizeof(c->pool_name), "%s",
-			 p.name.c_str());
+		c->pool_name = ph_intern(p.name.c_str());
 		c->token = 1;
 		c->load.usable = (uint32_t)load.executors;
 		c->load.capacity_milli = (uint32_t)load.executors *
--- a/test/submitter_world.h
+++ b/test/submitter_world.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 
 extern "C" {
+#include "intern.h"
 #include "submitter.h"
 }
 
--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -11,6 +11,7 @@
 extern "C" {
 #include "cluster.h"
 #include "ident.h"
+#include "intern.h"
 #include "log.h"
 }
 
@@ -80,10 +81,8 @@
 
 		from->heartbeats_sent++;
 		msg->type = PH_POOLMSG_HEARTBEAT;
-		snprintf(msg->name, sizeof(msg->name), "%s",
-			 from->name.c_str());
-		snprintf(msg->domain, sizeof(msg->domain), "%s",
-			 from->domain.c_str());
+		msg->name = ph_intern(from->name.c_str());
+		msg->domain = ph_intern(from->domain.c_str());
 		snprintf(msg->addr, sizeof(msg->addr), "%s",
 			 from->name.c_str());
 		msg->incarnation = kUnixMs + from->started_us / 1000;
@@ -94,8 +93,7 @@
 		for (const auto &o : from->owned) {
 			ph_claim *c = &msg->claims[msg->claim_count++];
 
-			snprintf(c->pool_name, sizeof(c->pool_name), "%s",
-				 o.first.c_str());
+			c->pool_name = ph_intern(o.first.c_str());
 			c->token = o.second;
 			c->offered = ph_cluster_pool_offered(
 				from->cluster, net->now_us, o.first.c_str());
@@ -160,10 +158,9 @@
 		o.cpu_milli = n->cpu;
 		n->cluster = ph_cluster_new(&o);
 		for (const std::string &p : pools) {
-			char name[1][PH_NAME_BYTES];
+			const char *name = p.c_str();
 
-			snprintf(name[0], sizeof(name[0]), "%s", p.c_str());
-			ph_cluster_add_pools(n->cluster, name, 1);
+			ph_cluster_add_pools(n->cluster, &name, 1);
 		}
 		for (auto &other : instances)
 			ph_cluster_add_contact(n->cluster, other->name.c_str());
@@ -796,9 +793,8 @@
 	size_t len;
 
 	heartbeat.type = PH_POOLMSG_HEARTBEAT;
-	snprintf(heartbeat.name, sizeof(heartbeat.name),
-		 "edge-zona-cordoba-29");
-	snprintf(heartbeat.domain, sizeof(heartbeat.domain), "zona-cordoba");
+	heartbeat.name = "edge-zona-cordoba-29";
+	heartbeat.domain = "zona-cordoba";
 	snprintf(heartbeat.addr, sizeof(heartbeat.addr), "10.222.222.222:8166");
 	heartbeat.incarnation = kUnixMs;
 	heartbeat.list_digest = UINT64_MAX;
@@ -880,9 +876,9 @@
 		ph_poolmsg m = {};
 
 		m.type = PH_POOLMSG_HEARTBEAT;
-		snprintf(m.name, sizeof(m.name), "n2");
+		m.name = "n2";
 		snprintf(m.addr, sizeof(m.addr), "n2");
-		snprintf(m.domain, sizeof(m.domain), "north");
+		m.domain = "north";
 		m.incarnation = incarnation;
 		m.interval_us = 100 * kMs;
 		m.echo_us = tells_echoes ? echo_us : 0;
@@ -1081,9 +1077,9 @@
 		Process *all = p->world->processes;
 		ph_poolmsg msg = {};
 
-		snprintf(msg.name, sizeof(msg.name), "%s", p->name);
+		msg.name = ph_intern(p->name);
 		snprintf(msg.addr, sizeof(msg.addr), "%s", p->name);
-		snprintf(msg.domain, sizeof(msg.domain), "north");
+		msg.domain = "north";
 		msg.incarnation = 1;
 		msg.interval_us = m ? ph_cluster_interval_us(p->cluster, m) : 0;
 		msg.clock_us = p->world->now_us;
--- a/test/test_crashing_tasks.cc
+++ b/test/test_crashing_tasks.cc
@@ -77,7 +77,7 @@
 	ph_batch_request w = {};
 
 	snprintf(w.job, sizeof(w.job), "%s", job.c_str());
-	snprintf(w.service, sizeof(w.service), "desk");
+	w.service = "desk";
 	w.count = count;
 	w.need = { 6800, 64, 0 };
 	w.estimate_us = estimate;
@@ -235,6 +235,7 @@
 	for (uint32_t i = 0; i < m.suspect_count; i++)
 		ph_crashes_heard(ph_pool_crashes(to->pool), w->now_us,
 				 &m.suspects[i]);
+	ph_poolmsg_clear(ph_mem_default(), &m);
 }
 
 /** Resumes a batch at another owner as its submitter does, with what the result
@@ -254,6 +255,7 @@
 	memcpy(request.done, result.result.done, sizeof(request.done));
 	memcpy(request.possible_executor, result.result.possible_executor,
 	       sizeof(request.possible_executor));
+	ph_poolmsg_clear(ph_mem_default(), &result);
 	submit.type = PH_POOLMSG_SUBMIT;
 	submit.batch_request = &request;
 	submit = over_the_wire(submit);
@@ -716,11 +718,11 @@
 		for (const Executor &x : executors) {
 			ph_executor_info info = {};
 
-			snprintf(info.id, sizeof(info.id), "%s", x.id.c_str());
+			info.id = ph_intern(x.id.c_str());
 			snprintf(info.addr, sizeof(info.addr), "%s",
 				 x.id.c_str());
-			snprintf(info.domain, sizeof(info.domain), "north");
-			snprintf(info.service, sizeof(info.service), "desk");
+			info.domain = "north";
+			info.service = "desk";
 			info.capacity = { capacity[x.id], 65536, 0 };
 			infos.push_back(info);
 		}
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -7,6 +7,7 @@
 
 extern "C" {
 #include "directory.h"
+#include "intern.h"
 #include "log.h"
 }
 
@@ -15,6 +16,17 @@
 
 constexpr uint64_t kMs = 1000;
 
+ph_executor_info executor(const std::string &id)
+{
+	ph_executor_info info = {};
+
+	info.id = ph_intern(id.c_str());
+	info.domain = "";
+	info.service = "";
+	info.labels = "";
+	return info;
+}
+
 struct Step {
 	uint64_t at_ms;
 	/** Ids in the answer, a letter each; nullptr: the read failed. */
@@ -71,10 +83,7 @@
 			const ph_executor_info *current;
 
 			for (const char *p = s.read; p && *p; p++) {
-				ph_executor_info info = {};
-
-				info.id[0] = *p;
-				list.push_back(info);
+				list.push_back(executor(std::string(1, *p)));
 			}
 			if (s.read)
 				ph_directory_read(d, now, now, list.data(),
@@ -95,10 +104,10 @@
 	std::vector<ph_executor_info> list;
 
 	for (char c : text) {
-		ph_executor_info info = {};
-
 		/* A capital letter stands for the executor while draining. */
-		info.id[0] = (char)tolower(c);
+		ph_executor_info info =
+			executor(std::string(1, (char)tolower(c)));
+
 		info.draining = isupper(c) != 0;
 		list.push_back(info);
 	}
@@ -218,7 +227,7 @@
 						   extra);
 
 		for (size_t i = 0; i < list.size(); i++)
-			snprintf(list[i].id, PH_NAME_BYTES, "x%zu", i);
+			list[i] = executor("x" + std::to_string(i));
 		ph_directory_read(d, 1000, 1000, list.data(), 1);
 		ph_directory_read(d, 2000, 2000, list.data(), list.size());
 		EXPECT_EQ(ph_directory_last_change(d, 2000, change.get()),
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -452,7 +452,7 @@
 		ph_batch_request request = {};
 		int starts;
 
-		snprintf(request.service, sizeof(request.service), "desk");
+		request.service = "desk";
 		request.count = 1;
 		request.need = { 1000, 1, 0 };
 		request.estimate_us = 50 * kMs;
@@ -507,7 +507,7 @@
 		int starts;
 
 		snprintf(request.job, sizeof(request.job), "a");
-		snprintf(request.service, sizeof(request.service), "desk");
+		request.service = "desk";
 		request.count = 2;
 		request.need = { c.cpu_milli, 1, 0 };
 		request.estimate_us = 60 * kMs;
@@ -571,9 +571,9 @@
 	Owner *o = ready_owner(&w);
 	ph_executor_info info = {};
 
-	snprintf(info.id, sizeof(info.id), "i-0");
+	info.id = "i-0";
 	snprintf(info.addr, sizeof(info.addr), "i-0");
-	snprintf(info.service, sizeof(info.service), "desk");
+	info.service = "desk";
 	info.capacity = { 16000, 65536, 0 };
 	info.draining = true;
 	ph_pool_update(o->pool, w.now_us, &info, 1);
@@ -892,7 +892,7 @@
 	uint64_t seq;
 
 	/* The other service has no executors in this pool. */
-	snprintf(request.service, sizeof(request.service), "other");
+	request.service = "other";
 	request.count = 50;
 	request.need = { 8000, 1, 0 };
 	request.estimate_us = 2000 * kMs;
--- a/test/test_pool_guards.cc
+++ b/test/test_pool_guards.cc
@@ -28,7 +28,7 @@
 	ph_batch_request request = {};
 
 	snprintf(request.job, sizeof(request.job), "%s", job.c_str());
-	snprintf(request.service, sizeof(request.service), "desk");
+	request.service = "desk";
 	request.count = 1;
 	request.need = { cpu, 64, 0 };
 	request.estimate_us = 9000 * kMs;
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -421,11 +421,11 @@
 {
 	ph_executor_info info = {};
 
-	snprintf(info.id, sizeof(info.id), "%s", w->executors[0].id.c_str());
+	info.id = ph_intern(w->executors[0].id.c_str());
 	snprintf(info.addr, sizeof(info.addr), "%s", info.id);
-	snprintf(info.domain, sizeof(info.domain), "north");
-	snprintf(info.service, sizeof(info.service), "desk");
-	snprintf(info.labels, sizeof(info.labels), "%s", labels);
+	info.domain = "north";
+	info.service = "desk";
+	info.labels = ph_intern(labels);
 	info.capacity = { w->executors[0].cpu, 65536, 0 };
 	info.started_ms = started_ms;
 	ph_pool_update(o->pool, w->now_us, &info, 1);
@@ -437,8 +437,8 @@
 	ph_batch_request request = {};
 
 	snprintf(request.job, sizeof(request.job), "%s", job.c_str());
-	snprintf(request.service, sizeof(request.service), "desk");
-	snprintf(request.label, sizeof(request.label), "a");
+	request.service = "desk";
+	request.label = "a";
 	request.count = 1;
 	request.need = { 6800, 64, 0 };
 	request.estimate_us = 60 * kMs;
--- a/test/test_poolmsg.cc
+++ b/test/test_poolmsg.cc
@@ -20,8 +20,8 @@
 	ph_poolmsg m = {};
 
 	m.type = type;
-	snprintf(m.name, sizeof(m.name), "n1");
-	snprintf(m.domain, sizeof(m.domain), "north");
+	m.name = "n1";
+	m.domain = "north";
 	snprintf(m.addr, sizeof(m.addr), "10.0.0.1:1");
 	m.incarnation = 7;
 	m.seq = 99;
@@ -52,7 +52,7 @@
 	ph_batch_request w = {};
 
 	snprintf(w.job, sizeof(w.job), "0123456789abcdef");
-	snprintf(w.service, sizeof(w.service), "desk");
+	w.service = "desk";
 	w.spec = spec;
 	w.spec_len = strlen(spec);
 	w.count = 3;
@@ -74,14 +74,14 @@
 	change->digest_before = 3;
 	change->digest_after = UINT64_MAX;
 	change->updated_count = 1;
-	snprintf(change->updated[0].id, PH_NAME_BYTES, "x1");
+	change->updated[0].id = "x1";
 	snprintf(change->updated[0].addr, PH_ADDR_BYTES, "10.0.0.9:80");
-	snprintf(change->updated[0].domain, PH_NAME_BYTES, "north");
+	change->updated[0].domain = "north";
 	change->updated[0].capacity.cpu_milli = 16000;
 	change->updated[0].draining = true;
 	change->updated[0].started_ms = 1700000000000;
 	change->removed_count = 1;
-	snprintf(change->removed[0], PH_NAME_BYTES, "x2");
+	change->removed[0] = "x2";
 	for (int t = PH_POOLMSG_HEARTBEAT; t < PH_POOLMSG_TYPES; t++) {
 		SCOPED_TRACE(t);
 		ph_poolmsg m = message((ph_poolmsg_type)t);
@@ -99,7 +99,7 @@
 		}
 		if (t == PH_POOLMSG_SUBMIT) {
 			m.batch_request = &request;
-			snprintf(m.pool, sizeof(m.pool), "north#2");
+			m.pool = "north#2";
 		}
 		if (t == PH_POOLMSG_RESULT) {
 			m.result.verdict = PH_VERDICT_MOVED;
@@ -196,9 +196,9 @@
 		{ "a host name", PH_POOLMSG_ACCEPTED,
 		  [](ph_poolmsg &m) { strcpy(m.addr, "n1.example:7"); } },
 		{ "a name with a space", PH_POOLMSG_HEARTBEAT,
-		  [](ph_poolmsg &m) { strcpy(m.name, "n 1"); } },
+		  [](ph_poolmsg &m) { m.name = "n 1"; } },
 		{ "a domain with the separator of shards", PH_POOLMSG_HEARTBEAT,
-		  [](ph_poolmsg &m) { strcpy(m.domain, "north#2"); } },
+		  [](ph_poolmsg &m) { m.domain = "north#2"; } },
 		{ "too many shards", PH_POOLMSG_HEARTBEAT,
 		  [](ph_poolmsg &m) { m.shards = PH_POOL_SHARDS_MAX + 1; } },
 		{ "an interval of an hour", PH_POOLMSG_HEARTBEAT,
@@ -216,9 +216,7 @@
 			  strcpy(m.change->updated[0].addr, "x.example:1");
 		  } },
 		{ "an executor with an unsafe id", PH_POOLMSG_LIST,
-		  [](ph_poolmsg &m) {
-			  strcpy(m.change->updated[0].id, "a\nb");
-		  } },
+		  [](ph_poolmsg &m) { m.change->updated[0].id = "a\nb"; } },
 		{ "an executor with too much CPU", PH_POOLMSG_LIST,
 		  [](ph_poolmsg &m) {
 			  m.change->updated[0].capacity.cpu_milli = UINT32_MAX;
@@ -233,9 +231,9 @@
 		ph_poolmsg m = message(c.type);
 
 		change->updated_count = 1;
-		strcpy(change->updated[0].id, "x1");
+		change->updated[0].id = "x1";
 		strcpy(change->updated[0].addr, "10.0.0.9:80");
-		strcpy(change->updated[0].domain, "north");
+		change->updated[0].domain = "north";
 		if (c.type == PH_POOLMSG_SUBMIT)
 			m.batch_request = &request;
 		if (c.type == PH_POOLMSG_LIST)
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -240,10 +240,9 @@
 		auto msg = std::make_shared<ph_poolmsg>();
 
 		msg->type = PH_POOLMSG_HEARTBEAT;
-		snprintf(msg->name, sizeof(msg->name), "%s", i->name.c_str());
+		msg->name = ph_intern(i->name.c_str());
 		snprintf(msg->addr, sizeof(msg->addr), "%s", i->name.c_str());
-		snprintf(msg->domain, sizeof(msg->domain), "%s",
-			 i->domain.c_str());
+		msg->domain = ph_intern(i->domain.c_str());
 		msg->incarnation = i->incarnation;
 		msg->leaving = i->leaving;
 		msg->interval_us = m ? ph_cluster_interval_us(i->cluster, m)
@@ -259,8 +258,7 @@
 			if (!ph_pool_owned(p.second->pool))
 				continue;
 			msg->claim_count++;
-			snprintf(c->pool_name, sizeof(c->pool_name), "%s",
-				 p.first.c_str());
+			c->pool_name = ph_intern(p.first.c_str());
 			c->token = ph_pool_token(p.second->pool);
 			c->offered = ph_cluster_pool_offered(
 				i->cluster, g->w.now_us, p.first.c_str());
@@ -310,7 +308,7 @@
 		Instance *i = static_cast<Instance *>(ctx);
 		Group *g = i->group;
 		std::string from = i->name;
-		std::string pool = msg->pool;
+		std::string pool = msg->pool ? msg->pool : "";
 		uint64_t seq = msg->seq;
 		uint64_t incarnation = i->incarnation;
 		uint64_t owner_incarnation = msg->owner_incarnation;
@@ -503,10 +501,9 @@
 		c.cpu_milli = 250;
 		i->cluster = ph_cluster_new(&c);
 		for (const std::string &p : pools) {
-			char list[1][PH_NAME_BYTES] = {};
+			const char *name = p.c_str();
 
-			snprintf(list[0], sizeof(list[0]), "%s", p.c_str());
-			ph_cluster_add_pools(i->cluster, list, 1);
+			ph_cluster_add_pools(i->cluster, &name, 1);
 			i->pools[p] = add_pool(p);
 		}
 		for (auto &other : instances) {
@@ -696,15 +693,14 @@
 			ph_mem_default()->calloc(1, sizeof(*b)));
 
 		snprintf(b->job, sizeof(b->job), "%s", c->job.c_str());
-		snprintf(b->service, sizeof(b->service), "desk");
 		b->count = c->count;
 		b->need = { 6800, 64, 0 };
 		b->estimate_us = c->duration_us;
 		b->target_us = 2 * c->duration_us;
 		b->caller_timeout_us = c->timeout_us;
 		b->max_attempts = 3;
-		b->spec = ph_memdup(ph_mem_default(), "x", 1);
-		b->spec_len = 1;
+		ph_batch_request_set_texts(ph_mem_default(), b, "desk", nullptr,
+					   "x", 1);
 		w.duration_us[c->job] = c->duration_us;
 		w.cpu_of[c->job] = b->need.cpu_milli;
 		c->at = at->name;
--- a/test/test_routing.cc
+++ b/test/test_routing.cc
@@ -32,17 +32,14 @@
 		{ "a.example", "/x", nullptr },
 		{ "", "", nullptr },
 	};
-	const char *const fields[3][3] = { { "short", "a.example", "/q/" },
-					   { "long", "a.example", "/q/r/" },
-					   { "other", "b.example", "/q/" } };
+	char fields[3][3][12] = { { "short", "a.example", "/q/" },
+				  { "long", "a.example", "/q/r/" },
+				  { "other", "b.example", "/q/" } };
 
 	for (int i = 0; i < 3; i++) {
-		snprintf(routes[i].name, sizeof(routes[i].name), "%s",
-			 fields[i][0]);
-		snprintf(routes[i].host, sizeof(routes[i].host), "%s",
-			 fields[i][1]);
-		snprintf(routes[i].prefix, sizeof(routes[i].prefix), "%s",
-			 fields[i][2]);
+		routes[i].name = fields[i][0];
+		routes[i].host = fields[i][1];
+		routes[i].prefix = fields[i][2];
 	}
 	for (const RouteCase &c : cases) {
 		const ph_route *r = ph_routing_find(&routing, c.host, c.path);
@@ -135,9 +132,8 @@
 	};
 
 	for (const NameCase &c : cases) {
-		char name[PH_NAME_BYTES];
+		const char *name = ph_pool_shard_name(c.domain, c.shard);
 
-		ph_pool_shard_name(c.domain, c.shard, name);
 		EXPECT_STREQ(name, c.name);
 		EXPECT_TRUE(ph_pool_shard_in(name, c.domain));
 		EXPECT_FALSE(ph_pool_shard_in(name, "nort"));
--- a/test/test_submitter.cc
+++ b/test/test_submitter.cc
@@ -55,7 +55,7 @@
 							on_caller_connected };
 		ph_cluster_options m = {};
 		ph_submitter_options f = {};
-		char pools[2][PH_NAME_BYTES] = { "north", "south" };
+		const char *const pools[] = { "north", "south" };
 
 		ph_log_quiet(1);
 		m.mem = ph_mem_default();
@@ -91,7 +91,8 @@
 		Fixture *f = static_cast<Fixture *>(ctx);
 
 		f->sent.push_back(
-			{ owner->name, msg->type, msg->seq, msg->pool,
+			{ owner->name, msg->type, msg->seq,
+			  msg->pool ? msg->pool : "",
 			  msg->batch_request && msg->batch_request->resumed,
 			  msg->batch_request
 				  ? msg->batch_request->possible_executor[0]
@@ -124,14 +125,13 @@
 		ph_poolmsg m = {};
 
 		m.type = PH_POOLMSG_HEARTBEAT;
-		snprintf(m.name, sizeof(m.name), "%s", name);
-		snprintf(m.domain, sizeof(m.domain), "%s", domain);
+		m.name = ph_intern(name);
+		m.domain = ph_intern(domain);
 		snprintf(m.addr, sizeof(m.addr), "%s", name);
 		m.incarnation = incarnation;
 		m.clock_us = now_us + kClockAheadUs;
 		m.claim_count = token ? 1 : 0;
-		snprintf(m.claims[0].pool_name, sizeof(m.claims[0].pool_name),
-			 "%s", domain);
+		m.claims[0].pool_name = ph_intern(domain);
 		m.claims[0].token = token;
 		m.claims[0].load.usable = 4;
 		m.claims[0].load.capacity_milli = 64000;
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -72,7 +72,7 @@
 		const char *reason = nullptr;
 		ph_batch_request *batch = nullptr;
 
-		EXPECT_EQ(ph_wire_read_job(mem(), c.body, strlen(c.body),
+		EXPECT_EQ(ph_wire_read_job(mem(), "s-1", c.body, strlen(c.body),
 					   &batch, &reason),
 			  c.error);
 		EXPECT_EQ(reason == nullptr, c.error == PH_WIRE_JOB_OK);
@@ -160,7 +160,7 @@
 		ASSERT_EQ(ph_wire_read_config(mem(), config.data(),
 					      config.size(), &routing),
 			  0);
-		ASSERT_EQ(ph_wire_read_job(mem(), job.data(), job.size(),
+		ASSERT_EQ(ph_wire_read_job(mem(), "s-1", job.data(), job.size(),
 					   &batch, &reason),
 			  PH_WIRE_JOB_OK);
 		const ph_route &r = routing->routes[0];
@@ -249,8 +249,8 @@
 const char *entry_fault(const std::string &text, ph_executor_info *info,
 			const char *id = "i-1")
 {
-	const char *fault =
-		ph_wire_read_executor(id, text.data(), text.size(), info);
+	const char *fault = ph_wire_read_executor(mem(), id, text.data(),
+						  text.size(), info);
 
 	return fault ? fault : "";
 }
@@ -293,6 +293,7 @@
 		EXPECT_STREQ(info.domain, "z.1_b");
 		EXPECT_EQ(info.capacity.cpu_milli, 16000U);
 		EXPECT_EQ(info.capacity.mem_mb, 64U);
+		ph_executor_info_clear(mem(), &info);
 	}
 }
 
@@ -432,6 +433,7 @@
 
 		EXPECT_STREQ(entry_fault(good_entry, &info, c.id.c_str()),
 			     c.valid ? "" : "id");
+		ph_executor_info_clear(mem(), &info);
 	}
 }
 
@@ -866,11 +868,12 @@
 			if (!ph_wire_read_config(mem(), bad.data(), bad.size(),
 						 &routing))
 				ph_routing_free(routing);
-			ph_wire_read_job(mem(), bad.data(), bad.size(), &batch,
-					 &reason);
+			ph_wire_read_job(mem(), "s-1", bad.data(), bad.size(),
+					 &batch, &reason);
 			ph_batch_request_free(mem(), batch);
-			ph_wire_read_executor("i", bad.data(), bad.size(),
-					      &info);
+			if (!ph_wire_read_executor(mem(), "i", bad.data(),
+						   bad.size(), &info))
+				ph_executor_info_clear(mem(), &info);
 			ph_wire_poll_reply(mem(), 200, bad.data(), bad.size(),
 					   &poll);
 			ph_wire_poll_clear(mem(), &poll);
