A required label is kept at any length, or the job is refused

Cause: the label was copied into a buffer of 32 bytes, and one that didn't fit counted as none, as did a requirement that is not a string. Change: the label is kept whole. Test: LongNames.ARequiredLabelIsKeptWhole failed before for each length from 32 bytes on, AJobWithARequirementThatCannotBeMetIsRefused for eight of its cases; both pass now. ATaskStartsOnlyWhereTheWholeLabelIs passed before, too, on the owner's side.

--- a/test/test_crashing_tasks.cc
+++ b/test/test_crashing_tasks.cc
@@ -355,6 +355,7 @@
 	got = over_the_wire(without);
 	EXPECT_EQ(got.suspect_count, 0U);
 	EXPECT_EQ(got.claims[0].token, 5U);
+	ph_poolmsg_clear(ph_mem_default(), &got);
 	with = without;
 	with.suspect_count = PH_SUSPECTS_SENT_MAX;
 	for (uint32_t i = 0; i < with.suspect_count; i++)
@@ -371,6 +372,7 @@
 		EXPECT_EQ(got.suspects[i].crash_weight, i % 3);
 		EXPECT_EQ(got.suspects[i].suspected, i % 2 == 0);
 	}
+	ph_poolmsg_clear(ph_mem_default(), &got);
 }
 
 // The table gets full and forgets the latest losses, or tells of the oldest.
--- /dev/null
+++ b/test/test_long_names.cc
@@ -0,0 +1,130 @@
+/* Names that come from the platform and may have any length: what can't be held
+ * is refused, never cut or left out. */
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+#include "pool_world.h"
+
+extern "C" {
+#include "wire.h"
+}
+
+using namespace world;
+
+namespace
+{
+
+constexpr size_t kLengths[] = { 1, 31, 32, 63, 64, 127, 128, 200, 4000 };
+
+const ph_mem *mem()
+{
+	return ph_mem_default();
+}
+
+/* A name of this length; names with other tails differ in the last byte. */
+std::string name_of(size_t length, char tail = 'a')
+{
+	return std::string(length - 1, 'x') + tail;
+}
+
+/* ## Required labels */
+
+std::string job_requiring(const std::string &json)
+{
+	return R"({"spec":"x","bestEffort":true,"steps":[{"count":1,"requires":)" +
+	       json + "}]}";
+}
+
+/* Guards against a requirement that is dropped as it doesn't fit: the tasks
+ * would start on executors without the label. */
+TEST(LongNames, ARequiredLabelIsKeptWhole)
+{
+	for (size_t length : kLengths) {
+		SCOPED_TRACE(length);
+		const std::string label = name_of(length);
+		const std::string body = job_requiring("\"" + label + "\"");
+		ph_batch_request *batch = nullptr;
+		const char *reason = nullptr;
+
+		ASSERT_EQ(ph_wire_read_job(mem(), "s-1", body.data(),
+					   body.size(), &batch, &reason),
+			  PH_WIRE_JOB_OK);
+		EXPECT_EQ(batch->label, label);
+		ph_batch_request_free(mem(), batch);
+	}
+}
+
+/* Guards against a requirement that no label can meet and that counts as none.
+ */
+TEST(LongNames, AJobWithARequirementThatCannotBeMetIsRefused)
+{
+	const struct {
+		const char *requires_json;
+		ph_wire_job_error error;
+	} cases[] = {
+		{ R"("k1")", PH_WIRE_JOB_OK },
+		{ R"("")", PH_WIRE_JOB_OK },
+		{ "5", PH_WIRE_JOB_INVALID },
+		{ "true", PH_WIRE_JOB_INVALID },
+		{ R"(["k1"])", PH_WIRE_JOB_INVALID },
+		{ "null", PH_WIRE_JOB_INVALID },
+		{ R"("k1\u0000")", PH_WIRE_JOB_INVALID },
+		{ R"("k1 k2")", PH_WIRE_JOB_UNSUPPORTED },
+		{ R"(" ")", PH_WIRE_JOB_UNSUPPORTED },
+		{ R"("k/1")", PH_WIRE_JOB_UNSUPPORTED },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.requires_json);
+		const std::string body = job_requiring(c.requires_json);
+		ph_batch_request *batch = nullptr;
+		const char *reason = nullptr;
+
+		EXPECT_EQ(ph_wire_read_job(mem(), "s-1", body.data(),
+					   body.size(), &batch, &reason),
+			  c.error);
+		EXPECT_EQ(reason == nullptr, c.error == PH_WIRE_JOB_OK);
+		ph_batch_request_free(mem(), batch);
+	}
+}
+
+/* Guards against labels that are told apart by their first bytes only. */
+TEST(LongNames, ATaskStartsOnlyWhereTheWholeLabelIs)
+{
+	for (size_t length : kLengths) {
+		SCOPED_TRACE(length);
+		for (char tail : { 'a', 'b' }) {
+			World w(1, 16000);
+			Owner *o = ready_owner(&w);
+			ph_batch_request request = {};
+			const std::string required = name_of(length);
+			const std::string labels =
+				" " + name_of(length, tail) + " r1 ";
+			ph_executor_info info = {};
+
+			info.id = "i-0";
+			info.labels = labels.c_str();
+			info.service = "desk";
+			info.capacity = { 16000, 65536, 0 };
+			snprintf(info.addr, sizeof(info.addr), "i-0");
+			ph_pool_update(o->pool, w.now_us, &info, 1);
+			w.run_until(w.now_us + 200000);
+			snprintf(request.job, sizeof(request.job), "a");
+			request.service = "desk";
+			request.label = required.c_str();
+			request.count = 1;
+			request.need = { 1000, 1, 0 };
+			request.estimate_us = 50000;
+			request.caller_timeout_us = 1500000;
+			request.max_attempts = 1;
+			w.submit_request(o, request, 50000);
+			w.run_until(w.now_us + 300000);
+			EXPECT_EQ(w.starts, tail == 'a' ? 1 : 0);
+		}
+	}
+}
+
+} // namespace
