All labels of an executor are kept

What callers saw: tasks that require a label are not served, although an executor has it. Cause: labels were joined in a buffer of 64 bytes, and those that didn't fit were left out without a log line. Test: LongNames.AnExecutorHasAllOfItsLabels failed before at two labels of 64 bytes; passes up to 6,000 labels of 132 bytes.

--- a/test/test_long_names.cc
+++ b/test/test_long_names.cc
@@ -127,4 +127,68 @@
 	}
 }
 
+/* ## Executors */
+
+std::string entry_with(const std::string &field, const std::string &json)
+{
+	std::string fields[][2] = {
+		{ "service", "\"s-1\"" },
+		{ "address", "\"10.0.0.1:80\"" },
+		{ "zone", "\"north\"" },
+		{ "state", "\"ready\"" },
+		{ "capacity", R"({"cpu":16000,"memMb":64})" },
+		{ "labels", "[]" },
+		{ "born", "1700000000000" },
+	};
+	std::string text;
+
+	for (auto &f : fields)
+		text += (text.empty() ? "{\"" : ",\"") + f[0] +
+			"\":" + (f[0] == field ? json : f[1]);
+	return text + "}";
+}
+
+/* Decodes an entry; its texts are those of info. */
+std::string entry_fault(const std::string &id, const std::string &text,
+			ph_executor_info *info)
+{
+	const char *fault = ph_wire_read_executor(
+		mem(), id.c_str(), text.data(), text.size(), info);
+
+	return fault ? fault : "";
+}
+
+/* Guards against labels that are left out as they don't fit: their executor
+ * gets none of the tasks that require them. */
+TEST(LongNames, AnExecutorHasAllOfItsLabels)
+{
+	const struct {
+		size_t count;
+		size_t length;
+	} cases[] = {
+		{ 2, 8 }, { 2, 63 }, { 1, 64 }, { 8, 20 }, { 6000, 128 }
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.count);
+		SCOPED_TRACE(c.length);
+		ph_executor_info info;
+		std::string expected = " ";
+		std::string json;
+
+		for (size_t i = 0; i < c.count; i++) {
+			std::string label =
+				std::to_string(i) + name_of(c.length);
+
+			expected += label + " ";
+			json += (json.empty() ? "[\"" : ",\"") + label + "\"";
+		}
+		ASSERT_EQ(entry_fault("i-1", entry_with("labels", json + "]"),
+				      &info),
+			  "");
+		EXPECT_EQ(info.labels, expected);
+		ph_executor_info_clear(mem(), &info);
+	}
+}
+
 } // namespace
