An executor is used whatever the length of its id

Cause: the id was bounded by a buffer of 32 bytes, the header that names the expected instance by one of 96. Test: LongNames.AnExecutorIsUsedWhateverTheLengthOfItsId failed before from 32 bytes on; passes up to 192, the most that a key leaves.

--- a/test/test_long_names.cc
+++ b/test/test_long_names.cc
@@ -191,4 +191,47 @@
 	}
 }
 
+/* Guards against an executor that gets no work as its id doesn't fit. The
+ * store's keys, "servers/" and the id, have at most 200 bytes. */
+TEST(LongNames, AnExecutorIsUsedWhateverTheLengthOfItsId)
+{
+	for (size_t length : { 1, 31, 32, 63, 64, 100, 192 }) {
+		SCOPED_TRACE(length);
+		World w(2, 16000);
+		std::vector<ph_executor_info> list(2);
+
+		for (size_t i = 0; i < 2; i++) {
+			const std::string id = name_of(length, (char)('a' + i));
+
+			w.executors[i].id = id;
+			ASSERT_EQ(entry_fault(id, entry_with("", ""), &list[i]),
+				  "");
+			ASSERT_EQ(list[i].id, id);
+			list[i].started_ms = w.executors[i].started_ms;
+			snprintf(list[i].addr, sizeof(list[i].addr), "%zu", i);
+		}
+		Owner *o = ready_owner(&w);
+
+		ph_pool_update(o->pool, w.now_us, list.data(), 2);
+		for (ph_executor_info &info : list)
+			ph_executor_info_clear(mem(), &info);
+		w.run_until(w.now_us + 200000);
+		/* Each executor has room for two tasks. */
+		ph_batch_request request = {};
+
+		snprintf(request.job, sizeof(request.job), "a");
+		request.service = "s-1";
+		request.count = 4;
+		request.need = { 8000, 1, 0 };
+		request.estimate_us = 50000;
+		request.caller_timeout_us = 1500000;
+		request.max_attempts = 1;
+		uint64_t seq = w.submit_request(o, request, 50000);
+		w.run_until(w.now_us + 300000);
+		EXPECT_TRUE(w.ended(o, seq, PH_VERDICT_DONE));
+		EXPECT_EQ(w.starts, 4);
+		EXPECT_EQ(ph_pool_counters(o->pool)->no_room, 0U);
+	}
+}
+
 } // namespace
