A service and a failure domain may have names of any length

Cause: the names were copied into buffers of 32 bytes, and what didn't fit was left out. Test: LongNames.AServiceIsServedWhateverTheLengthOfItsName and AnExecutorIsInItsFailureDomainWhateverTheLengthOfItsName failed before from 32 bytes on. A case of Wire.ExecutorEntryWithAnInvalidFieldIsRefused had a service of 32 bytes as invalid; it now has one with a space.

--- a/test/test_long_names.cc
+++ b/test/test_long_names.cc
@@ -234,4 +234,72 @@
 	}
 }
 
+/* ## Services and failure domains */
+
+/* Guards against a service whose route or executors are left out as its name
+ * doesn't fit, and against services that are told apart by their first bytes
+ * only. */
+TEST(LongNames, AServiceIsServedWhateverTheLengthOfItsName)
+{
+	for (size_t length : kLengths) {
+		SCOPED_TRACE(length);
+		World w(1, 16000);
+		Owner *o = ready_owner(&w);
+		const std::string names[] = { name_of(length, 'a'),
+					      name_of(length, 'b') };
+		const std::string config =
+			R"({"version":7,"routes":[{"host":"h","prefix":"/p/","service":")" +
+			names[0] + R"("}]})";
+		ph_routing *routing = nullptr;
+		ph_executor_info info;
+
+		ASSERT_EQ(ph_wire_read_config(mem(), config.data(),
+					      config.size(), &routing),
+			  0);
+		ASSERT_EQ(routing->route_count, 1U);
+		EXPECT_EQ(routing->routes[0].service, names[0]);
+		ASSERT_EQ(entry_fault(
+				  w.executors[0].id,
+				  entry_with("service", "\"" + names[0] + "\""),
+				  &info),
+			  "");
+		info.started_ms = w.executors[0].started_ms;
+		ph_pool_update(o->pool, w.now_us, &info, 1);
+		ph_executor_info_clear(mem(), &info);
+		w.run_until(w.now_us + 200000);
+		for (int i = 0; i < 2; i++) {
+			ph_batch_request request = {};
+
+			snprintf(request.job, sizeof(request.job), "j%d", i);
+			request.service = names[i].c_str();
+			request.count = 1;
+			request.need = { 8000, 1, 0 };
+			request.estimate_us = 50000;
+			request.caller_timeout_us = 1500000;
+			request.max_attempts = 1;
+			w.submit_request(o, request, 50000);
+		}
+		w.run_until(w.now_us + 300000);
+		EXPECT_EQ(w.done["j0.0"], 1);
+		EXPECT_EQ(w.done["j1.0"], 0);
+		ph_routing_free(routing);
+	}
+}
+
+TEST(LongNames, AnExecutorIsInItsFailureDomainWhateverTheLengthOfItsName)
+{
+	for (size_t length : kLengths) {
+		SCOPED_TRACE(length);
+		const std::string domain = name_of(length);
+		ph_executor_info info;
+
+		ASSERT_EQ(entry_fault("i-1",
+				      entry_with("zone", "\"" + domain + "\""),
+				      &info),
+			  "");
+		EXPECT_EQ(info.domain, domain);
+		ph_executor_info_clear(mem(), &info);
+	}
+}
+
 } // namespace
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -315,7 +315,7 @@
 		{ "service", R"("s-1")", "7" },
 		{ "service", R"("s-1")", R"("a b")" },
 		{ "service", R"("s-1")",
-		  R"("012345678901234567890123456789xx")" },
+		  R"("012345678901234567890123456789x x")" },
 		{ "address", R"("address":"10.0.0.1:80",)", "" },
 		{ "address", R"("10.0.0.1:80")", "5" },
 		{ "address", ":80", ":0" },
