A route is found whatever the length of its host and prefix

What callers saw: 404 for good to requests for a route whose host or prefix has 128 bytes or more. What a caller can send bounds them: the HTTP server takes 32 KiB of request line and headers together.

--- a/test/test_long_names.cc
+++ b/test/test_long_names.cc
@@ -302,4 +302,47 @@
 	}
 }
 
+/* ## Routes */
+
+/* Guards against a route that is left out, so that its requests get 404, as its
+ * host, prefix or name doesn't fit; and against routes that are told apart by
+ * their first bytes only. */
+TEST(LongNames, ARouteIsFoundWhateverTheLengthOfItsHostAndPrefix)
+{
+	for (size_t length : kLengths) {
+		SCOPED_TRACE(length);
+		const std::string host[] = { name_of(length, 'a'),
+					     name_of(length, 'b') };
+		const std::string prefix[] = { "/" + name_of(length, 'a') + "/",
+					       "/" + name_of(length, 'b') +
+						       "/" };
+		std::string doc;
+		ph_routing *routing = nullptr;
+
+		for (int i = 0; i < 4; i++)
+			doc += (doc.empty() ? "" : ",") +
+			       std::string(R"({"service":"s","name":")") +
+			       name_of(length, (char)('0' + i)) +
+			       R"(","host":")" + host[i / 2] +
+			       R"(","prefix":")" + prefix[i % 2] + R"("})";
+		doc = R"({"version":7,"routes":[)" + doc + "]}";
+		ASSERT_EQ(ph_wire_read_config(mem(), doc.data(), doc.size(),
+					      &routing),
+			  0);
+		EXPECT_EQ(routing->skipped, 0U);
+		for (int i = 0; i < 4; i++) {
+			const ph_route *r = ph_routing_find(
+				routing, (host[i / 2] + ":80").c_str(),
+				(prefix[i % 2] + "1").c_str());
+
+			ASSERT_NE(r, nullptr);
+			EXPECT_EQ(r->name, name_of(length, (char)('0' + i)));
+		}
+		EXPECT_EQ(ph_routing_find(routing, "h",
+					  (prefix[0] + "1").c_str()),
+			  nullptr);
+		ph_routing_free(routing);
+	}
+}
+
 } // namespace
