A route that can't be followed is logged with its name and the field

What operators saw: event=routes_skipped with a count, from the instance that read the version from the store only; nothing told which route and why. Test: LongNames.ARouteThatIsSkippedIsLoggedWithItsNameAndTheField, new; there was no such line to find before.

--- a/src/dispatcher_report.c
+++ b/src/dispatcher_report.c
@@ -83,10 +83,12 @@
 		      "peridothall_ready %d\n"
 		      "peridothall_config_version %llu\n"
 		      "peridothall_jobs_under_way %zu\n"
-		      "peridothall_entries_skipped %zu\n",
+		      "peridothall_entries_skipped %zu\n"
+		      "peridothall_routes_skipped %zu\n",
 		      ph_dispatcher_ready(d),
 		      d->routing ? (unsigned long long)d->routing->version : 0,
-		      ph_submitter_count(d->submitter), d->counters.skipped);
+		      ph_submitter_count(d->submitter), d->counters.skipped,
+		      d->routing ? d->routing->skipped : 0);
 	for (i = 0; i < d->pool_count; i++)
 		put_pool_metrics(&d->pools[i], now_us, out);
 }
--- a/test/test_long_names.cc
+++ b/test/test_long_names.cc
@@ -9,6 +9,7 @@
 #include "pool_world.h"
 
 extern "C" {
+#include "log.h"
 #include "wire.h"
 }
 
@@ -30,6 +31,18 @@
 	return std::string(length - 1, 'x') + tail;
 }
 
+/* What code writes to the log of events. */
+std::string logged_by(const std::function<void()> &code)
+{
+	testing::internal::CaptureStdout();
+	ph_log_quiet(0);
+	ph_log_events(1000000);
+	code();
+	ph_log_events(0);
+	ph_log_quiet(1);
+	return testing::internal::GetCapturedStdout();
+}
+
 /* ## Required labels */
 
 std::string job_requiring(const std::string &json)
@@ -345,4 +358,41 @@
 	}
 }
 
+/* Guards against a part of a configuration that isn't followed without a line
+ * that names it: callers get 404, and nobody learns why. */
+TEST(LongNames, ARouteThatIsSkippedIsLoggedWithItsNameAndTheField)
+{
+	const struct {
+		const char *route;
+		const char *logged;
+	} cases[] = {
+		{ R"({"name":"a b","host":5,"prefix":"/","service":"s"})",
+		  "version=7 index=1 field=host route=a%20b" },
+		{ R"({"name":"r","host":"h","service":"s"})",
+		  "field=prefix route=r" },
+		{ R"({"host":"h","prefix":"/","service":"\u0000"})",
+		  "field=service route=\n" },
+		{ "17", "field=object route=\n" },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.route);
+		const std::string doc =
+			R"({"version":7,"routes":[{"host":"h","prefix":"/p/","service":"s"},)" +
+			std::string(c.route) + "]}";
+		ph_routing *routing = nullptr;
+		std::string log;
+
+		log = logged_by([&] {
+			ph_wire_read_config(mem(), doc.data(), doc.size(),
+					    &routing);
+		});
+		ASSERT_NE(routing, nullptr);
+		EXPECT_EQ(routing->route_count, 1U);
+		EXPECT_EQ(routing->skipped, 1U);
+		EXPECT_NE(log.find(c.logged), std::string::npos) << log;
+		ph_routing_free(routing);
+	}
+}
+
 } // namespace
