Log lines and metrics are not cut within long names

What operators saw: a line of the log ended at 768 bytes, and the metrics of a pool at 1,023, so that names of a few hundred bytes hid what follows them or could not be told apart. Read, then shown by the tests. Change: an event has up to 4,096 bytes, what a pipe takes whole; a longer one ends with cut=1. ph_buf_printf() grows its buffer. Test: LongNames.LinesOfTheLogAndTextsAreNotCutWithinNames failed before from 700 (log) and 1,000 bytes (texts) on, ALineOfTheLogThatIsTooLongTellsSo failed.

--- a/src/buf.c
+++ b/src/buf.c
@@ -5,7 +5,8 @@
 #include "buf.h"
 
 #define MIN_CAPACITY_BYTES 256U
-#define PRINTF_BYTES 1024
+/* Room for formatted text; if it is longer, it is formatted anew. */
+#define PRINTF_BYTES 128U
 
 void ph_buf_init(struct ph_buf *buf, const struct ph_mem *mem)
 {
@@ -13,20 +14,25 @@
 	buf->mem = mem;
 }
 
-void ph_buf_put(struct ph_buf *buf, const void *data, size_t len)
+/* Makes room for len more bytes and a NUL. */
+static void reserve(struct ph_buf *buf, size_t len)
 {
 	size_t need = buf->len + len + 1;
+	size_t cap = buf->cap * 2;
 
-	if (need > buf->cap) {
-		size_t cap = buf->cap * 2;
+	if (need <= buf->cap)
+		return;
+	if (cap < need)
+		cap = need;
+	if (cap < MIN_CAPACITY_BYTES)
+		cap = MIN_CAPACITY_BYTES;
+	buf->data = buf->mem->realloc(buf->data, cap);
+	buf->cap = cap;
+}
 
-		if (cap < need)
-			cap = need;
-		if (cap < MIN_CAPACITY_BYTES)
-			cap = MIN_CAPACITY_BYTES;
-		buf->data = buf->mem->realloc(buf->data, cap);
-		buf->cap = cap;
-	}
+void ph_buf_put(struct ph_buf *buf, const void *data, size_t len)
+{
+	reserve(buf, len);
 	if (len)
 		memcpy(buf->data + buf->len, data, len);
 	buf->len += len;
@@ -40,18 +46,21 @@
 
 void ph_buf_printf(struct ph_buf *buf, const char *format, ...)
 {
-	char text[PRINTF_BYTES];
+	size_t room = PRINTF_BYTES;
 	va_list args;
 	int len;
 
-	va_start(args, format);
-	len = vsnprintf(text, sizeof(text), format, args);
-	va_end(args);
-	if (len < 0)
-		return;
-	if ((size_t)len >= sizeof(text))
-		len = sizeof(text) - 1;
-	ph_buf_put(buf, text, (size_t)len);
+	do {
+		reserve(buf, room);
+		va_start(args, format);
+		len = vsnprintf(buf->data + buf->len, room + 1, format, args);
+		va_end(args);
+		if (len < 0) {
+			buf->data[buf->len] = '\0';
+			return;
+		}
+	} while ((size_t)len > room && (room = (size_t)len));
+	buf->len += (size_t)len;
 }
 
 void ph_buf_consume(struct ph_buf *buf, size_t len)
--- a/src/buf.h
+++ b/src/buf.h
@@ -21,7 +21,7 @@
 /** Appends a NUL-terminated string. */
 void ph_buf_puts(struct ph_buf *buf, const char *text);
 
-/** Appends formatted text; what exceeds 1,023 bytes is cut off. */
+/** Appends formatted text. */
 void ph_buf_printf(struct ph_buf *buf, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
 
--- a/src/log.c
+++ b/src/log.c
@@ -11,6 +11,11 @@
 
 #define LINE_BYTES 512
 #define EVENT_BYTES 768
+/* Longest line of an event: so much is written to a pipe whole or not at all.
+ */
+#define EVENT_BYTES_MAX 4096U
+/* Ends a line that would be longer. */
+#define CUT_MARK " cut=1\n"
 #define US_PER_S 1000000U
 #define NS_PER_US 1000U
 
@@ -85,30 +90,54 @@
 static size_t write_line_prefix(char *line, size_t size,
 				const struct timespec *now, const char *part)
 {
-	return (size_t)snprintf(line, size, "t=%lld.%06ld instance=%s part=%s ",
-				(long long)now->tv_sec,
-				now->tv_nsec / (long)NS_PER_US, instance, part);
+	int n = snprintf(line, size, "t=%lld.%06ld instance=%s part=%s ",
+			 (long long)now->tv_sec, now->tv_nsec / (long)NS_PER_US,
+			 instance, part);
+
+	return n < 0 || (size_t)n >= size ? size - 1 : (size_t)n;
 }
 
 /* Writes an event with the number of lines dropped since the last such event.
  */
 static void report_dropped(const struct timespec *now)
 {
-	char line[EVENT_BYTES];
+	char line[EVENT_BYTES_MAX];
 	uint64_t dropped = ph_log_dropped();
 	size_t len;
+	int n;
 
 	if (dropped == events.dropped_reported)
 		return;
-	len = write_line_prefix(line, sizeof(line), now, "log");
-	len += (size_t)snprintf(
-		line + len, sizeof(line) - len,
-		"event=lines_dropped count=%llu\n",
-		(unsigned long long)(dropped - events.dropped_reported));
+	len = write_line_prefix(line, sizeof(line) / 2, now, "log");
+	n = snprintf(line + len, sizeof(line) - len,
+		     "event=lines_dropped count=%llu\n",
+		     (unsigned long long)(dropped - events.dropped_reported));
+	if (n > 0 && (size_t)n < sizeof(line) - len)
+		len += (size_t)n;
 	events.dropped_reported = dropped;
 	write_line(line, len);
 }
 
+/* Writes a line that doesn't fit into EVENT_BYTES. */
+static void write_long_line(const struct timespec *now, const char *part,
+			    const char *format, va_list args)
+{
+	char line[EVENT_BYTES_MAX];
+	size_t size = sizeof(line) - sizeof(CUT_MARK) + 1;
+	size_t len = write_line_prefix(line, size, now, part);
+	int n = vsnprintf(line + len, size - len, format, args);
+
+	if (n >= 0 && (size_t)n < size - len) {
+		len += (size_t)n;
+		line[len++] = '\n';
+	} else {
+		len = size;
+		memcpy(line + len, CUT_MARK, sizeof(CUT_MARK) - 1);
+		len += sizeof(CUT_MARK) - 1;
+	}
+	write_line(line, len);
+}
+
 void ph_event(const char *part, const char *format, ...)
 {
 	char line[EVENT_BYTES];
@@ -127,11 +156,15 @@
 	report_dropped(&now);
 	len = write_line_prefix(line, sizeof(line), &now, part);
 	va_start(args, format);
-	n = vsnprintf(line + len, sizeof(line) - len - 1, format, args);
+	n = vsnprintf(line + len, sizeof(line) - len, format, args);
 	va_end(args);
+	if (n < 0 || (size_t)n >= sizeof(line) - len) {
+		va_start(args, format);
+		write_long_line(&now, part, format, args);
+		va_end(args);
+		return;
+	}
 	len += (size_t)n;
-	if (len > sizeof(line) - 2)
-		len = sizeof(line) - 2;
 	line[len++] = '\n';
 	write_line(line, len);
 }
--- a/test/test_long_names.cc
+++ b/test/test_long_names.cc
@@ -395,4 +395,41 @@
 	}
 }
 
+/* ## Logs and metrics */
+
+/* Guards against lines that end before what tells one name from another. */
+TEST(LongNames, LinesOfTheLogAndTextsAreNotCutWithinNames)
+{
+	for (size_t length : { 31, 200, 700, 1000, 3000 }) {
+		SCOPED_TRACE(length);
+		for (char tail : { 'a', 'b' }) {
+			const std::string name = name_of(length, tail);
+			ph_buf text;
+			std::string log;
+
+			log = logged_by([&] {
+				ph_event("test", "event=x name=%s end=1",
+					 name.c_str());
+			});
+			EXPECT_NE(log.find("name=" + name + " end=1\n"),
+				  std::string::npos);
+			ph_buf_init(&text, mem());
+			ph_buf_printf(&text, "%s %s", name.c_str(), "end");
+			EXPECT_EQ(text.data, name + " end");
+			ph_buf_free(&text);
+		}
+	}
+}
+
+/* A line of the log has a bound, so that it is written whole or not at all. */
+TEST(LongNames, ALineOfTheLogThatIsTooLongTellsSo)
+{
+	const std::string name = name_of(100000);
+	std::string log =
+		logged_by([&] { ph_event("test", "name=%s", name.c_str()); });
+
+	EXPECT_EQ(log.size(), 4096U);
+	EXPECT_EQ(log.substr(log.size() - 7), " cut=1\n");
+}
+
 } // namespace
