Shards of failure domains with like names are different pools

What could be seen: two zones whose names share the first 24 bytes, with over 48 executors each, give their shards one name. The executors of both would be in one pool, or have two owners. Change: a shard's name has the domain's whole name.

--- a/src/pool_shard.c
+++ b/src/pool_shard.c
@@ -51,7 +51,7 @@
 	if (!shard)
 		return ph_intern(domain);
 	ph_buf_init(&text, ph_mem_default());
-	ph_buf_printf(&text, "%.24s#%u", domain, shard % PH_POOL_SHARDS_MAX);
+	ph_buf_printf(&text, "%s#%u", domain, shard % PH_POOL_SHARDS_MAX);
 	name = ph_intern(text.data);
 	ph_buf_free(&text);
 	return name;
@@ -61,8 +61,6 @@
 {
 	size_t len = strcspn(pool, "#");
 
-	if (pool[len] && len == 24)
-		return !strncmp(pool, domain, len);
 	return strlen(domain) == len && !strncmp(pool, domain, len);
 }
 
--- a/test/test_long_names.cc
+++ b/test/test_long_names.cc
@@ -4,12 +4,15 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <functional>
+#include <set>
 #include <string>
 
 #include "pool_world.h"
 
 extern "C" {
 #include "log.h"
+#include "pool_shard.h"
 #include "wire.h"
 }
 
@@ -315,6 +318,36 @@
 	}
 }
 
+/* Guards against shards of two failure domains that get one name, as only the
+ * first bytes of the domain's stand in it: their executors would be mixed, and
+ * have two owners. */
+TEST(LongNames, ShardsOfFailureDomainsWithLikeNamesAreDifferentPools)
+{
+	for (size_t length : kLengths) {
+		SCOPED_TRACE(length);
+		const std::string domains[] = { name_of(length, 'a'),
+						name_of(length, 'b') };
+
+		for (uint32_t shard : { 0, 1, 999 }) {
+			std::string names[2];
+
+			for (int i = 0; i < 2; i++) {
+				names[i] = ph_pool_shard_name(
+					domains[i].c_str(), shard);
+				EXPECT_TRUE(ph_pool_shard_in(
+					names[i].c_str(), domains[i].c_str()));
+				EXPECT_FALSE(ph_pool_shard_in(
+					names[i].c_str(),
+					domains[1 - i].c_str()));
+				EXPECT_EQ(
+					ph_pool_shard_number(names[i].c_str()),
+					shard);
+			}
+			EXPECT_NE(names[0], names[1]);
+		}
+	}
+}
+
 /* ## Routes */
 
 /* Guards against a route that is left out, so that its requests get 404, as its
