Instances take names of any length from the platform

What operators saw: an instance whose node name or zone has 32 characters or more, or a capital letter, a dot or an underscore, exits at its start with a usage error. Cause: the settings of peridothall-dispatch had the rule for the project's own names. The project's own interface keeps its rule.

--- a/src/settings.c
+++ b/src/settings.c
@@ -42,6 +42,7 @@
 {
 	switch (type) {
 	case PH_SETTING_NAME:
+	case PH_SETTING_PLATFORM_NAME:
 		return "NAME";
 	case PH_SETTING_IP:
 		return "IP";
@@ -166,6 +167,11 @@
 			return "is not a name of 1 to 31 characters of "
 			       "[a-z0-9-]";
 		break;
+	case PH_SETTING_PLATFORM_NAME:
+		if (!ph_platform_name_valid(raw))
+			return "is not a name of characters of "
+			       "[A-Za-z0-9._~:@+-]";
+		break;
 	case PH_SETTING_IP:
 		if (inet_pton(AF_INET, raw, &ip) != 1)
 			return "is not an IPv4 address";
--- a/src/settings.h
+++ b/src/settings.h
@@ -12,6 +12,8 @@
 enum ph_setting_type {
 	PH_SETTING_TEXT,
 	PH_SETTING_NAME,
+	/** A name that the platform gives; of any length. */
+	PH_SETTING_PLATFORM_NAME,
 	PH_SETTING_IP,
 	PH_SETTING_PORT,
 	/** Whole milliseconds in the text, microseconds in the value. */
@@ -32,8 +34,8 @@
 	/** Default as text; NULL makes the setting required. */
 	const char *fallback;
 	const char *help;
-	/** Where the value is stored: text for TEXT, NAME and IP, number for
-	 * all other types. */
+	/** Where the value is stored: text for TEXT, the names and IP, number
+	 * for all other types. */
 	const char **text;
 	uint64_t *number;
 	/** Set by ph_settings_load: "flag", "environment" or "default". */
--- a/test/test_long_names.cc
+++ b/test/test_long_names.cc
@@ -13,6 +13,7 @@
 extern "C" {
 #include "log.h"
 #include "pool_shard.h"
+#include "settings.h"
 #include "wire.h"
 }
 
@@ -348,6 +349,76 @@
 	}
 }
 
+/* ## Instances */
+
+/* Guards against an instance that doesn't start as the platform's name for it
+ * or its failure domain is longer than the project's own names may be. */
+TEST(LongNames, SettingsTakeNamesOfThePlatform)
+{
+	const struct {
+		std::string name;
+		int status;
+	} cases[] = {
+		{ "n1", -1 },
+		{ name_of(32), -1 },
+		{ name_of(4000), -1 },
+		{ "Edge_1.rack:4", -1 },
+		{ "", PH_EXIT_USAGE },
+		{ "a b", PH_EXIT_USAGE },
+		{ "a#1", PH_EXIT_USAGE },
+		{ "a/b", PH_EXIT_USAGE },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		const char *value = nullptr;
+		ph_setting list[1] = {};
+		ph_settings settings = {};
+		std::string flag = "--domain=" + c.name;
+		char *argv[] = { const_cast<char *>("p"), flag.data(),
+				 nullptr };
+
+		list[0].flag = "domain";
+		list[0].type = PH_SETTING_PLATFORM_NAME;
+		list[0].help = "";
+		list[0].text = &value;
+		settings.program = "p";
+		settings.summary = "";
+		settings.list = list;
+		settings.count = 1;
+		testing::internal::CaptureStderr();
+		EXPECT_EQ(ph_settings_load(&settings, 2, argv), c.status);
+		testing::internal::GetCapturedStderr();
+		if (c.status < 0) {
+			EXPECT_EQ(value, c.name);
+		}
+	}
+}
+
+/* Guards against an instance that isn't registered, as its key is longer than
+ * the store's keys may be, and against instances with one key. */
+TEST(LongNames, InstancesAreRegisteredUnderKeysOfTheirOwn)
+{
+	std::set<std::string> keys;
+	size_t count = 0;
+
+	for (size_t length : kLengths) {
+		for (char tail : { 'a', 'b' }) {
+			ph_buf key;
+
+			ph_buf_init(&key, mem());
+			ph_wire_put_member_key(&key,
+					       name_of(length, tail).c_str());
+			EXPECT_LE(key.len, 200U);
+			keys.insert(key.data);
+			count++;
+			ph_buf_free(&key);
+		}
+	}
+	EXPECT_EQ(keys.size(), count);
+	EXPECT_TRUE(keys.count("peridothall/members/a"));
+}
+
 /* ## Routes */
 
 /* Guards against a route that is left out, so that its requests get 404, as its
