--- a/bench/cluster_bench.c
+++ b/bench/cluster_bench.c
@@ -152,20 +152,22 @@
 	uint64_t heard_ns = 0;
 	uint64_t lookup_ns;
 	uint64_t now_us;
+	struct ph_poolmsg *heartbeats;
 	struct bench_state w;
 	uint32_t i;
 
 	start(&w, peers);
+	heartbeats = ph_mem_default()->calloc(peers, sizeof(*heartbeats));
+	for (i = 0; i < peers; i++)
+		make_heartbeat(i, peers, pools, &heartbeats[i]);
 	for (now_us = US_PER_S; now_us < US_PER_S + RUN_US; now_us += TICK_US) {
 		uint64_t t0 = cpu_ns();
 
 		for (i = 0; i < peers; i++) {
-			struct ph_poolmsg m;
-
-			make_heartbeat(i, peers, pools, &m);
-			if (now_us % m.interval_us)
+			if (now_us % heartbeats[i].interval_us)
 				continue;
-			ph_cluster_heartbeat_received(w.cluster, now_us, &m);
+			ph_cluster_heartbeat_received(w.cluster, now_us,
+						      &heartbeats[i]);
 			heard++;
 		}
 		heard_ns += cpu_ns() - t0;
@@ -191,6 +193,7 @@
 	       (double)lookup_ns / OWNER_LOOKUPS / 1e3,
 	       w.heartbeats_sent / ((RUN_US - WARM_UP_US) / US_PER_S));
 	ph_cluster_free(w.cluster);
+	ph_mem_default()->free(heartbeats);
 }
 
 int main(void)
--- a/src/directory.c
+++ b/src/directory.c
@@ -213,9 +213,16 @@
 
 /* ## Changes */
 
+static size_t text_bytes(const struct ph_executor_info *x)
+{
+	return strlen(x->id) + strlen(x->domain) + strlen(x->service) +
+	       strlen(x->labels);
+}
+
 static bool add_updated(const struct ph_directory *d,
 			struct ph_list_change *change)
 {
+	size_t bytes = 0;
 	size_t i;
 
 	for (i = 0; i < d->count; i++) {
@@ -224,7 +231,9 @@
 
 		if (previous && entry_hash(previous) == entry_hash(&d->list[i]))
 			continue;
-		if (change->updated_count == PH_LIST_CHANGES_MAX)
+		bytes += text_bytes(&d->list[i]);
+		if (change->updated_count == PH_LIST_CHANGES_MAX ||
+		    bytes > PH_LIST_CHANGE_BYTES_MAX)
 			return false;
 		change->updated[change->updated_count++] = d->list[i];
 	}
--- a/src/directory.h
+++ b/src/directory.h
@@ -18,6 +18,8 @@
  * read the list themselves after a larger change.
  */
 #define PH_LIST_CHANGES_MAX 128U
+/** Most bytes of texts in such a change. */
+#define PH_LIST_CHANGE_BYTES_MAX (1U << 20)
 
 /** The difference between two successive lists; its texts are borrowed. */
 struct ph_list_change {
@@ -48,8 +50,8 @@
 
 /**
  * Fills in the change made by the last read or applied change, whose texts are
- * valid until the next one. Returns false if it has more than
- * PH_LIST_CHANGES_MAX entries.
+ * valid until the next one. Returns false if it has more entries than
+ * PH_LIST_CHANGES_MAX or more texts than PH_LIST_CHANGE_BYTES_MAX.
  */
 bool ph_directory_last_change(const struct ph_directory *directory,
 			      uint64_t now_us, struct ph_list_change *change);
--- a/test/scenarios/lib_dispatch.lua
+++ b/test/scenarios/lib_dispatch.lua
@@ -38,7 +38,7 @@
 		seeds[#seeds + 1] = "127.0.1." .. m .. ":" .. peers
 	end
 	link(d.name, "127.0.1." .. n, peers, ip, peers)
-	spawn(d.name, BUILD .. "/peridothall-dispatch", "--name", d.name,
+	spawn(d.name, BUILD .. "/peridothall-dispatch", "--name", d.node or d.name,
 		"--domain", d.domain, "--address", ip, "--peers-at", ip .. ":" .. peers,
 		"--advertise", "127.0.1." .. n .. ":" .. peers, "--jobs-at", jobs_at(n),
 		"--ready-at", ip .. ":" .. (DISPATCH_BASE + 41), "--metrics-port", DISPATCH_BASE + 43,
@@ -56,14 +56,16 @@
 end
 
 -- Starts instances and the fleet, which then sends a job every every_ms. Options:
--- domains, a list of { name, instances }; executors; fleet, further arguments.
+-- domains, a list of { name, instances }; executors; fleet, further arguments;
+-- node, what the instances' names begin with, if it isn't that of the processes.
 function start_dispatch_in(options)
 	local entries, names = {}, {}
 	for _, domain in ipairs(options.domains) do
 		names[#names + 1] = domain[1]
 		for _ = 1, domain[2] do
 			local n = #dispatchers + 1
-			dispatchers[n] = { name = "dispatch" .. n, n = n, domain = domain[1] }
+			dispatchers[n] = { name = "dispatch" .. n, n = n, domain = domain[1],
+				node = options.node and options.node .. n }
 			entries[n] = jobs_at(n)
 		end
 	end
@@ -120,6 +122,7 @@
 	expect(r.twice == 0, "no task runs twice at the same time")
 	expect(r.untrue == 0, "no job that was reported as not run has started")
 	expect(r.wrong == 0, "every answer is complete")
+	expect(r.misplaced == 0, "no task starts on an executor without the required label")
 	expect(r.jobs > 0 and r.done >= served * r.jobs,
 		"at least " .. served .. " of the jobs are served")
 end
--- a/test/standin_fleet.c
+++ b/test/standin_fleet.c
@@ -25,6 +25,8 @@
 #include "settings.h"
 #include "wire_json.h"
 
+/* Longest id of an executor: what a key of the store leaves for it. */
+#define ID_BYTES_MAX 192U
 #define EXECUTORS_MAX 160
 #define JOBS_MAX 20000
 #define RUNS_MAX 64
@@ -85,7 +87,7 @@
 };
 
 struct executor {
-	char id[32];
+	char *id;
 	char address[64];
 	const char *zone;
 	struct ph_httpd *httpd;
@@ -146,7 +148,7 @@
 };
 
 struct key {
-	char key[128];
+	char key[256];
 	char value[128];
 	uint64_t revision;
 };
@@ -182,6 +184,18 @@
 	uint64_t answers;
 	uint64_t next_job_us;
 	bool sending;
+	/** Length of the names of the configuration and of executors. */
+	uint64_t name_bytes;
+	/** Names in the configuration and the entries of executors. */
+	char *service;
+	char *host;
+	char *prefix;
+	/** The label that jobs require if names are long, and the one that
+	 * every second executor has in its place. */
+	char *label;
+	char *other_label;
+	/** Starts on executors without the required label. */
+	uint64_t misplaced;
 	/** Starts of a task while another run of it was in progress. */
 	uint64_t overlapping_runs;
 	uint64_t starts;
@@ -286,6 +300,11 @@
 			}
 }
 
+static bool has_label(const struct executor *x)
+{
+	return !fleet.name_bytes || (x - fleet.executors) % 2 == 0;
+}
+
 /* Returns the reason for which the start is refused, or NULL. */
 static const char *carry_out_start(struct executor *x, const json_t *o)
 {
@@ -321,6 +340,7 @@
 	if (job)
 		job->started = true;
 	fleet.starts++;
+	fleet.misplaced += !has_label(x);
 	r = &x->runs[x->run_count++];
 	ph_strcopy(r->task, TASK_BYTES, task);
 	r->run = run;
@@ -533,38 +553,52 @@
 
 static json_t *config_item(void)
 {
-	char doc[1024];
+	struct ph_buf doc;
+	json_t *o;
 
-	snprintf(doc, sizeof(doc),
-		 "{\"version\":%llu,\"routes\":[{\"name\":\"r\",\"host\":"
-		 "\"desk.example\",\"prefix\":\"/q/\",\"service\":\"desk\","
-		 "\"timeoutMs\":1500,\"targetDurationMs\":60,\"priority\":0,"
-		 "\"maxAttempts\":4,\"stretch\":1.6}],\"services\":[]}",
-		 (unsigned long long)fleet.config_version);
-	return item("op/config", doc, fleet.revision);
+	ph_buf_init(&doc, fleet.mem);
+	ph_buf_printf(&doc,
+		      "{\"version\":%llu,\"routes\":[{\"name\":\"r\",\"host\":"
+		      "\"%s\",\"prefix\":\"%s\",\"service\":\"%s\","
+		      "\"timeoutMs\":1500,\"targetDurationMs\":60,\"priority\":"
+		      "0,\"maxAttempts\":4,\"stretch\":1.6}],\"services\":[]}",
+		      (unsigned long long)fleet.config_version, fleet.host,
+		      fleet.prefix, fleet.service);
+	o = item("op/config", doc.data, fleet.revision);
+	ph_buf_free(&doc);
+	return o;
 }
 
 static json_t *executor_items(void)
 {
 	json_t *list = json_array();
-	char key[64];
-	char doc[512];
+	struct ph_buf key;
+	struct ph_buf doc;
 	size_t i;
 
+	ph_buf_init(&key, fleet.mem);
+	ph_buf_init(&doc, fleet.mem);
 	for (i = 0; i < fleet.executor_count; i++) {
 		const struct executor *x = &fleet.executors[i];
 
-		snprintf(key, sizeof(key), "servers/%s", x->id);
-		snprintf(doc, sizeof(doc),
-			 "{\"service\":\"desk\",\"address\":\"%s\",\"zone\":"
-			 "\"%s\",\"state\":\"%s\",\"born\":%llu,"
-			 "\"capacity\":{\"cpu\":%u,\"memMb\":65536},"
-			 "\"labels\":[\"a\"]}",
-			 x->address, x->zone,
-			 x->draining ? "draining" : "ready",
-			 (unsigned long long)x->started_ms, EXECUTOR_CPU_MILLI);
-		json_array_append_new(list, item(key, doc, fleet.revision));
+		key.len = 0;
+		doc.len = 0;
+		ph_buf_printf(&key, "servers/%s", x->id);
+		ph_buf_printf(&doc,
+			      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":"
+			      "\"%s\",\"state\":\"%s\",\"born\":%llu,"
+			      "\"capacity\":{\"cpu\":%u,\"memMb\":65536},"
+			      "\"labels\":[\"r1\",\"%s\"]}",
+			      fleet.service, x->address, x->zone,
+			      x->draining ? "draining" : "ready",
+			      (unsigned long long)x->started_ms,
+			      EXECUTOR_CPU_MILLI,
+			      has_label(x) ? fleet.label : fleet.other_label);
+		json_array_append_new(list,
+				      item(key.data, doc.data, fleet.revision));
 	}
+	ph_buf_free(&key);
+	ph_buf_free(&doc);
 	return list;
 }
 
@@ -650,33 +684,44 @@
 {
 	static const char format[] =
 		"{\"spec\":\"%u ms\",\"bestEffort\":true,\"steps\":[{\"count\":"
-		"%u,\"cpu\":6800,\"memMb\":64,\"estimateMs\":%u}]}";
+		"%u,\"cpu\":6800,\"memMb\":64,\"estimateMs\":%u,"
+		"\"requires\":\"%s\"}]}";
 	struct job *j = &fleet.jobs[index];
 	struct attempt *a = calloc(1, sizeof(*a));
-	char url[128];
-	char body[256];
+	struct ph_buf url;
+	struct ph_buf body;
+	struct ph_buf host;
 	char deadline[48];
 	struct ph_http_call call = {
 		.method = "POST",
-		.url = url,
-		.headers = { "Host: desk.example", deadline },
-		.body = body,
+		.headers = { NULL, deadline },
 		.timeout_us = fleet.deadline_ms * US_PER_MS,
 		.user = a,
 	};
 
 	a->job = index;
 	j->state = JOB_SENT;
-	snprintf(url, sizeof(url), "http://%s/q/%s",
-		 fleet.entries[(index + j->attempts) % fleet.entry_count],
-		 j->id);
+	ph_buf_init(&url, fleet.mem);
+	ph_buf_init(&body, fleet.mem);
+	ph_buf_init(&host, fleet.mem);
+	ph_buf_printf(&url, "http://%s%s%s",
+		      fleet.entries[(index + j->attempts) % fleet.entry_count],
+		      fleet.prefix, j->id);
+	ph_buf_printf(&host, "Host: %s", fleet.host);
 	snprintf(deadline, sizeof(deadline), "X-Request-Deadline: %llu",
 		 (unsigned long long)fleet.deadline_ms);
-	snprintf(body, sizeof(body), format, j->run_ms, j->tasks,
-		 j->run_ms < DECLARED_MS_MAX ? j->run_ms : DECLARED_MS_MAX);
-	call.body_len = strlen(body);
+	ph_buf_printf(&body, format, j->run_ms, j->tasks,
+		      j->run_ms < DECLARED_MS_MAX ? j->run_ms : DECLARED_MS_MAX,
+		      fleet.name_bytes ? fleet.label : "");
+	call.url = url.data;
+	call.headers[0] = host.data;
+	call.body = body.data;
+	call.body_len = body.len;
 	j->attempts++;
 	ph_httpc_send(fleet.http, &call);
+	ph_buf_free(&url);
+	ph_buf_free(&body);
+	ph_buf_free(&host);
 }
 
 static void on_answer(void *ctx, void *user, const struct ph_http_result *r)
@@ -731,8 +776,8 @@
 
 /* ## Control */
 
-/* The counts that the scenarios check: "twice", "untrue" and "wrong" have to be
- * 0. */
+/* The counts that the scenarios check: "twice", "untrue", "wrong" and
+ * "misplaced" have to be 0. */
 static json_t *report(void)
 {
 	uint64_t counts[JOB_LOST + 1] = { 0 };
@@ -744,7 +789,7 @@
 		false_refusals += fleet.jobs[i].state == JOB_REFUSED &&
 				  fleet.jobs[i].started;
 	}
-	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "jobs",
+	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "jobs",
 			 (json_int_t)fleet.job_count, "done",
 			 (json_int_t)counts[JOB_DONE], "refused",
 			 (json_int_t)counts[JOB_REFUSED], "lost",
@@ -753,7 +798,8 @@
 			 "starts", (json_int_t)fleet.starts, "twice",
 			 (json_int_t)fleet.overlapping_runs, "untrue",
 			 (json_int_t)false_refusals, "wrong",
-			 (json_int_t)fleet.invalid_answers);
+			 (json_int_t)fleet.invalid_answers, "misplaced",
+			 (json_int_t)fleet.misplaced);
 }
 
 /* Sets the given modes; "executor" is the index of the executor that they apply
@@ -858,26 +904,50 @@
 }
 
 /* Splits "a,b,..." into domains, and returns how many there are. */
-static size_t split_domains(const char *text, char (*domains)[PH_NAME_BYTES])
+static size_t split_domains(const char *text, char **domains)
 {
 	size_t count = 0;
 
 	while (*text && count < DOMAINS_MAX) {
 		size_t len = strcspn(text, ",");
 
-		snprintf(domains[count++], PH_NAME_BYTES, "%.*s", (int)len,
-			 text);
+		domains[count++] = ph_memdup(fleet.mem, text, len);
 		text += len;
 		text += *text == ',';
 	}
 	return count;
 }
 
+/* A name of fleet.name_bytes, or max if that is less, that ends with "end". */
+static char *long_name(const char *begin, const char *end, uint64_t max)
+{
+	uint64_t bytes = fleet.name_bytes < max ? fleet.name_bytes : max;
+	struct ph_buf name;
+
+	ph_buf_init(&name, fleet.mem);
+	ph_buf_puts(&name, begin);
+	while (name.len + strlen(end) < bytes)
+		ph_buf_puts(&name, "x");
+	ph_buf_puts(&name, end);
+	return ph_buf_detach(&name);
+}
+
+static void set_names(void)
+{
+	fleet.service = long_name("", "desk", UINT64_MAX);
+	fleet.host = long_name("", "desk.example", UINT64_MAX);
+	fleet.prefix = long_name("/", "q/", UINT64_MAX);
+	fleet.label = long_name("", "a", UINT64_MAX);
+	fleet.other_label = long_name("", "b", UINT64_MAX);
+}
+
 static void add_executor(const char *address, uint16_t port, const char *zone)
 {
 	struct executor *x = &fleet.executors[fleet.executor_count];
+	char id[24];
 
-	snprintf(x->id, sizeof(x->id), "i-%zu", fleet.executor_count++);
+	snprintf(id, sizeof(id), "i-%zu", fleet.executor_count++);
+	x->id = long_name("", id, ID_BYTES_MAX);
 	snprintf(x->address, sizeof(x->address), "%s:%u", address, port);
 	x->zone = zone;
 	x->started_ms = 1;
@@ -907,7 +977,7 @@
 	uint64_t count = 0;
 	uint64_t every_ms = 0;
 	const char *domain_list = NULL;
-	static char domains[DOMAINS_MAX][PH_NAME_BYTES];
+	static char *domains[DOMAINS_MAX];
 	size_t domain_count;
 	struct ph_setting list[] = {
 		{ .flag = "address",
@@ -955,6 +1025,12 @@
 		  .fallback = NULL,
 		  .help = "ip:port,... that callers submit jobs to",
 		  .text = &entries },
+		{ .flag = "name-bytes",
+		  .type = PH_SETTING_NUMBER,
+		  .fallback = "0",
+		  .help = "least length of the names of service, host, prefix, "
+			  "label and executors; over 0: jobs require a label",
+		  .number = &fleet.name_bytes },
 		{ .flag = "every-ms",
 		  .type = PH_SETTING_NUMBER,
 		  .fallback = "30",
@@ -990,6 +1066,7 @@
 	fleet.revision = 1;
 	fleet.config_version = 1;
 	fleet.job_interval_us = every_ms * US_PER_MS;
+	set_names();
 	split_entries(entries);
 	fleet.http = ph_httpc_new(&http);
 	domain_count = split_domains(domain_list, domains);
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -236,4 +236,27 @@
 	}
 }
 
+/* Guards against a message that is too long for its receivers, which then close
+ * the connection. */
+TEST(Directory, AChangeWithTooManyBytesIsNotSent)
+{
+	for (size_t bytes : { 1 << 10, 1 << 18 }) {
+		SCOPED_TRACE(bytes);
+		ph_directory *d = ph_directory_new(ph_mem_default());
+		auto change = std::make_unique<ph_list_change>();
+		std::vector<ph_executor_info> list;
+		const std::string labels = " " + std::string(bytes, 'a') + " ";
+
+		for (int i = 0; i < 5; i++)
+			list.push_back(executor("x" + std::to_string(i)));
+		for (ph_executor_info &info : list)
+			info.labels = labels.c_str();
+		ph_directory_read(d, 1000, 1000, list.data(), 1);
+		ph_directory_read(d, 2000, 2000, list.data(), list.size());
+		EXPECT_EQ(ph_directory_last_change(d, 2000, change.get()),
+			  bytes == 1 << 10);
+		ph_directory_free(d);
+	}
+}
+
 } // namespace
