--- a/test/scenario.c
+++ b/test/scenario.c
@@ -38,6 +38,9 @@
  * processes are shifted. */
 #define THROTTLE_STEP_US 1000
 #define THROTTLE_SHIFT_MS 37
+/* The places of flows are spread over so many parts by steps of this size. */
+#define SHARE_PARTS 1000
+#define SHARE_STEP 617
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
@@ -368,13 +371,22 @@
 	return 0;
 }
 
-static void for_each_flow_of(const char *name, void (*action)(struct flow *f))
+/* Whether a flow belongs to a share of all, which depends on its place only. */
+static int in_share(size_t i, double share)
+{
+	return (double)(i * SHARE_STEP % SHARE_PARTS) < share * SHARE_PARTS;
+}
+
+/* Applies an action to a share of a link's flows; 1 is all of them. */
+static void for_each_flow_of(const char *name, double share,
+			     void (*action)(struct flow *f))
 {
 	size_t i;
 
 	pthread_mutex_lock(&lock);
 	for (i = 0; i < MAX_FLOWS; i++)
-		if (flows[i].used && !strcmp(flows[i].link, name))
+		if (flows[i].used && !strcmp(flows[i].link, name) &&
+		    in_share(i, share))
 			action(&flows[i]);
 	pthread_mutex_unlock(&lock);
 }
@@ -398,15 +410,16 @@
 /* reset(link): resets its connections; bytes in transit are lost. */
 static int script_reset(lua_State *lua)
 {
-	for_each_flow_of(luaL_checkstring(lua, 1), reset_flow);
+	for_each_flow_of(luaL_checkstring(lua, 1), 1, reset_flow);
 	return 0;
 }
 
-/* silence(link): its connections stay open but forward nothing any more; new
- * ones work. */
+/* silence(link, [share]): a share of its connections, or all, stay open but
+ * forward nothing any more; new ones work. */
 static int script_silence(lua_State *lua)
 {
-	for_each_flow_of(luaL_checkstring(lua, 1), silence_flow);
+	for_each_flow_of(luaL_checkstring(lua, 1), luaL_optnumber(lua, 2, 1),
+			 silence_flow);
 	return 0;
 }
 
--- a/test/scenarios/lib_dispatch.lua
+++ b/test/scenarios/lib_dispatch.lua
@@ -24,8 +24,11 @@
 	return r, text
 end
 
+-- Whether connections to executors and of callers pass the relay as well.
+local relayed = false
+
 local function jobs_at(n)
-	return "127.0.0." .. n .. ":" .. (DISPATCH_BASE + 40)
+	return (relayed and "127.0.1." or "127.0.0.") .. n .. ":" .. (DISPATCH_BASE + 40)
 end
 
 -- Starts instance n; its peers connect through the relay.
@@ -38,9 +41,13 @@
 		seeds[#seeds + 1] = "127.0.1." .. m .. ":" .. peers
 	end
 	link(d.name, "127.0.1." .. n, peers, ip, peers)
+	if relayed then
+		link("jobs" .. n, "127.0.1." .. n, DISPATCH_BASE + 40, ip, DISPATCH_BASE + 40)
+	end
 	spawn(d.name, BUILD .. "/peridothall-dispatch", "--name", d.node or d.name,
 		"--domain", d.domain, "--address", ip, "--peers-at", ip .. ":" .. peers,
-		"--advertise", "127.0.1." .. n .. ":" .. peers, "--jobs-at", jobs_at(n),
+		"--advertise", "127.0.1." .. n .. ":" .. peers,
+		"--jobs-at", ip .. ":" .. (DISPATCH_BASE + 40),
 		"--ready-at", ip .. ":" .. (DISPATCH_BASE + 41), "--metrics-port", DISPATCH_BASE + 43,
 		"--seeds", table.concat(seeds, ","), "--store", "127.0.1.99:" .. DISPATCH_BASE,
 		"--cpu-share", "0.25")
@@ -57,9 +64,11 @@
 
 -- Starts instances and the fleet, which then sends a job every every_ms. Options:
 -- domains, a list of { name, instances }; executors; fleet, further arguments;
--- node, what the instances' names begin with, if it isn't that of the processes.
+-- node, what the instances' names begin with, if it isn't that of the processes;
+-- relayed, whether connections to executors and of callers can be severed too.
 function start_dispatch_in(options)
 	local entries, names = {}, {}
+	relayed = options.relayed
 	for _, domain in ipairs(options.domains) do
 		names[#names + 1] = domain[1]
 		for _ = 1, domain[2] do
@@ -72,7 +81,11 @@
 	spawn("fleet", BUILD .. "/standin-fleet", "--address", FLEET_IP, "--port", DISPATCH_BASE,
 		"--count", options.executors, "--domains", table.concat(names, ","),
 		"--entries", table.concat(entries, ","), "--every-ms", options.every_ms,
+		"--listed-at", relayed and "127.0.1.99" or FLEET_IP,
 		table.unpack(options.fleet or {}))
+	for x = 1, relayed and options.executors or 0 do
+		link("executor" .. x, "127.0.1.99", DISPATCH_BASE + x, FLEET_IP, DISPATCH_BASE + x)
+	end
 	link("store", "127.0.1.99", DISPATCH_BASE, FLEET_IP, DISPATCH_BASE)
 	sleep(300)
 	for n in pairs(dispatchers) do
@@ -91,6 +104,23 @@
 		executors = EXECUTOR_COUNT, every_ms = every_ms or 40 })
 end
 
+-- A share of the open connections goes silent for good, in both directions, while
+-- new ones work: those between all instances, or the ones to a kind of others:
+-- "store", "executors" or "callers".
+function sever(share, kind)
+	if kind == "store" then
+		silence("store", share)
+	elseif kind == "executors" then
+		for x = 1, EXECUTOR_COUNT do
+			silence("executor" .. x, share)
+		end
+	else
+		for n, d in pairs(dispatchers) do
+			silence(kind == "callers" and "jobs" .. n or d.name, share)
+		end
+	end
+end
+
 -- Signals an instance and returns its exit status; nil if it was not running.
 function stop_dispatcher(n, sig)
 	local d = dispatchers[n]
@@ -100,6 +130,9 @@
 	signal(d.name, sig)
 	local status = wait(d.name, 9000)
 	unlink(d.name)
+	if relayed then
+		unlink("jobs" .. n)
+	end
 	sleep(50) -- the relay polls the closed listener for up to 20 ms more
 	d.up = false
 	return status
--- a/test/standin_fleet.c
+++ b/test/standin_fleet.c
@@ -184,6 +184,8 @@
 	uint64_t answers;
 	uint64_t next_job_us;
 	bool sending;
+	/** IP address of the executors in their entries; NULL: their own. */
+	const char *listed_at;
 	/** Length of the names of the configuration and of executors. */
 	uint64_t name_bytes;
 	/** Names in the configuration and the entries of executors. */
@@ -948,7 +950,8 @@
 
 	snprintf(id, sizeof(id), "i-%zu", fleet.executor_count++);
 	x->id = long_name("", id, ID_BYTES_MAX);
-	snprintf(x->address, sizeof(x->address), "%s:%u", address, port);
+	snprintf(x->address, sizeof(x->address), "%s:%u",
+		 fleet.listed_at ? fleet.listed_at : address, port);
 	x->zone = zone;
 	x->started_ms = 1;
 	x->highest_runs =
@@ -1025,6 +1028,12 @@
 		  .fallback = NULL,
 		  .help = "ip:port,... that callers submit jobs to",
 		  .text = &entries },
+		{ .flag = "listed-at",
+		  .type = PH_SETTING_TEXT,
+		  .fallback = "",
+		  .help = "IP address of the executors in the store, if it "
+			  "isn't theirs",
+		  .text = &fleet.listed_at },
 		{ .flag = "name-bytes",
 		  .type = PH_SETTING_NUMBER,
 		  .fallback = "0",
