A connection between instances that is in doubt is replaced before its peer is suspected

Cause: a connection was opened again only to a peer that is alive. Where both directions are silent, neither is alive to the other, so neither connection was ever opened again, and each took the pools of the other from it. Change: a peer that is gone, a connection that is dead and a peer that doesn't hear us look alike at first, and a new connection answers each: dialed after 2.5 heartbeat intervals without a heartbeat, or when the peer tells that it got none for 2, before it is suspected at 3.5. The present connection stays in use until the new one is established, since it may just be slow; frames go to both until then, and a heartbeat that a later one has overtaken is ignored. Attempts are never cut off, come at 0.25 to 2 s, with jitter and backoff, and not to a closed port. TCP_USER_TIMEOUT ends dialed connections without acknowledgements after 2 s. Time-outs of dials use the monotonic clock in place of the time of day.

--- a/bench/cluster_bench.c
+++ b/bench/cluster_bench.c
@@ -67,12 +67,19 @@
 	return true;
 }
 
+static void on_renew(void *ctx, const char *addr, enum ph_link_doubt doubt)
+{
+	(void)ctx;
+	(void)addr;
+	(void)doubt;
+}
+
 static const struct ph_cluster_sink sink = {
 	.acquire = on_acquire,
 	.release = on_name,
 	.reaches = on_reaches,
 	.send_heartbeat = on_send_heartbeat,
-	.reset_link = on_name,
+	.renew_link = on_renew,
 	.member_lost = on_name,
 };
 
--- a/src/cluster.c
+++ b/src/cluster.c
@@ -216,15 +216,18 @@
 
 	if (!strcmp(heartbeat->name, cluster->opt.name))
 		return NULL;
-	/* A delayed heartbeat of an earlier incarnation. */
-	if (m && heartbeat->incarnation < m->incarnation &&
-	    ph_member_alive(cluster, m, now_us))
+	/* A delayed heartbeat of an earlier incarnation, or one that a later
+	 * one has overtaken on another connection. */
+	if (m && ((heartbeat->incarnation < m->incarnation &&
+		   ph_member_alive(cluster, m, now_us)) ||
+		  (heartbeat->incarnation == m->incarnation &&
+		   heartbeat->clock_us < m->clock_us)))
 		return NULL;
 	if (!m) {
 		m = cluster->mem->calloc(1, sizeof(*m));
 		m->name = ph_intern(heartbeat->name);
 		m->name_hash = ph_hash_str(m->name);
-		m->link_reset_us = now_us;
+		m->link_renewed_us = now_us;
 		m->next = cluster->first;
 		cluster->first = m;
 		cluster->member_count++;
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -56,11 +56,15 @@
 	/** Time since the peer received a heartbeat of this instance, as of the
 	 * peer's last heartbeat; UINT64_MAX: never. */
 	uint64_t heard_self_ago_us;
-	/** When the connection to it was last reset because it receives no
-	 * heartbeats; at first when the peer became known. */
-	uint64_t link_reset_us;
+	/** When the connection to it was last replaced by a new one; at first
+	 * when the peer became known. */
+	uint64_t link_renewed_us;
+	/** How often that was done of late; sets the time to the next. */
+	uint32_t link_renewals;
+	/** When the connection was last in doubt, or a renewal forgiven. */
+	uint64_t link_doubted_us;
 	/** The peer is back after a restart or silence; the connection opened
-	 * before may be dead and has to be reset. */
+	 * before may be dead and has to be replaced. */
 	bool reconnect_due;
 	/** Interval of the peer's heartbeats to this instance. */
 	uint64_t interval_us;
@@ -131,6 +135,20 @@
 bool ph_cluster_pool_offered(const struct ph_cluster *cluster, uint64_t now_us,
 			     const char *pool);
 
+/** Why a connection to a peer may be dead. */
+enum ph_link_doubt {
+	PH_LINK_SOUND,
+	/** No heartbeat of the peer arrives. */
+	PH_LINK_PEER_SILENT,
+	/** The peer tells that it gets no heartbeats from here. */
+	PH_LINK_PEER_DEAF,
+	/** The peer is back after a restart or silence. */
+	PH_LINK_PEER_BACK,
+	/** Nobody answers at a contact's address. */
+	PH_LINK_NO_MEMBER,
+	PH_LINK_DOUBTS,
+};
+
 /** Callbacks for the actions that a tick decides on. */
 struct ph_cluster_sink {
 	/** This instance now owns the pool, under this fencing token. */
@@ -145,8 +163,9 @@
 	 * known yet. */
 	void (*send_heartbeat)(void *ctx, const char *addr,
 			       const struct ph_member *m);
-	/** Close the connection to a peer and open a new one. */
-	void (*reset_link)(void *ctx, const char *addr);
+	/** Open a new connection to a peer, as the present one may be dead. */
+	void (*renew_link)(void *ctx, const char *addr,
+			   enum ph_link_doubt doubt);
 	/** A peer timed out, refused a connection, has restarted or is taken to
 	 * count this instance as failed: its batches have to end. */
 	void (*member_lost)(void *ctx, const char *name);
--- a/src/cluster_heartbeat.c
+++ b/src/cluster_heartbeat.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "ident.h"
 #include "log.h"
 #include "cluster_impl.h"
 
@@ -21,9 +22,25 @@
 /* Interval of heartbeats to contacts without a known member and to members that
  * are suspected to have failed. */
 #define CONTACT_INTERVAL_US 300000U
-/* Least time between two resets of the connection to a peer that is alive but
- * receives no heartbeats of this instance. */
-#define LINK_RESET_INTERVAL_US 500000U
+/* Heartbeat intervals without a heartbeat of a peer after which the connection
+ * to it is doubted, in halves. Less than until it is suspected: if only the
+ * connections are dead, heartbeats on new ones arrive before that. */
+#define SILENT_INTERVALS_X2 5U
+/* The same for the heartbeats that a peer tells to have received: it tells no
+ * sooner than by its next heartbeat. */
+#define DEAF_INTERVALS 2U
+/* Shortest and longest time between two new connections to a peer; it doubles
+ * with each. A peer that is really gone costs one dial in the longest time. */
+#define RENEW_MIN_US 250000U
+#define RENEW_MAX_US 2000000U
+/* Part of that time by which it is lengthened at most, so that instances don't
+ * dial at the same moment. */
+#define RENEW_JITTER_DIVISOR 4U
+/* Time without doubt after which one renewal counts no longer. */
+#define RENEW_FORGIVE_US 400000U
+/* Time between two new connections to a contact's address at which no member is
+ * known. */
+#define CONTACT_RENEW_US 5000000U
 
 /* Heartbeat intervals without a heartbeat after which a peer is suspected, in
  * halves: 7 stand for 3.5 intervals. */
@@ -100,23 +117,90 @@
 		if (now_us < c->sent_us + CONTACT_INTERVAL_US)
 			continue;
 		c->sent_us = now_us;
-		if (!member_known_at(cluster, c->addr, now_us))
-			sink->send_heartbeat(ctx, c->addr, NULL);
+		if (member_known_at(cluster, c->addr, now_us)) {
+			c->renewed_us = now_us;
+			continue;
+		}
+		if (now_us >= c->renewed_us + CONTACT_RENEW_US) {
+			c->renewed_us = now_us;
+			sink->renew_link(ctx, c->addr, PH_LINK_NO_MEMBER);
+		}
+		sink->send_heartbeat(ctx, c->addr, NULL);
 	}
 }
 
-/* Whether the peer, by its own heartbeats, has received none of this instance's
- * for so long that the outgoing connection must have failed. */
-static bool link_failed(const struct ph_cluster *cluster,
-			const struct ph_member *m, uint64_t now_us)
+/* ## Connections that may be dead */
+
+enum ph_link_doubt ph_heartbeat_link_doubt(const struct ph_cluster *cluster,
+					   const struct ph_member *m,
+					   uint64_t now_us)
+{
+	uint64_t interval_us =
+		m->interval_us ? m->interval_us : cluster->opt.heartbeat_us;
+	uint64_t deaf_us = DEAF_INTERVALS * m->send_interval_us;
+
+	/* A process that is gone is known by its closed port. */
+	if (m->connection_refused || now_us > m->heard_us + PH_MEMBER_KNOWN_US)
+		return PH_LINK_SOUND;
+	if (now_us > m->heard_us + SILENT_INTERVALS_X2 * interval_us / 2)
+		return PH_LINK_PEER_SILENT;
+	/* What it tells is of the time of its last heartbeat; before that they
+	 * may have been sent at longer intervals. */
+	if (m->heard_self_ago_us > deaf_us &&
+	    m->heard_us > m->send_interval_since_us + deaf_us)
+		return PH_LINK_PEER_DEAF;
+	return PH_LINK_SOUND;
+}
+
+/* Least time from the last new connection to the next. */
+static uint64_t renew_wait_us(const struct ph_cluster *cluster,
+			      const struct ph_member *m)
 {
-	uint64_t limit_us = PH_IDLE_INTERVAL_FACTOR * cluster->opt.heartbeat_us;
+	uint64_t wait_us = RENEW_MIN_US;
+	uint64_t hash = ph_rendezvous_weight(m->name_hash + m->link_renewals,
+					     ph_hash_str(cluster->opt.name));
+	uint32_t i;
 
-	if (limit_us < 2 * m->send_interval_us)
-		limit_us = 2 * m->send_interval_us;
-	limit_us += cluster->opt.suspect_us;
-	return m->heard_self_ago_us > limit_us &&
-	       now_us > m->send_interval_since_us + limit_us;
+	for (i = 0; i < m->link_renewals && wait_us < RENEW_MAX_US; i++)
+		wait_us *= 2;
+	return wait_us + hash % (wait_us / RENEW_JITTER_DIVISOR);
+}
+
+/* Replaces a connection that is in doubt: at the first doubt, then ever more
+ * rarely as long as that doesn't help. */
+static void check_link(const struct ph_cluster *cluster, struct ph_member *m,
+		       uint64_t now_us, const struct ph_cluster_sink *sink,
+		       void *ctx)
+{
+	static const char *const reasons[PH_LINK_DOUBTS] = {
+		"none", "peer_silent", "peer_gets_no_heartbeats", "peer_back",
+		"no_member"
+	};
+	enum ph_link_doubt doubt = ph_heartbeat_link_doubt(cluster, m, now_us);
+
+	if (doubt != PH_LINK_SOUND) {
+		m->link_doubted_us = now_us;
+	} else if (m->link_renewals &&
+		   now_us >= m->link_doubted_us + RENEW_FORGIVE_US) {
+		m->link_renewals--;
+		m->link_doubted_us = now_us;
+	}
+	if (m->reconnect_due)
+		doubt = PH_LINK_PEER_BACK;
+	else if (doubt == PH_LINK_SOUND ||
+		 now_us < m->link_renewed_us + renew_wait_us(cluster, m))
+		return;
+	m->reconnect_due = false;
+	m->link_renewed_us = now_us;
+	m->link_renewals++;
+	/* A heartbeat on the new connection is due at once. */
+	m->sent_us = 0;
+	ph_event(PART,
+		 "event=connection_renewed peer=%s reason=%s silent_us=%llu "
+		 "count=%u",
+		 m->name, reasons[doubt],
+		 (unsigned long long)(now_us - m->heard_us), m->link_renewals);
+	sink->renew_link(ctx, m->addr, doubt);
 }
 
 uint64_t ph_heartbeat_suspect_us(const struct ph_cluster *cluster,
@@ -175,10 +259,7 @@
 	struct ph_member *m;
 
 	for (m = cluster->first; m; m = m->next) {
-		if (m->reconnect_due) {
-			m->reconnect_due = false;
-			sink->reset_link(ctx, m->addr);
-		}
+		check_link(cluster, m, now_us, sink, ctx);
 		if (m->restarted) {
 			m->restarted = false;
 			sink->member_lost(ctx, m->name);
@@ -192,12 +273,6 @@
 			sink->member_lost(ctx, m->name);
 		}
 		check_deafness(cluster, m, now_us, sink, ctx);
-		if (ph_member_alive(cluster, m, now_us) &&
-		    link_failed(cluster, m, now_us) &&
-		    now_us > m->link_reset_us + LINK_RESET_INTERVAL_US) {
-			m->link_reset_us = now_us;
-			sink->reset_link(ctx, m->addr);
-		}
 	}
 }
 
--- a/src/cluster_impl.h
+++ b/src/cluster_impl.h
@@ -49,6 +49,8 @@
 	char addr[PH_ADDR_BYTES];
 	/** When the last heartbeat to it was due. */
 	uint64_t sent_us;
+	/** When the connection to it was last replaced. */
+	uint64_t renewed_us;
 };
 
 struct ph_cluster {
@@ -108,7 +110,13 @@
  * have this interval. */
 uint64_t ph_heartbeat_suspect_us(const struct ph_cluster *cluster,
 				 uint64_t interval_us);
-/** Reports failed and restarted peers; resets connections that fail. */
+/** Why the connection to a peer may be dead: a peer that is gone, a connection
+ * that is dead and a peer that doesn't hear this instance look alike at first,
+ * and a new connection is the answer to each. */
+enum ph_link_doubt ph_heartbeat_link_doubt(const struct ph_cluster *cluster,
+					   const struct ph_member *m,
+					   uint64_t now_us);
+/** Reports failed and restarted peers; replaces connections in doubt. */
 void ph_heartbeat_check_peers(struct ph_cluster *cluster, uint64_t now_us,
 			      const struct ph_cluster_sink *sink, void *ctx);
 /** Sends heartbeats that are due to members and contacts. */
--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -10,6 +10,10 @@
 #include "startup.h"
 
 #define PART "dispatcher"
+/* Heartbeat intervals after which a connection of a peer from which nothing
+ * comes is closed: five of the longest between instances, which is 20 times the
+ * shortest. */
+#define PEER_IDLE_INTERVALS 100U
 /* Interval of ticks while this instance owns a pool: task starts and lease
  * renewals of an owner should not wait for longer. */
 #define TICK_US 10000U
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -51,6 +51,8 @@
 	uint64_t disconnects;
 	/** Answers of the platform that couldn't be decoded. */
 	uint64_t unreadable;
+	/** Connections to peers that were replaced, by enum ph_link_doubt. */
+	uint64_t renewed[PH_LINK_DOUBTS];
 	/** Entries of the last list of executors that were skipped. */
 	size_t skipped;
 	/** Answers and response times, by enum ph_job_outcome. */
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -236,15 +236,13 @@
 	ph_dispatcher_send(d, addr, msg);
 }
 
-static void sink_reset_link(void *ctx, const char *addr)
+static void sink_renew_link(void *ctx, const char *addr,
+			    enum ph_link_doubt doubt)
 {
 	struct ph_dispatcher *d = ctx;
 
-	ph_event(PART,
-		 "event=connection_reset peer=%s "
-		 "reason=peer_gets_no_heartbeats",
-		 addr);
-	ph_transport_reset(d->transport, addr);
+	d->counters.renewed[doubt]++;
+	ph_transport_renew(d->transport, addr);
 }
 
 static void sink_member_lost(void *ctx, const char *name)
@@ -289,6 +287,6 @@
 	.release = sink_release,
 	.reaches = sink_reaches,
 	.send_heartbeat = sink_send_heartbeat,
-	.reset_link = sink_reset_link,
+	.renew_link = sink_renew_link,
 	.member_lost = sink_member_lost,
 };
--- a/src/transport.c
+++ b/src/transport.c
@@ -12,6 +12,7 @@
 #include <apr_thread_mutex.h>
 #include <apr_thread_proc.h>
 
+#include "clock.h"
 #include "log.h"
 #include "transport.h"
 
@@ -26,11 +27,15 @@
 /* Shortest time between two attempts to connect to a peer; frames sent to it
  * in between, while it is not connected, are dropped. */
 #define REDIAL_INTERVAL_US 50000
-
-enum link_state {
-	LINK_IDLE,
-	LINK_CONNECTING,
-	LINK_UP,
+/* A connection fails after this time without an acknowledgement of data that
+ * was sent. Longer than a few retransmissions, as a link may lose packets. */
+#define USER_TIMEOUT_MS 2000U
+#define IDLE_CHECK_INTERVAL_US 1000000U
+
+enum conn_state {
+	CONN_IDLE,
+	CONN_CONNECTING,
+	CONN_UP,
 };
 
 /* Handles the events of a polled socket. It is the first member of the struct
@@ -41,24 +46,34 @@
 		      const apr_pollfd_t *fd);
 };
 
-/* The outgoing connection to one address; kept while it is not connected. */
-struct link {
+/* An outgoing connection. */
+struct conn {
 	struct poll_handler handler;
-	struct link *next;
-	char addr[PH_ADDR_BYTES];
-	enum link_state state;
+	struct link *link;
+	enum conn_state state;
 	apr_pool_t *pool;
 	apr_socket_t *sock;
 	apr_pollfd_t fd;
 	/* Bytes to send. */
 	struct ph_buf out;
-	apr_time_t dialed_at;
+	uint64_t dialed_us;
 	/* Polled for writability as well. */
 	bool want_write;
 	/* Registered with the poll set. */
 	bool watched;
 };
 
+/* The outgoing connections to one address; kept while there are none. The spare
+ * one is dialed to take the place of the current one, which stays in use until
+ * then: it may be slow rather than dead. */
+struct link {
+	struct link *next;
+	char addr[PH_ADDR_BYTES];
+	struct conn conns[2];
+	struct conn *current;
+	struct conn *spare;
+};
+
 /* An accepted connection. */
 struct inbound {
 	struct poll_handler handler;
@@ -68,11 +83,13 @@
 	apr_pollfd_t fd;
 	/* Received bytes that are not handled yet. */
 	struct ph_buf in;
+	/* When bytes were last received, or when it was accepted. */
+	uint64_t heard_us;
 	/* To be freed at the end of the current turn of the event loop. */
 	bool closed;
 };
 
-/* A frame queued by another thread; len 0 asks to close the connection. */
+/* A frame queued by another thread; len 0 asks for a new connection. */
 struct queued_frame {
 	struct queued_frame *next;
 	char addr[PH_ADDR_BYTES];
@@ -97,8 +114,10 @@
 	apr_hash_t *links;
 	struct link *first_link;
 	struct inbound *inbounds;
-	/** Number of links in LINK_CONNECTING. */
+	/** Number of connections in CONN_CONNECTING. */
 	uint32_t dialing;
+	/** When idle inbound connections were last looked for. */
+	uint64_t idle_check_us;
 	/** Some inbound connection is closed and not freed yet. */
 	bool any_inbound_closed;
 	/** Updated and read atomically. */
@@ -114,58 +133,81 @@
 
 /* ## Outgoing connections */
 
-/* Polls the link's socket for closing and, if write is set, writability. */
-static void link_watch(struct ph_transport *tp, struct link *l, bool write)
+/* Polls the socket for closing and, if write is set, writability. */
+static void conn_watch(struct ph_transport *tp, struct conn *c, bool write)
 {
-	if (l->watched)
-		apr_pollset_remove(tp->pollset, &l->fd);
-	l->watched = true;
-	l->fd.p = l->pool;
-	l->fd.desc_type = APR_POLL_SOCKET;
-	l->fd.desc.s = l->sock;
-	l->fd.client_data = l;
-	l->fd.reqevents = (apr_int16_t)(APR_POLLIN | (write ? APR_POLLOUT : 0));
-	apr_pollset_add(tp->pollset, &l->fd);
-	l->want_write = write;
+	if (c->watched)
+		apr_pollset_remove(tp->pollset, &c->fd);
+	c->watched = true;
+	c->fd.p = c->pool;
+	c->fd.desc_type = APR_POLL_SOCKET;
+	c->fd.desc.s = c->sock;
+	c->fd.client_data = c;
+	c->fd.reqevents = (apr_int16_t)(APR_POLLIN | (write ? APR_POLLOUT : 0));
+	apr_pollset_add(tp->pollset, &c->fd);
+	c->want_write = write;
 }
 
-static void link_set_state(struct ph_transport *tp, struct link *l,
-			   enum link_state state)
+static void conn_set_state(struct ph_transport *tp, struct conn *c,
+			   enum conn_state state)
 {
-	tp->dialing += state == LINK_CONNECTING;
-	tp->dialing -= l->state == LINK_CONNECTING;
-	l->state = state;
+	tp->dialing += state == CONN_CONNECTING;
+	tp->dialing -= c->state == CONN_CONNECTING;
+	c->state = state;
 }
 
-static void link_close(struct ph_transport *tp, struct link *l)
+static void conn_close(struct ph_transport *tp, struct conn *c)
 {
-	if (l->watched)
-		apr_pollset_remove(tp->pollset, &l->fd);
-	l->watched = false;
-	if (l->sock)
-		apr_pool_destroy(l->pool);
-	l->pool = NULL;
-	l->sock = NULL;
-	link_set_state(tp, l, LINK_IDLE);
-	ph_buf_free(&l->out);
+	if (c->watched)
+		apr_pollset_remove(tp->pollset, &c->fd);
+	c->watched = false;
+	if (c->sock)
+		apr_pool_destroy(c->pool);
+	c->pool = NULL;
+	c->sock = NULL;
+	conn_set_state(tp, c, CONN_IDLE);
+	ph_buf_free(&c->out);
 }
 
-/* Closes a link and reports why: a refused connection, or the loss of an
- * established one. Other failures to connect are not reported. */
-static void link_failed(struct ph_transport *tp, struct link *l, int error)
+/* Makes the spare connection the current one. */
+static void link_swap(struct link *l)
 {
-	enum link_state was = l->state;
-	char addr[PH_ADDR_BYTES];
+	struct conn *spare = l->spare;
 
-	ph_strcopy(addr, sizeof(addr), l->addr);
-	link_close(tp, l);
+	l->spare = l->current;
+	l->current = spare;
+}
+
+/* Closes a connection and reports why: a refused connection, or the loss of an
+ * established one that no other replaces. Other failures to connect are not
+ * reported. */
+static void conn_failed(struct ph_transport *tp, struct conn *c, int error)
+{
+	struct link *l = c->link;
+	enum conn_state was = c->state;
+
+	conn_close(tp, c);
+	if (c == l->current && l->spare->state != CONN_IDLE)
+		link_swap(l);
 	if (error == ECONNREFUSED)
-		tp->opt.events->refused(tp->opt.ctx, addr);
-	else if (was == LINK_UP)
-		tp->opt.events->broken(tp->opt.ctx, addr);
+		tp->opt.events->refused(tp->opt.ctx, l->addr);
+	else if (was == CONN_UP && l->current->state == CONN_IDLE)
+		tp->opt.events->broken(tp->opt.ctx, l->addr);
+}
+
+/* So that the connection ends, and its memory is freed, if the peer's host
+ * acknowledges nothing any more. */
+static void set_user_timeout(apr_socket_t *sock)
+{
+	unsigned int ms = USER_TIMEOUT_MS;
+	apr_os_sock_t fd;
+
+	apr_os_sock_get(&fd, sock);
+	if (setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms)))
+		ph_log(PART, "Can't set TCP_USER_TIMEOUT: errno %d.", errno);
 }
 
-static void link_dial(struct ph_transport *tp, struct link *l)
+static void conn_dial(struct ph_transport *tp, struct conn *c, uint64_t now_us)
 {
 	apr_sockaddr_t *to;
 	apr_sockaddr_t *from;
@@ -174,148 +216,191 @@
 	char *scope;
 	apr_port_t port;
 
-	l->dialed_at = apr_time_now();
+	c->dialed_us = now_us;
 	count(&tp->counters.dials, 1);
-	apr_pool_create(&l->pool, tp->pool);
-	if (apr_parse_addr_port(&host, &scope, &port, l->addr, l->pool) ||
+	apr_pool_create(&c->pool, tp->pool);
+	if (apr_parse_addr_port(&host, &scope, &port, c->link->addr, c->pool) ||
 	    !host ||
-	    apr_sockaddr_info_get(&to, host, APR_INET, port, 0, l->pool) ||
+	    apr_sockaddr_info_get(&to, host, APR_INET, port, 0, c->pool) ||
 	    apr_sockaddr_info_get(&from, tp->opt.address, APR_INET, 0, 0,
-				  l->pool) ||
-	    apr_socket_create(&l->sock, APR_INET, SOCK_STREAM, APR_PROTO_TCP,
-			      l->pool)) {
-		apr_pool_destroy(l->pool);
-		l->pool = NULL;
-		l->sock = NULL;
-		ph_buf_free(&l->out);
+				  c->pool) ||
+	    apr_socket_create(&c->sock, APR_INET, SOCK_STREAM, APR_PROTO_TCP,
+			      c->pool)) {
+		apr_pool_destroy(c->pool);
+		c->pool = NULL;
+		c->sock = NULL;
+		ph_buf_free(&c->out);
 		return;
 	}
-	apr_socket_opt_set(l->sock, APR_SO_NONBLOCK, 1);
-	apr_socket_timeout_set(l->sock, 0);
-	apr_socket_opt_set(l->sock, APR_TCP_NODELAY, 1);
-	apr_socket_bind(l->sock, from);
-	st = apr_socket_connect(l->sock, to);
-	link_set_state(tp, l, st ? LINK_CONNECTING : LINK_UP);
-	link_watch(tp, l, true);
+	apr_socket_opt_set(c->sock, APR_SO_NONBLOCK, 1);
+	apr_socket_timeout_set(c->sock, 0);
+	apr_socket_opt_set(c->sock, APR_TCP_NODELAY, 1);
+	set_user_timeout(c->sock);
+	apr_socket_bind(c->sock, from);
+	st = apr_socket_connect(c->sock, to);
+	conn_set_state(tp, c, st ? CONN_CONNECTING : CONN_UP);
+	conn_watch(tp, c, true);
 	if (st && !APR_STATUS_IS_EINPROGRESS(st))
-		link_failed(tp, l, APR_TO_OS_ERROR(st));
+		conn_failed(tp, c, APR_TO_OS_ERROR(st));
 }
 
-static void link_write(struct ph_transport *tp, struct link *l)
+static void conn_write(struct ph_transport *tp, struct conn *c)
 {
-	while (l->out.len) {
-		apr_size_t n = l->out.len;
-		apr_status_t st = apr_socket_send(l->sock, l->out.data, &n);
+	while (c->out.len) {
+		apr_size_t n = c->out.len;
+		apr_status_t st = apr_socket_send(c->sock, c->out.data, &n);
 
 		count(&tp->counters.bytes_sent, n);
-		ph_buf_consume(&l->out, n);
+		ph_buf_consume(&c->out, n);
 		if (APR_STATUS_IS_EAGAIN(st))
 			break;
 		if (st) {
-			link_failed(tp, l, 0);
+			conn_failed(tp, c, 0);
 			return;
 		}
 	}
-	if (l->want_write != (l->out.len > 0))
-		link_watch(tp, l, l->out.len > 0);
+	if (c->want_write != (c->out.len > 0))
+		conn_watch(tp, c, c->out.len > 0);
 }
 
 /* Returns the errno of the attempt to connect, 0 if there is none. */
-static int connect_error(const struct link *l)
+static int connect_error(const struct conn *c)
 {
 	apr_os_sock_t fd;
 	int error = 0;
 	socklen_t len = sizeof(error);
 
-	apr_os_sock_get(&fd, l->sock);
+	apr_os_sock_get(&fd, c->sock);
 	getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len);
 	return error;
 }
 
 /* Tells whether the peer has closed the connection. An accepting instance
  * sends nothing, so that a readable socket means closed. */
-static bool link_closed_by_peer(const struct link *l)
+static bool conn_closed_by_peer(const struct conn *c)
 {
 	char byte;
 	apr_size_t n = 1;
-	apr_status_t st = apr_socket_recv(l->sock, &byte, &n);
+	apr_status_t st = apr_socket_recv(c->sock, &byte, &n);
 
 	return !APR_STATUS_IS_EAGAIN(st);
 }
 
-static void link_event(struct ph_transport *tp, struct link *l,
-		       apr_int16_t events)
+/* An attempt to connect has ended. Returns false if it has failed. */
+static bool conn_established(struct ph_transport *tp, struct conn *c)
 {
-	if (l->state == LINK_CONNECTING) {
-		int error = connect_error(l);
+	int error = connect_error(c);
 
-		if (error) {
-			link_failed(tp, l, error);
-			return;
-		}
-		if (!(events & APR_POLLOUT))
+	if (error) {
+		conn_failed(tp, c, error);
+		return false;
+	}
+	conn_set_state(tp, c, CONN_UP);
+	if (c == c->link->spare) {
+		conn_close(tp, c->link->current);
+		link_swap(c->link);
+	}
+	return true;
+}
+
+static void conn_event(struct ph_transport *tp, struct conn *c,
+		       apr_int16_t events)
+{
+	if (c->state == CONN_CONNECTING) {
+		if (!(events & (APR_POLLOUT | APR_POLLERR | APR_POLLHUP)) ||
+		    !conn_established(tp, c))
 			return;
-		link_set_state(tp, l, LINK_UP);
 	}
 	if ((events & (APR_POLLIN | APR_POLLHUP | APR_POLLERR)) &&
-	    link_closed_by_peer(l)) {
-		link_failed(tp, l, 0);
+	    conn_closed_by_peer(c)) {
+		conn_failed(tp, c, 0);
 		return;
 	}
-	link_write(tp, l);
+	conn_write(tp, c);
 }
 
-static void on_link_event(struct ph_transport *tp, void *owner,
+static void on_conn_event(struct ph_transport *tp, void *owner,
 			  const apr_pollfd_t *fd)
 {
-	struct link *l = owner;
+	struct conn *c = owner;
 
 	/* An earlier event of this turn may have closed the socket. */
-	if (l->sock == fd->desc.s)
-		link_event(tp, l, fd->rtnevents);
+	if (c->sock && c->sock == fd->desc.s)
+		conn_event(tp, c, fd->rtnevents);
 }
 
 /* Returns the link to an address, which it creates if need be. */
 static struct link *link_get(struct ph_transport *tp, const char *addr)
 {
 	struct link *l = apr_hash_get(tp->links, addr, APR_HASH_KEY_STRING);
+	size_t i;
 
 	if (l)
 		return l;
 	l = tp->mem->calloc(1, sizeof(*l));
-	l->handler.event = on_link_event;
 	ph_strcopy(l->addr, sizeof(l->addr), addr);
-	ph_buf_init(&l->out, tp->mem);
+	for (i = 0; i < 2; i++) {
+		l->conns[i].handler.event = on_conn_event;
+		l->conns[i].link = l;
+		ph_buf_init(&l->conns[i].out, tp->mem);
+	}
+	l->current = &l->conns[0];
+	l->spare = &l->conns[1];
 	l->next = tp->first_link;
 	tp->first_link = l;
 	apr_hash_set(tp->links, l->addr, APR_HASH_KEY_STRING, l);
 	return l;
 }
 
-static void send_frame(struct ph_transport *tp, const struct queued_frame *f)
+/* Queues a frame on a connection. Returns false if it was closed, as too much
+ * is queued there. */
+static bool conn_queue(struct ph_transport *tp, struct conn *c,
+		       const struct queued_frame *f)
 {
-	struct link *l = link_get(tp, f->addr);
-	apr_time_t now = apr_time_now();
-
-	if (l->state == LINK_IDLE && now < l->dialed_at + REDIAL_INTERVAL_US)
-		return;
-	if (l->out.len + f->len > SEND_BUFFER_MAX_BYTES) {
+	if (c->out.len + f->len > SEND_BUFFER_MAX_BYTES) {
 		ph_log(PART,
 		       "Send buffer for %s is full (%zu bytes); dropping it "
 		       "and closing the connection.",
-		       l->addr, l->out.len);
-		link_failed(tp, l, 0);
-		return;
+		       c->link->addr, c->out.len);
+		conn_failed(tp, c, 0);
+		return false;
 	}
-	ph_buf_put(&l->out, f->data, f->len);
-	if (l->state == LINK_IDLE)
-		link_dial(tp, l);
-	else if (l->state == LINK_UP)
-		link_write(tp, l);
+	ph_buf_put(&c->out, f->data, f->len);
+	return true;
+}
+
+static void send_frame(struct ph_transport *tp, const struct queued_frame *f,
+		       uint64_t now_us)
+{
+	struct link *l = link_get(tp, f->addr);
+	struct conn *c = l->current;
+
+	/* It isn't known whether the current connection is dead, so the frame
+	 * goes to both. */
+	if (l->spare->state == CONN_CONNECTING)
+		conn_queue(tp, l->spare, f);
+	if (c->state == CONN_IDLE && now_us < c->dialed_us + REDIAL_INTERVAL_US)
+		return;
+	if (!conn_queue(tp, c, f))
+		return;
+	if (c->state == CONN_IDLE)
+		conn_dial(tp, c, now_us);
+	else if (c->state == CONN_UP)
+		conn_write(tp, c);
+}
+
+/* Only an established connection is replaced: an attempt to connect is not cut
+ * off. */
+static void link_renew(struct ph_transport *tp, struct link *l, uint64_t now_us)
+{
+	if (l->current->state == CONN_UP && l->spare->state == CONN_IDLE &&
+	    now_us >= l->spare->dialed_us + REDIAL_INTERVAL_US)
+		conn_dial(tp, l->spare, now_us);
 }
 
 static void send_queued(struct ph_transport *tp)
 {
+	uint64_t now_us = ph_clock_us();
 	struct queued_frame *f;
 
 	apr_thread_mutex_lock(tp->lock);
@@ -327,25 +412,26 @@
 		struct queued_frame *next = f->next;
 
 		if (f->len)
-			send_frame(tp, f);
+			send_frame(tp, f, now_us);
 		else
-			link_failed(tp, link_get(tp, f->addr), 0);
+			link_renew(tp, link_get(tp, f->addr), now_us);
 		tp->mem->free(f);
 		f = next;
 	}
 }
 
-static void time_out_dials(struct ph_transport *tp)
+static void time_out_dials(struct ph_transport *tp, uint64_t now_us)
 {
-	apr_time_t now = apr_time_now();
 	struct link *l;
+	size_t i;
 
 	if (!tp->dialing)
 		return;
 	for (l = tp->first_link; l; l = l->next)
-		if (l->state == LINK_CONNECTING &&
-		    now > l->dialed_at + CONNECT_TIMEOUT_US)
-			link_failed(tp, l, ETIMEDOUT);
+		for (i = 0; i < 2; i++)
+			if (l->conns[i].state == CONN_CONNECTING &&
+			    now_us > l->conns[i].dialed_us + CONNECT_TIMEOUT_US)
+				conn_failed(tp, &l->conns[i], ETIMEDOUT);
 }
 
 /* ## Incoming connections */
@@ -407,6 +493,7 @@
 		apr_status_t st = apr_socket_recv(in->sock, data, &got);
 
 		if (got) {
+			in->heard_us = ph_clock_us();
 			count(&tp->counters.bytes_received, got);
 			ph_buf_put(&in->in, data, got);
 		}
@@ -445,6 +532,7 @@
 	in->fd.client_data = in;
 	apr_pollset_add(tp->pollset, &in->fd);
 	in->handler.event = on_inbound_event;
+	in->heard_us = ph_clock_us();
 	in->next = tp->inbounds;
 	tp->inbounds = in;
 }
@@ -457,6 +545,24 @@
 	tp->mem->free(in);
 }
 
+/* Closes connections from which nothing comes: their peer has opened another
+ * one, or is gone without having closed them. */
+static void close_idle_inbounds(struct ph_transport *tp, uint64_t now_us)
+{
+	struct inbound *in;
+
+	if (!tp->opt.idle_us ||
+	    now_us < tp->idle_check_us + IDLE_CHECK_INTERVAL_US)
+		return;
+	tp->idle_check_us = now_us;
+	for (in = tp->inbounds; in; in = in->next) {
+		if (in->closed || now_us < in->heard_us + tp->opt.idle_us)
+			continue;
+		count(&tp->counters.idle_closed, 1);
+		inbound_close(tp, in);
+	}
+}
+
 static void free_closed_inbounds(struct ph_transport *tp)
 {
 	struct inbound **at = &tp->inbounds;
@@ -486,6 +592,7 @@
 	while (!__atomic_load_n(&tp->stop, __ATOMIC_ACQUIRE)) {
 		const apr_pollfd_t *fds = NULL;
 		apr_int32_t n = 0;
+		uint64_t now_us;
 		apr_int32_t i;
 
 		send_queued(tp);
@@ -496,8 +603,10 @@
 
 			handler->event(tp, handler, &fds[i]);
 		}
+		now_us = ph_clock_us();
+		close_idle_inbounds(tp, now_us);
 		free_closed_inbounds(tp);
-		time_out_dials(tp);
+		time_out_dials(tp, now_us);
 	}
 	return NULL;
 }
@@ -565,9 +674,8 @@
 	apr_pollset_wakeup(tp->pollset);
 }
 
-/* Queues an empty frame, so that the reset takes effect in the order of the
- * calls. */
-void ph_transport_reset(struct ph_transport *tp, const char *addr)
+/* Queues an empty frame, so that it takes effect in the order of the calls. */
+void ph_transport_renew(struct ph_transport *tp, const char *addr)
 {
 	ph_transport_send(tp, addr, "", 0);
 }
@@ -584,6 +692,8 @@
 	counters->bad_frames =
 		__atomic_load_n(&c->bad_frames, __ATOMIC_RELAXED);
 	counters->dials = __atomic_load_n(&c->dials, __ATOMIC_RELAXED);
+	counters->idle_closed =
+		__atomic_load_n(&c->idle_closed, __ATOMIC_RELAXED);
 }
 
 void ph_transport_free(struct ph_transport *tp)
@@ -599,7 +709,8 @@
 		struct link *l = tp->first_link;
 
 		tp->first_link = l->next;
-		link_close(tp, l);
+		conn_close(tp, l->current);
+		conn_close(tp, l->spare);
 		tp->mem->free(l);
 	}
 	while (tp->inbounds) {
--- a/src/transport.h
+++ b/src/transport.h
@@ -32,6 +32,9 @@
 	/** Local IP address to listen on and to dial from. */
 	const char *address;
 	uint16_t port;
+	/** Accepted connections are closed after this time without a frame;
+	 * 0: never. More than the longest interval of frames between peers. */
+	uint64_t idle_us;
 	const struct ph_transport_events *events;
 	void *ctx;
 };
@@ -53,10 +56,13 @@
 		       const char *frame, size_t len);
 
 /**
- * Closes the connection to "ip:port" and drops what it has not sent yet; a
- * frame queued afterwards opens a new one. May be called on any thread.
+ * Opens a new connection to "ip:port" that takes the place of an established
+ * one, which may have gone silent. Until then frames are sent on both, so that
+ * receivers may get them twice. Does nothing while there is no established
+ * connection: a frame or an attempt to connect opens one. May be called on any
+ * thread.
  */
-void ph_transport_reset(struct ph_transport *transport, const char *addr);
+void ph_transport_renew(struct ph_transport *transport, const char *addr);
 
 struct ph_transport_counters {
 	uint64_t bytes_sent;
@@ -65,6 +71,8 @@
 	uint64_t bad_frames;
 	/** Attempts to open a connection. */
 	uint64_t dials;
+	/** Accepted connections that were closed as nothing came from them. */
+	uint64_t idle_closed;
 };
 
 /** Reads the counters, each atomically. May be called on any thread. */
--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -37,6 +37,10 @@
 	bool leaving = false;
 	int acquisitions = 0;
 	int heartbeats_sent = 0;
+	/** Peers whose loss was reported. */
+	int losses = 0;
+	/** New connections that were asked for. */
+	int renewals = 0;
 };
 
 /* A simulated network. Heartbeats between instances arrive after a millisecond,
@@ -51,6 +55,9 @@
 	 * lower ones. */
 	std::map<std::string, uint64_t> highest_token_seen;
 	std::map<std::string, std::string> reached_by;
+	/** Connections, from one instance to another, that have gone silent for
+	 * good. A new one that is dialed takes their place. */
+	std::set<std::pair<std::string, std::string>> severed;
 
 	~Network()
 	{
@@ -88,6 +95,9 @@
 		msg->incarnation = kUnixMs + from->started_us / 1000;
 		msg->leaving = from->leaving;
 		msg->cpu_milli = from->cpu;
+		msg->clock_us = net->now_us;
+		msg->heard_ago_us = m && m->heard_us ? net->now_us - m->heard_us
+						     : UINT64_MAX;
 		msg->interval_us =
 			m ? ph_cluster_interval_us(from->cluster, m) : 0;
 		for (const auto &o : from->owned) {
@@ -98,7 +108,8 @@
 			c->offered = ph_cluster_pool_offered(
 				from->cluster, net->now_us, o.first.c_str());
 		}
-		if (net->group[from->name] != net->group[to])
+		if (net->group[from->name] != net->group[to] ||
+		    net->severed.count({ from->name, to }))
 			return;
 		if (!net->find(to)->running) {
 			net->events.emplace(net->now_us + kMs, [net, from, to] {
@@ -126,8 +137,40 @@
 		       n->net->group[name.substr(0, name.find('#'))];
 	}
 
-	static void on_nothing(void *, const char *)
+	static void on_renew(void *ctx, const char *addr, ph_link_doubt)
 	{
+		Instance *from = static_cast<Instance *>(ctx);
+		Network *net = from->net;
+
+		from->renewals++;
+		if (net->group[from->name] == net->group[addr])
+			net->severed.erase({ from->name, addr });
+	}
+
+	static void on_lost(void *ctx, const char *)
+	{
+		static_cast<Instance *>(ctx)->losses++;
+	}
+
+	/* Connections from one group of instances to another go silent; an
+	 * empty name stands for all. */
+	void sever(const std::string &from, const std::string &to)
+	{
+		for (auto &a : instances)
+			for (auto &b : instances)
+				if (a != b &&
+				    (from.empty() || a->name == from) &&
+				    (to.empty() || b->name == to))
+					severed.insert({ a->name, b->name });
+	}
+
+	int acquisitions()
+	{
+		int n = 0;
+
+		for (auto &i : instances)
+			n += i->acquisitions;
+		return n;
 	}
 
 	Instance *find(const std::string &name)
@@ -143,6 +186,9 @@
 		ph_cluster_options o = {};
 
 		ph_cluster_free(n->cluster);
+		/* A new process has no old connections. */
+		for (auto &other : instances)
+			severed.erase({ n->name, other->name });
 		n->started_us = now_us;
 		n->owned.clear();
 		n->running = true;
@@ -208,7 +254,7 @@
 	{
 		static const ph_cluster_sink sink = {
 			on_acquire,	   on_release, on_reaches,
-			on_send_heartbeat, on_nothing, on_nothing
+			on_send_heartbeat, on_renew,   on_lost
 		};
 
 		while (now_us < us) {
@@ -587,7 +633,7 @@
 		[](void *ctx, const char *addr, const ph_member *) {
 			static_cast<std::set<std::string> *>(ctx)->insert(addr);
 		},
-		[](void *, const char *) {},
+		[](void *, const char *, ph_link_doubt) {},
 		[](void *, const char *) {},
 	};
 	ph_cluster_options o = {};
@@ -806,6 +852,115 @@
 	return len;
 }
 
+/* ## Connections that go silent for good */
+
+struct SeverCase {
+	const char *what;
+	/** At which times, in ms, the connections from and to these instances
+	 * go silent; empty: of all. */
+	std::vector<uint64_t> at_ms;
+	const char *from;
+	const char *to;
+};
+
+/* Guards against a connection that is never opened again: where both directions
+ * between two instances are silent, each would take the other for failed and
+ * take its pools from it, for good. New connections have to work before a peer
+ * is suspected. */
+TEST(Cluster, NoPoolChangesItsOwnerWhenOpenConnectionsGoSilent)
+{
+	const SeverCase cases[] = {
+		{ "all", { 0 }, "", "" },
+		{ "all, again and again",
+		  { 0, 700, 1500, 2600, 9000 },
+		  "",
+		  "" },
+		{ "all that lead to one", { 0 }, "", "n1" },
+		{ "all that come from one", { 0 }, "n1", "" },
+		{ "one", { 0 }, "n1", "s1" },
+		{ "one, again and again", { 0, 900, 1800 }, "n1", "n2" },
+	};
+
+	for (const SeverCase &c : cases) {
+		for (uint64_t phase_ms = 0; phase_ms < 100; phase_ms += 10) {
+			SCOPED_TRACE(std::string(c.what) + " at " +
+				     std::to_string(phase_ms));
+			Network net;
+
+			two_domains(&net);
+			int acquired = net.acquisitions();
+			uint64_t start_us = net.now_us + phase_ms * kMs;
+
+			for (uint64_t at_ms : c.at_ms) {
+				net.run_until(start_us + at_ms * kMs);
+				net.sever(c.from, c.to);
+			}
+			net.run_until(net.now_us + 3000 * kMs);
+			EXPECT_TRUE(net.severed.empty());
+			EXPECT_EQ(net.acquisitions(), acquired);
+			for (auto &n : net.instances)
+				EXPECT_EQ(n->losses, 0) << n->name;
+		}
+	}
+}
+
+/* Guards against an instance that is taken over, or stays unheard, as others
+ * restart while connections go silent. */
+TEST(Cluster, AnInstanceThatRestartsWhileConnectionsGoSilentIsHeardAgain)
+{
+	for (uint64_t down_ms : { 50, 400, 2000 }) {
+		SCOPED_TRACE(down_ms);
+		Network net;
+
+		two_domains(&net);
+		std::string owner = net.owners("north")[0]->name;
+		Instance *other = net.find(owner == "n1" ? "n2" : "n1");
+		int acquired = net.acquisitions();
+
+		other->running = false;
+		net.sever("", "");
+		net.run_until(net.now_us + down_ms * kMs);
+		net.start(other);
+		net.run_until(net.now_us + 3000 * kMs);
+		EXPECT_EQ(net.acquisitions(), acquired);
+		ASSERT_EQ(net.owners("north").size(), 1U);
+		EXPECT_EQ(net.owners("north")[0]->name, owner);
+		for (auto &n : net.instances)
+			for (auto &m : net.instances)
+				EXPECT_TRUE(
+					n == m ||
+					ph_cluster_hears(
+						n->cluster, net.now_us,
+						m->name.c_str(),
+						kUnixMs + m->started_us / 1000))
+					<< n->name << m->name;
+	}
+}
+
+/* Guards against a flood of dials to peers that are gone: one that refuses
+ * connections needs none, one that doesn't answer a few. */
+TEST(Cluster, PeersThatAreGoneCostFewNewConnections)
+{
+	for (bool refuses : { true, false }) {
+		SCOPED_TRACE(refuses);
+		Network net;
+
+		two_domains(&net);
+		Instance *n1 = net.find("n1");
+		int renewals = n1->renewals;
+
+		if (refuses)
+			net.find("n2")->running = false;
+		else
+			net.group["n2"] = 1;
+		net.run_until(net.now_us + 1000 * kMs);
+		EXPECT_LE(n1->renewals, renewals + (refuses ? 1 : 3));
+		net.run_until(net.now_us + 20000 * kMs);
+		/* One in 2 s while it may be back, one in 5 s later. */
+		EXPECT_LE(n1->renewals, renewals + 13);
+	}
+}
+
 /* An owner accepts batches only of instances whose loss would be reported: not
  * before the first heartbeat of a process, nor after its loss. */
 TEST(Cluster, AnInstanceIsHeardOnlyWhileItsLossWouldBeReported)
@@ -894,7 +1049,7 @@
 			[](void *, const char *) {},
 			[](void *, const char *) { return false; },
 			[](void *, const char *, const ph_member *) {},
-			[](void *, const char *) {},
+			[](void *, const char *, ph_link_doubt) {},
 			[](void *ctx, const char *) {
 				static_cast<Echoes *>(ctx)->lost++;
 			},
@@ -1094,7 +1249,7 @@
 			[](void *, const char *) {},
 			[](void *, const char *) { return false; },
 			on_heartbeat,
-			[](void *, const char *) {},
+			[](void *, const char *, ph_link_doubt) {},
 			[](void *ctx, const char *) {
 				static_cast<Process *>(ctx)->lost++;
 			},
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -271,7 +271,7 @@
 		});
 	}
 
-	static void on_reset(void *, const char *)
+	static void on_renew(void *, const char *, ph_link_doubt)
 	{
 	}
 
@@ -573,7 +573,7 @@
 	{
 		static const ph_cluster_sink sink = {
 			on_acquire,   on_release, on_reaches,
-			on_heartbeat, on_reset,	  on_member_lost
+			on_heartbeat, on_renew,	  on_member_lost
 		};
 
 		return &sink;
