Own interface: a connection to a peer that answers no heartbeats is replaced

Change: an instance opens a new connection to a peer that has answered no heartbeat for 2.5 intervals, before it counts as silent at 4; then ever more rarely, at most 2 s apart. Counter links_renewed.

--- a/src/entry.c
+++ b/src/entry.c
@@ -10,6 +10,9 @@
 #include "log.h"
 
 #define PART "entry"
+/* Heartbeat intervals after which a connection of a peer from which nothing
+ * comes is closed. */
+#define PEER_IDLE_INTERVALS 40U
 #define HTTP_THREADS 2U
 #define CONNECTIONS_PER_ENDPOINT 8U
 #define PLATFORM_CALL_TIMEOUT_US 1000000U
@@ -210,6 +213,15 @@
 	ph_transport_send(e->transport, addr, e->frame.data, e->frame.len);
 }
 
+static void sink_renew_link(void *ctx, const char *addr)
+{
+	struct ph_entry *e = ctx;
+
+	ph_log(PART, "%s answers no heartbeats; opening a new connection.",
+	       addr);
+	ph_transport_renew(e->transport, addr);
+}
+
 static void sink_start(void *ctx, const struct ph_start *start)
 {
 	struct ph_entry *e = ctx;
@@ -266,6 +278,7 @@
 
 static const struct ph_core_sink core_sink = {
 	.send = sink_send,
+	.renew_link = sink_renew_link,
 	.start = sink_start,
 	.reply = sink_reply,
 	.roster_read = sink_roster_read,
--- a/src/entry_core.c
+++ b/src/entry_core.c
@@ -373,8 +373,8 @@
 	COUNTER(records_refused), COUNTER(conflicts),
 	COUNTER(takeovers),	  COUNTER(roster_changes),
 	COUNTER(messages_sent),	  COUNTER(messages_received),
-	COUNTER(platform_calls),  COUNTER(expired),
-	COUNTER(answers_dropped),
+	COUNTER(links_renewed),	  COUNTER(platform_calls),
+	COUNTER(expired),	  COUNTER(answers_dropped),
 };
 
 static uint64_t counter_value(const struct ph_core *core, size_t at)
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -92,6 +92,9 @@
 struct ph_core_sink {
 	/** Sends a message to "ip:port"; may lose it without an error. */
 	void (*send)(void *ctx, const char *addr, const struct ph_msg *msg);
+	/** Opens a new connection to "ip:port", as the present one may be dead;
+	 * NULL if there are no connections. */
+	void (*renew_link)(void *ctx, const char *addr);
 	/** Starts a task; its outcome is passed to ph_core_task_done, once. */
 	void (*start)(void *ctx, const struct ph_start *start);
 	/** Answers a local request with an HTTP status and a JSON document. */
@@ -251,6 +254,7 @@
 	uint64_t roster_changes;
 	uint64_t messages_sent;
 	uint64_t messages_received;
+	uint64_t links_renewed;
 	uint64_t platform_calls;
 	uint64_t expired;
 	uint64_t answers_dropped;
--- a/src/entry_core_impl.h
+++ b/src/entry_core_impl.h
@@ -53,6 +53,12 @@
 	uint64_t heard_us;
 	/** Last heartbeat sent to it. */
 	uint64_t pinged_us;
+	/** When the latest heartbeat that it has answered was sent. */
+	uint64_t ponged_us;
+	/** When the connection to it was last replaced, and how often since it
+	 * last answered. */
+	uint64_t renewed_us;
+	uint32_t renewals;
 	/** Before this time, by its own promise, it neither starts tasks solo
 	 * nor removes this instance from the roster. */
 	uint64_t no_solo_until_us;
--- a/src/entry_peers.c
+++ b/src/entry_peers.c
@@ -8,6 +8,11 @@
 #define PEER_RETENTION_US 60000000U
 /* A non-member promises to start no task solo for this long. */
 #define NON_MEMBER_NO_SOLO_US 1000000U
+/* Heartbeat intervals without an answer after which the connection to a peer is
+ * doubted, in halves. Less than until the peer counts as silent. */
+#define DOUBT_INTERVALS_X2 5U
+/* Longest time between two new connections to a peer. */
+#define RENEW_MAX_US 2000000U
 
 uint32_t ph_peer_slot(const struct ph_core *core, const struct ph_peer *peer)
 {
@@ -298,6 +303,10 @@
 
 	if (!peer || peer->liveness != PH_ALIVE || msg->sent_us > now_us)
 		return;
+	if (msg->sent_us > peer->ponged_us) {
+		peer->ponged_us = msg->sent_us;
+		peer->renewals = 0;
+	}
 	if (until > peer->no_solo_until_us)
 		peer->no_solo_until_us = until;
 	if (peer->synced_to_me < msg->synced_version)
@@ -338,6 +347,47 @@
 			ph_core_send(core, core->seeds[i], &msg);
 }
 
+/* Opens a new connection to a peer that answers no heartbeats, before it counts
+ * as silent: either direction's connection may be dead while new ones work. The
+ * time to the next attempt doubles each time. */
+static void check_link(struct ph_core *core, uint64_t now_us, struct ph_peer *p)
+{
+	uint64_t since_us = p->ponged_us;
+	uint64_t wait_us = core->opt.ping_every_us;
+	uint32_t i;
+
+	if (since_us < p->added_us)
+		since_us = p->added_us;
+	if (since_us < core->resumed_us)
+		since_us = core->resumed_us;
+	for (i = 0; i < p->renewals && wait_us < RENEW_MAX_US; i++)
+		wait_us *= 2;
+	if (now_us < since_us +
+			     DOUBT_INTERVALS_X2 * core->opt.ping_every_us / 2 ||
+	    now_us < p->renewed_us + wait_us)
+		return;
+	p->renewed_us = now_us;
+	p->renewals++;
+	core->counters.links_renewed++;
+	core->opt.sink->renew_link(core->opt.ctx, p->member.addr);
+	ph_peer_send_ping(core, now_us, p);
+}
+
+static void check_links(struct ph_core *core, uint64_t now_us)
+{
+	size_t i;
+
+	if (!core->opt.sink->renew_link)
+		return;
+	for (i = 0; i < PH_MAX_PEERS; i++) {
+		struct ph_peer *p = &core->peers[i];
+
+		if (p->used && p->liveness == PH_ALIVE &&
+		    !slot_reusable(core, p, now_us))
+			check_link(core, now_us, p);
+	}
+}
+
 /* Ends the relays to peers that fell silent since the last tick. */
 static void check_silent_peers(struct ph_core *core, uint64_t now_us)
 {
@@ -359,6 +409,7 @@
 void ph_peers_tick(struct ph_core *core, uint64_t now_us)
 {
 	send_pings(core, now_us);
+	check_links(core, now_us);
 	ping_seeds(core, now_us);
 	check_silent_peers(core, now_us);
 }
--- a/test/sim.cc
+++ b/test/sim.cc
@@ -342,7 +342,8 @@
 }
 
 const ph_core_sink kSink = {
-	sink_send, sink_start, sink_reply, sink_roster_read, sink_roster_write,
+	sink_send,  nullptr,	      sink_start,
+	sink_reply, sink_roster_read, sink_roster_write,
 };
 
 /* ## Entry instances */
