Accepted connections from which nothing comes are closed

What could be seen: a connection of a peer that goes silent, or whose host is gone, stayed in the process with its descriptor and buffer until it ended. A peer that is only slow dials again with its next frame.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -359,6 +359,7 @@
 		.mem = mem,
 		.address = settings->address,
 		.port = settings->peer_port,
+		.idle_us = PEER_IDLE_INTERVALS * settings->heartbeat_us,
 		.events = &peer_events,
 		.ctx = d,
 	};
--- a/src/entry.c
+++ b/src/entry.c
@@ -619,6 +619,7 @@
 		.mem = e->mem,
 		.address = e->settings.address,
 		.port = e->settings.peer_port,
+		.idle_us = PEER_IDLE_INTERVALS * e->settings.ping_every_us,
 		.events = &peer_events,
 		.ctx = e,
 	};
--- a/test/test_transport.cc
+++ b/test/test_transport.cc
@@ -247,4 +247,40 @@
 	}
 }
 
+/* Guards against accepted connections that are kept until the process ends, as
+ * their peers have gone silent: each costs a descriptor and a buffer. */
+TEST(Transport, AnAcceptedConnectionFromWhichNothingComesIsClosed)
+{
+	Peer to(300 * kMs);
+	Peer from;
+	size_t before = open_files();
+	struct sockaddr_in at = {};
+	int silent[8];
+
+	at.sin_family = AF_INET;
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	at.sin_port = htons(
+		(uint16_t)std::stoi(to.addr.substr(to.addr.find(':') + 1)));
+	for (int &fd : silent) {
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		ASSERT_EQ(connect(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+		/* The first half of a frame. */
+		ASSERT_EQ(send(fd, "\0\0\0\2x", 5, 0), 5);
+	}
+	/* One from which frames come goes on. */
+	EXPECT_TRUE(await([&] {
+		bool closed = true;
+
+		from.send(to.addr);
+		for (int fd : silent)
+			closed = closed && SilentServer::closed(fd);
+		return closed;
+	}));
+	EXPECT_EQ(from.dials(), 1U);
+	EXPECT_GT(to.frames, 0);
+	for (int fd : silent)
+		close(fd);
+	EXPECT_LE(open_files(), before + 2);
+}
+
 } // namespace
