HTTP client: kept connections that have gone silent cost one call, not one each

What callers saw: after the open connections to an executor had gone silent, each kept one cost the next call its time-out; a start waits in vain, its stop too. Change: once a call on a kept connection gets not even the start of an answer, connections to that server that were open by then aren't used any more (their age is known in whole seconds). Keep-alive probes and TCP_USER_TIMEOUT close silent connections to executors, store, endpoints and platform that no call uses.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -1,9 +1,12 @@
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <apr_thread_mutex.h>
@@ -12,6 +15,7 @@
 
 #include "clock.h"
 #include "httpc.h"
+#include "ident.h"
 #include "log.h"
 
 #define PART "httpc"
@@ -29,6 +33,18 @@
 /* Connections that libcurl keeps open for reuse, sized for several to each of a
  * few hundred servers. */
 #define CONNECTION_CACHE_SIZE 1024U
+#define SILENT_BUCKETS 256U
+#define US_PER_S 1000000U
+/* Time for which libcurl keeps an idle connection. Later there are none left
+ * that were open when another one went silent. */
+#define KEEP_IDLE_S 118U
+/* Keep-alive probes of idle connections, in seconds: one that goes silent is
+ * closed, and no call waits for it. */
+#define PROBE_IDLE_S 2L
+#define PROBE_INTERVAL_S 1L
+/* A connection fails after this time without an acknowledgement of a probe or
+ * of data that was sent. */
+#define USER_TIMEOUT_MS 2000U
 
 /* A call from ph_httpc_send to its end: first in the inbox, then active. */
 struct transfer {
@@ -54,6 +70,14 @@
 	bool closing;
 };
 
+/* A server to which a kept connection has gone silent. */
+struct silent_host {
+	struct silent_host *next;
+	uint64_t hash;
+	/** When that was last noticed. */
+	uint64_t noticed_us;
+};
+
 struct ph_httpc {
 	const struct ph_mem *mem;
 	struct ph_httpc_options opt;
@@ -70,6 +94,8 @@
 	CURL *idle[IDLE_HANDLES_MAX];
 	size_t idle_count;
 	struct transfer *active;
+	/** By the hash of "host:port"; each list has the latest first. */
+	struct silent_host *silent_hosts[SILENT_BUCKETS];
 	/** Lower bound of the deadlines of all active transfers. */
 	uint64_t next_deadline_us;
 	/** When libcurl's own timer expires; UINT64_MAX if it is not set. */
@@ -150,8 +176,13 @@
 static int on_socket_created(void *user, curl_socket_t fd, curlsocktype purpose)
 {
 	struct ph_httpc *client = user;
+	unsigned int timeout_ms = USER_TIMEOUT_MS;
 
 	(void)purpose;
+	if (setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+		       sizeof(timeout_ms)))
+		ph_log(PART, "Can't set TCP_USER_TIMEOUT: %s.",
+		       strerror(errno));
 	if (fd >= 0 && (uint32_t)fd < SOCKETS_MAX)
 		memset(&client->interests[fd], 0, sizeof(*client->interests));
 	return CURL_SOCKOPT_OK;
@@ -301,6 +332,88 @@
 	curl_easy_setopt(e, CURLOPT_SEEKDATA, t);
 }
 
+/* ## Connections that have gone silent */
+
+static uint64_t host_hash(const char *url)
+{
+	const char *host = strstr(url, "://");
+
+	host = host ? host + 3 : url;
+	return ph_hash(host, strcspn(host, "/"));
+}
+
+/* Frees the entries of a list from the first that is outdated on. */
+static void forget_silent(struct ph_httpc *client, struct silent_host **list,
+			  uint64_t now_us)
+{
+	while (*list &&
+	       now_us < (*list)->noticed_us + (uint64_t)KEEP_IDLE_S * US_PER_S)
+		list = &(*list)->next;
+	while (*list) {
+		struct silent_host *h = *list;
+
+		*list = h->next;
+		client->mem->free(h);
+	}
+}
+
+/* A call on a kept connection got no answer: other connections to the server
+ * that were open by then may be as dead. */
+static void note_silent(struct ph_httpc *client, const struct transfer *t,
+			uint64_t now_us)
+{
+	uint64_t hash = host_hash(t->url);
+	struct silent_host **list =
+		&client->silent_hosts[hash % SILENT_BUCKETS];
+	struct silent_host **at = list;
+	struct silent_host *h;
+
+	forget_silent(client, list, now_us);
+	while (*at && (*at)->hash != hash)
+		at = &(*at)->next;
+	h = *at;
+	if (h)
+		*at = h->next;
+	else
+		h = client->mem->calloc(1, sizeof(*h));
+	h->hash = hash;
+	h->noticed_us = now_us;
+	h->next = *list;
+	*list = h;
+}
+
+/* Longest age of a connection, in seconds, that a call may use, so that none is
+ * used that was open when another one went silent; 0: any. */
+static long usable_age_s(const struct ph_httpc *client, const char *url,
+			 uint64_t now_us)
+{
+	uint64_t hash = host_hash(url);
+	const struct silent_host *h =
+		client->silent_hosts[hash % SILENT_BUCKETS];
+	uint64_t age_s;
+
+	while (h && h->hash != hash)
+		h = h->next;
+	if (!h || now_us >= h->noticed_us + (uint64_t)KEEP_IDLE_S * US_PER_S)
+		return 0;
+	age_s = (now_us - h->noticed_us) / US_PER_S;
+	return age_s ? (long)age_s : 1;
+}
+
+/* Whether a call that has timed out was sent on a kept connection and got not
+ * even the start of an answer. */
+static bool is_silent(const struct transfer *t, CURLcode code)
+{
+	long connects = 0;
+	long status = 0;
+
+	if (code != CURLE_OPERATION_TIMEDOUT)
+		return false;
+	curl_easy_getinfo(t->easy, CURLINFO_NUM_CONNECTS, &connects);
+	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
+	return !connects && !status && (t->body_sent || !t->body);
+}
+
 /* Starts a transfer: sets the options of its handle and makes it active. */
 static void begin(struct ph_httpc *client, struct transfer *t)
 {
@@ -320,6 +433,12 @@
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
 	curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, client);
+	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, (long)KEEP_IDLE_S);
+	curl_easy_setopt(e, CURLOPT_MAXLIFETIME_CONN,
+			 usable_age_s(client, t->url, ph_clock_us()));
+	curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(e, CURLOPT_TCP_KEEPIDLE, PROBE_IDLE_S);
+	curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, PROBE_INTERVAL_S);
 	if (client->source)
 		curl_easy_setopt(e, CURLOPT_INTERFACE, client->source);
 	set_body(t);
@@ -413,6 +532,8 @@
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&t);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	if (is_silent(t, code))
+		note_silent(client, t, ph_clock_us());
 	result.err = error_of(t, code);
 	if (result.err == PH_ERR_UNREACHABLE)
 		result.refused = connection_refused(easy, code);
@@ -593,6 +714,7 @@
 {
 	apr_status_t status;
 	struct transfer *t;
+	size_t i;
 
 	if (!client)
 		return;
@@ -612,6 +734,8 @@
 	while (client->idle_count)
 		curl_easy_cleanup(client->idle[--client->idle_count]);
 	curl_multi_cleanup(client->multi);
+	for (i = 0; i < SILENT_BUCKETS; i++)
+		forget_silent(client, &client->silent_hosts[i], UINT64_MAX);
 	close(client->epoll_fd);
 	close(client->wake_fd);
 	client->mem->free(client->interests);
--- a/test/test_httpc.cc
+++ b/test/test_httpc.cc
@@ -1,12 +1,16 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <condition_variable>
+#include <cstring>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <apr_general.h>
@@ -131,6 +135,81 @@
 	}
 };
 
+/* An HTTP server whose open connections can be made to say nothing any more,
+ * while new ones work. */
+struct SeverableServer {
+	uint16_t port;
+	int listener = bind_any(&port);
+	std::atomic<int> accepted{ 0 };
+	/** Connections up to this one get no answers. */
+	std::atomic<int> severed{ 0 };
+	std::atomic<bool> stop{ false };
+	std::thread thread{ [this] { run(); } };
+
+	~SeverableServer()
+	{
+		stop = true;
+		thread.join();
+		close(listener);
+	}
+
+	void run()
+	{
+		static const char answer[] =
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+		std::vector<int> fds;
+		char data[4096];
+
+		listen(listener, 64);
+		while (!stop) {
+			std::vector<pollfd> polled{ { listener, POLLIN, 0 } };
+
+			for (int fd : fds)
+				polled.push_back({ fd, POLLIN, 0 });
+			poll(polled.data(), polled.size(), 5);
+			if (polled[0].revents) {
+				fds.push_back(
+					accept(listener, nullptr, nullptr));
+				accepted++;
+			}
+			for (size_t i = 1; i < polled.size(); i++) {
+				/* A request arrives as a whole here. */
+				ssize_t n = recv(fds[i - 1], data, sizeof(data),
+						 MSG_DONTWAIT);
+
+				if (n > 0 && (int)i > severed &&
+				    memmem(data, (size_t)n, "{}", 2))
+					send(fds[i - 1], answer,
+					     sizeof(answer) - 1, MSG_NOSIGNAL);
+			}
+		}
+		for (int fd : fds)
+			close(fd);
+	}
+};
+
+/* Guards against calls that wait in vain one after the other, each on the next
+ * of the connections that were kept when all of them went silent. */
+TEST(Httpc, OneCallIsLostOnKeptConnectionsThatHaveGoneSilent)
+{
+	RecordingClient c;
+	SeverableServer server;
+	int connections;
+
+	for (const ph_http_result &r : c.send(server.port, 8, 5000 * kMs))
+		ASSERT_EQ(r.err, 0);
+	connections = server.accepted;
+	ASSERT_GE(connections, 2);
+	/* Ages of connections are known in whole seconds. */
+	sleep(3);
+	server.severed = connections;
+	EXPECT_EQ(c.send(server.port, 1, 200 * kMs)[0].err, PH_ERR_IO);
+	for (int i = 0; i < 8; i++)
+		EXPECT_EQ(c.send(server.port, 1, 5000 * kMs)[0].err, 0) << i;
+	/* The new connection is kept. */
+	EXPECT_EQ(server.accepted, connections + 1);
+}
+
 void reply_ok(void *, ph_http_req *req)
 {
 	ph_http_reply reply = {};
