Instances that take a pool from each other without hearing each other back off

Cause: an instance in the pool's domain that hears no better claim raises its token at once, again and again; the other one does the same. Change: a refusal after the token had been accepted is the work of an instance that isn't heard. The first time the token is raised as before (the other may be gone); then the pool is left to it for 0.5 to 8 s, with backoff and jitter, until it is heard or the time is over. Event pool_contested. A refused token is logged once for a pool and token as token_refused; before, each executor was executor_unreachable with call_status=5, 1,000 lines a second.

--- a/src/cluster.h
+++ b/src/cluster.h
@@ -213,11 +213,12 @@
 		       const struct ph_cluster_sink *sink, void *ctx);
 
 /**
- * An executor rejected this instance's fencing token for a pool. Releases the
- * pool or acquires it again under a higher token.
+ * An executor rejected this instance's fencing token for a pool; accepted tells
+ * whether one has accepted it before. Releases the pool or acquires it again
+ * under a higher token.
  */
 void ph_cluster_fenced(struct ph_cluster *cluster, uint64_t now_us,
-		       uint64_t unix_ms, const char *pool,
+		       uint64_t unix_ms, const char *pool, bool accepted,
 		       const struct ph_cluster_sink *sink, void *ctx);
 
 /**
--- a/src/cluster_impl.h
+++ b/src/cluster_impl.h
@@ -37,6 +37,12 @@
 	uint64_t fenced_since_us;
 	/** How often the token has been raised since the pool was claimed. */
 	uint32_t token_raises;
+	/** How often of late the pool was taken by an instance that isn't
+	 * heard, and when it was last. */
+	uint32_t contests;
+	uint64_t contested_us;
+	/** The pool is left to that instance until this time. */
+	uint64_t contested_until_us;
 	/** Released because executors rejected the token while this instance
 	 * was in a minority; not claimed again until it is in the majority. */
 	bool yielded;
--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -69,6 +69,13 @@
 #define TOKEN_RAISE_FACTOR 8U
 /* Rejections after which the raise grows no further. */
 #define TOKEN_RAISES_MAX 6U
+/* Two instances that don't hear of each other take a pool from each other for
+ * as long as that lasts. Each leaves it to the other for a time that doubles,
+ * from the shortest to the longest, and is up to twice as long by chance. */
+#define CONTEST_MIN_US 500000U
+#define CONTEST_MAX_US 4000000U
+/* Time without a contest after which earlier ones don't count. */
+#define CONTEST_FORGET_US 20000000U
 
 static struct ph_pool_claim *claim_find(const struct ph_cluster *cluster,
 					const char *name)
@@ -543,6 +550,8 @@
 		p->vacant_since_us = now_us;
 	if (!p->assigned_to_self)
 		return;
+	if (now_us < p->contested_until_us)
+		return;
 	/* The waits run at the same time. */
 	if (now_us < cluster->opt.start_us + start_delay_us ||
 	    now_us < p->vacant_since_us + claim_delay_us(cluster, p->name,
@@ -629,8 +638,35 @@
 	p->highest_token += raise_ms << TOKEN_SHIFT;
 }
 
+/* An instance that isn't heard has taken the pool. Returns whether to leave it
+ * to that one for a while; the first time it may be gone since. */
+static bool leave_to_other(const struct ph_cluster *cluster,
+			   struct ph_pool_claim *p, uint64_t now_us)
+{
+	uint64_t wait_us = CONTEST_MIN_US;
+	uint64_t hash;
+	uint32_t i;
+
+	if (now_us > p->contested_us + CONTEST_FORGET_US)
+		p->contests = 0;
+	p->contested_us = now_us;
+	if (!p->contests++)
+		return false;
+	for (i = 2; i < p->contests && wait_us < CONTEST_MAX_US; i++)
+		wait_us *= 2;
+	hash = ph_rendezvous_weight(ph_hash_str(cluster->opt.name), p->token);
+	wait_us += hash % wait_us;
+	p->contested_until_us = now_us + wait_us;
+	ph_event(
+		PART,
+		"event=pool_contested pool=%s token=%llu count=%u wait_us=%llu",
+		p->name, (unsigned long long)p->token, p->contests,
+		(unsigned long long)wait_us);
+	return true;
+}
+
 void ph_cluster_fenced(struct ph_cluster *cluster, uint64_t now_us,
-		       uint64_t unix_ms, const char *pool,
+		       uint64_t unix_ms, const char *pool, bool accepted,
 		       const struct ph_cluster_sink *sink, void *ctx)
 {
 	struct ph_pool_claim *p = claim_find(cluster, pool);
@@ -649,6 +685,8 @@
 	/* Probably an instance of the pool's domain has claimed it; an owner
 	 * from another domain releases it without a wait. */
 	if (!ph_pool_shard_in(pool, cluster->opt.domain)) {
+		if (accepted)
+			leave_to_other(cluster, p, now_us);
 		ph_claim_release(p, sink, ctx);
 		return;
 	}
@@ -665,7 +703,8 @@
 		ph_claim_release(p, sink, ctx);
 		return;
 	}
-	if (outranked(cluster, p)) {
+	if (outranked(cluster, p) ||
+	    (accepted && leave_to_other(cluster, p, now_us))) {
 		ph_claim_release(p, sink, ctx);
 		return;
 	}
@@ -688,6 +727,9 @@
 		if (p->owned && outranked(cluster, p))
 			ph_claim_release(p, sink, ctx);
 		p->vacant = !p->owned && vacant(cluster, p);
+		/* The other instance is heard by now. */
+		if (p->committed_claimant)
+			p->contested_until_us = 0;
 		any_vacant = any_vacant || p->vacant;
 	}
 	if (any_vacant)
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -97,7 +97,8 @@
 {
 	if (ph_pool_owned(p->pool) && ph_pool_fenced(p->pool))
 		ph_cluster_fenced(d->cluster, now_us, ph_clock_unix_ms(),
-				  p->name, &ph_dispatcher_cluster_sink, d);
+				  p->name, ph_pool_token_accepted(p->pool),
+				  &ph_dispatcher_cluster_sink, d);
 }
 
 void ph_dispatcher_poll_done(struct ph_dispatcher *d, uint64_t now_us,
--- a/src/pool.c
+++ b/src/pool.c
@@ -152,6 +152,11 @@
 	return pool->fenced;
 }
 
+bool ph_pool_token_accepted(const struct ph_pool *pool)
+{
+	return pool->accepted;
+}
+
 const struct ph_pool_counters *ph_pool_counters(const struct ph_pool *pool)
 {
 	return &pool->counters;
@@ -711,6 +716,7 @@
 		forget_lengths(pool);
 	pool->token = token;
 	pool->fenced = false;
+	pool->accepted = false;
 	pool->dirty = true;
 	pool->owned = true;
 	/* Also after a fenced token: another owner may have changed the state
--- a/src/pool.h
+++ b/src/pool.h
@@ -86,6 +86,8 @@
  * have another owner. No task starts until this one acquires the pool again
  * with a higher token. */
 bool ph_pool_fenced(const struct ph_pool *pool);
+/** Whether an executor has accepted the token since the pool was acquired. */
+bool ph_pool_token_accepted(const struct ph_pool *pool);
 
 /**
  * Replaces the list of the pool's executors. Returns true while executors that
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -293,6 +293,10 @@
 	const char *name;
 	bool owned;
 	bool fenced;
+	/** An executor has answered a poll under the present token. */
+	bool accepted;
+	/** The token whose refusal was logged last. */
+	uint64_t refused_token;
 	uint64_t token;
 	uint64_t last_call;
 	struct ph_executor *executors;
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -107,6 +107,25 @@
 			 pool->lost_polls_permille);
 }
 
+/* Logs why an executor's polls begin to fail. One that refuses the token is
+ * reached, and most of the pool's executors refuse it: logged once a token. */
+static void log_poll_failure(struct ph_pool *pool, const struct ph_executor *x,
+			     enum ph_call_status status)
+{
+	if (status != PH_CALL_FENCED) {
+		ph_event(
+			PART,
+			"event=executor_unreachable executor=%s call_status=%d",
+			x->info.id, (int)status);
+		return;
+	}
+	if (pool->refused_token == pool->token)
+		return;
+	pool->refused_token = pool->token;
+	ph_event(PART, "event=token_refused pool=%s token=%llu executor=%s",
+		 pool->name, (unsigned long long)pool->token, x->info.id);
+}
+
 static void poll_failed(struct ph_pool *pool, struct ph_executor *x,
 			const struct ph_poll_reply *reply, uint64_t now_us)
 {
@@ -123,10 +142,7 @@
 	if (!x->poll_failures) {
 		x->unreachable_us = now_us;
 		x->refuses = false;
-		ph_event(
-			PART,
-			"event=executor_unreachable executor=%s call_status=%d",
-			x->info.id, (int)reply->status);
+		log_poll_failure(pool, x, reply->status);
 	}
 	x->refuses = x->refuses || reply->status == PH_CALL_REFUSED;
 	x->poll_failures++;
@@ -421,6 +437,7 @@
 	if (!x->polled)
 		expect_longest_lease(pool, x);
 	x->polled = true;
+	pool->accepted = true;
 	if (restarted)
 		ph_executor_lost(pool, x, PH_LOSS_RESTARTED, reply, now_us);
 	drop_absent(pool, x, reply, restarted, now_us);
--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -32,6 +32,8 @@
 	uint64_t started_us;
 	ph_cluster *cluster = nullptr;
 	std::map<std::string, uint64_t> owned;
+	/** Tokens that executors have accepted. */
+	std::set<uint64_t> accepted;
 	bool running = true;
 	bool frozen = false;
 	bool leaving = false;
@@ -58,6 +60,7 @@
 	/** Connections, from one instance to another, that have gone silent for
 	 * good. A new one that is dialed takes their place. */
 	std::set<std::pair<std::string, std::string>> severed;
+	bool new_connections_work = true;
 
 	~Network()
 	{
@@ -143,7 +146,8 @@
 		Network *net = from->net;
 
 		from->renewals++;
-		if (net->group[from->name] == net->group[addr])
+		if (net->new_connections_work &&
+		    net->group[from->name] == net->group[addr])
 			net->severed.erase({ from->name, addr });
 	}
 
@@ -241,12 +245,15 @@
 			/* Executors are in the group of their domain. */
 			if (group[n->name] != group[domain])
 				continue;
-			if (o.second >= highest_token_seen[o.first])
+			if (o.second >= highest_token_seen[o.first]) {
 				highest_token_seen[o.first] = o.second;
-			else
+				n->accepted.insert(o.second);
+			} else
 				ph_cluster_fenced(n->cluster, now_us,
 						  kUnixMs + now_us / 1000,
-						  o.first.c_str(), sink, n);
+						  o.first.c_str(),
+						  n->accepted.count(o.second),
+						  sink, n);
 		}
 	}
 
@@ -937,6 +944,37 @@
 	}
 }
 
+/* Guards against a storm of ownership, whatever its reason: instances that
+ * reach the executors but don't hear each other take a pool from each other,
+ * again and again, and no job is served. */
+TEST(Cluster, InstancesThatNeverHearEachOtherBackOffFromAPool)
+{
+	for (const char *domain : { "north", "south" }) {
+		SCOPED_TRACE(domain);
+		Network net;
+
+		net.pools = { "north" };
+		net.add("n1", "north");
+		net.add("n2", domain);
+		net.start_all();
+		net.run_until(net.now_us + 2000 * kMs);
+		net.new_connections_work = false;
+		net.sever("", "");
+		net.run_until(net.now_us + 20000 * kMs);
+		int before = net.acquisitions();
+		net.run_until(net.now_us + 40000 * kMs);
+		/* Two instances in turn, each once in 4 s or more. */
+		EXPECT_LE(net.acquisitions(), before + 20);
+		/* Once they hear each other, one of them keeps it. */
+		net.severed.clear();
+		net.run_until(net.now_us + 3000 * kMs);
+		before = net.acquisitions();
+		net.run_until(net.now_us + 20000 * kMs);
+		EXPECT_EQ(net.acquisitions(), before);
+		EXPECT_EQ(net.owners("north").size(), 1U);
+	}
+}
+
 /* Guards against a flood of dials to peers that are gone: one that refuses
  * connections needs none, one that doesn't answer a few. */
 TEST(Cluster, PeersThatAreGoneCostFewNewConnections)
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -586,9 +586,11 @@
 		for (const auto &p : i->pools)
 			if (ph_pool_owned(p.second->pool) &&
 			    ph_pool_fenced(p.second->pool))
-				ph_cluster_fenced(i->cluster, w.now_us,
-						  unix_ms(i), p.first.c_str(),
-						  cluster_sink(), i);
+				ph_cluster_fenced(
+					i->cluster, w.now_us, unix_ms(i),
+					p.first.c_str(),
+					ph_pool_token_accepted(p.second->pool),
+					cluster_sink(), i);
 		for (const auto &p : i->pools)
 			ph_pool_check_submitters(p.second->pool, relies, surely,
 						 i);
