Metrics of connections between instances; the soak severs connections

peridothall_peer_connections_renewed_total by reason, peer_dials_total, peer_connections_idle_closed_total, peer_silent_us by peer.

--- a/src/cluster.h
+++ b/src/cluster.h
@@ -149,6 +149,8 @@
 	PH_LINK_DOUBTS,
 };
 
+const char *ph_link_doubt_name(enum ph_link_doubt doubt);
+
 /** Callbacks for the actions that a tick decides on. */
 struct ph_cluster_sink {
 	/** This instance now owns the pool, under this fencing token. */
--- a/src/cluster_heartbeat.c
+++ b/src/cluster_heartbeat.c
@@ -131,6 +131,16 @@
 
 /* ## Connections that may be dead */
 
+const char *ph_link_doubt_name(enum ph_link_doubt doubt)
+{
+	static const char *const names[PH_LINK_DOUBTS] = {
+		"none", "peer_silent", "peer_gets_no_heartbeats", "peer_back",
+		"no_member"
+	};
+
+	return names[doubt];
+}
+
 enum ph_link_doubt ph_heartbeat_link_doubt(const struct ph_cluster *cluster,
 					   const struct ph_member *m,
 					   uint64_t now_us)
@@ -172,10 +182,6 @@
 		       uint64_t now_us, const struct ph_cluster_sink *sink,
 		       void *ctx)
 {
-	static const char *const reasons[PH_LINK_DOUBTS] = {
-		"none", "peer_silent", "peer_gets_no_heartbeats", "peer_back",
-		"no_member"
-	};
 	enum ph_link_doubt doubt = ph_heartbeat_link_doubt(cluster, m, now_us);
 
 	if (doubt != PH_LINK_SOUND) {
@@ -198,7 +204,7 @@
 	ph_event(PART,
 		 "event=connection_renewed peer=%s reason=%s silent_us=%llu "
 		 "count=%u",
-		 m->name, reasons[doubt],
+		 m->name, ph_link_doubt_name(doubt),
 		 (unsigned long long)(now_us - m->heard_us), m->link_renewals);
 	sink->renew_link(ctx, m->addr, doubt);
 }
--- a/src/dispatcher_report.c
+++ b/src/dispatcher_report.c
@@ -54,6 +54,32 @@
 		      load.batches);
 }
 
+/* Connections to other instances, and how long each of these has been silent.
+ */
+static void put_peer_metrics(struct ph_dispatcher *d, uint64_t now_us,
+			     struct ph_buf *out)
+{
+	struct ph_transport_counters counters;
+	const struct ph_member *m;
+	int doubt;
+
+	ph_transport_counters(d->transport, &counters);
+	put_counter(out, "peridothall_peer_dials_total", counters.dials);
+	put_counter(out, "peridothall_peer_connections_idle_closed_total",
+		    counters.idle_closed);
+	for (doubt = PH_LINK_SOUND + 1; doubt < PH_LINK_DOUBTS; doubt++)
+		ph_buf_printf(
+			out,
+			"peridothall_peer_connections_renewed_total{reason="
+			"\"%s\"} %llu\n",
+			ph_link_doubt_name((enum ph_link_doubt)doubt),
+			(unsigned long long)d->counters.renewed[doubt]);
+	for (m = ph_cluster_first_member(d->cluster); m; m = m->next)
+		ph_buf_printf(
+			out, "peridothall_peer_silent_us{peer=\"%s\"} %llu\n",
+			m->name, (unsigned long long)(now_us - m->heard_us));
+}
+
 void ph_dispatcher_metrics(struct ph_dispatcher *d, uint64_t now_us,
 			   struct ph_buf *out)
 {
@@ -89,6 +115,7 @@
 		      d->routing ? (unsigned long long)d->routing->version : 0,
 		      ph_submitter_count(d->submitter), d->counters.skipped,
 		      d->routing ? d->routing->skipped : 0);
+	put_peer_metrics(d, now_us, out);
 	for (i = 0; i < d->pool_count; i++)
 		put_pool_metrics(&d->pools[i], now_us, out);
 }
--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -129,13 +129,34 @@
 	end,
 }
 
+-- From FIRST_SEED_WITH_SEVERING on: open connections that go silent for good, of one
+-- kind or several, a share of them.
+local severing = function()
+	for _, kind in ipairs({ "instances", "store", "executors", "callers" }) do
+		if math.random() < 0.5 then
+			local share = math.random(2, 10) / 10
+			print("  sever " .. share .. " of " .. kind)
+			sever(share, kind)
+		end
+	end
+end
+
 -- Seeds below this draw from the first nine kinds of fault only, so that those in
 -- seeds.txt give the same faults as when the list had nine kinds.
 local FIRST_SEED_WITH_ALL_KINDS = 400
+local FIRST_SEED_WITH_SEVERING = 500
+local relays_all = seed >= FIRST_SEED_WITH_SEVERING
+if relays_all then
+	-- Several times as often as each other kind.
+	for _ = 1, 4 do
+		faults[#faults + 1] = severing
+	end
+end
 local kinds = seed < FIRST_SEED_WITH_ALL_KINDS and 9 or #faults
 
 print("seed " .. seed)
-start_dispatch(2, 2)
+start_dispatch_in({ domains = { { "north", 2 }, { "south", 2 } },
+	executors = EXECUTOR_COUNT, every_ms = 40, relayed = relays_all })
 local until_ms = now() + secs * 1000
 while now() < until_ms do
 	local n = random_instance()
--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -944,6 +944,41 @@
 	}
 }
 
+/* Guards against an old state of a peer that takes the place of a newer one:
+ * its heartbeats may come on two connections. */
+TEST(Cluster, AHeartbeatThatALaterOneHasOvertakenIsIgnored)
+{
+	const struct {
+		uint64_t incarnation;
+		uint64_t clock_us;
+		bool taken;
+	} cases[] = {
+		{ kUnixMs, 2000, true },  { kUnixMs, 1999, false },
+		{ kUnixMs, 1, false },	  { kUnixMs, 2000, true },
+		{ kUnixMs, 2001, true },  { kUnixMs + 1, 5, true },
+		{ kUnixMs, 9000, false }, { kUnixMs + 1, 4, false },
+	};
+	Network net;
+
+	net.add("n1", "north");
+	net.start_all();
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.clock_us);
+		ph_poolmsg m = {};
+
+		m.type = PH_POOLMSG_HEARTBEAT;
+		m.name = "n2";
+		m.domain = "north";
+		snprintf(m.addr, sizeof(m.addr), "n2");
+		m.incarnation = c.incarnation;
+		m.clock_us = c.clock_us;
+		EXPECT_EQ(ph_cluster_heartbeat_received(
+				  net.instances[0]->cluster, net.now_us, &m) !=
+				  nullptr,
+			  c.taken);
+	}
+}
+
 /* Guards against a storm of ownership, whatever its reason: instances that
  * reach the executors but don't hear each other take a pool from each other,
  * again and again, and no job is served. */
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -60,10 +60,12 @@
 	! grep -h -A12 'WARNING: ThreadSanitizer' "$logs"/*
 }
 
-# Two seeds with the first nine kinds of fault, one with all (see soak.lua).
+# Two seeds with the first nine kinds of fault, one with all, one with connections
+# that go silent (see soak.lua).
 soak_seeds() {
 	BUILD="$BUILD" tools/soak.sh 1 2 8 &&
-		BUILD="$BUILD" tools/soak.sh 401 401 8
+		BUILD="$BUILD" tools/soak.sh 401 401 8 &&
+		BUILD="$BUILD" tools/soak.sh 501 501 8
 }
 
 # Long freezes, and little processor time with freezes (see resubmissions.lua).
@@ -84,7 +86,7 @@
 	--strike freeze-receiver@5 --strike kill-sender@154
 run model env BUILD="$BUILD" tools/model.sh
 scenarios
-run "soak, three seeds" soak_seeds
+run "soak, four seeds" soak_seeds
 run "soak of resubmissions, two seeds" resubmission_seeds
 run memory run_with_memory_sanitizers
 run threads run_with_thread_sanitizer
