--- a/test/test_httpc.cc
+++ b/test/test_httpc.cc
@@ -140,6 +140,8 @@
 struct SeverableServer {
 	uint16_t port;
 	int listener = bind_any(&port);
+	/** Listens before the first call, whenever the thread runs. */
+	int listening = listen(listener, 64);
 	std::atomic<int> accepted{ 0 };
 	/** Connections up to this one get no answers. */
 	std::atomic<int> severed{ 0 };
@@ -160,7 +162,6 @@
 		std::vector<int> fds;
 		char data[4096];
 
-		listen(listener, 64);
 		while (!stop) {
 			std::vector<pollfd> polled{ { listener, POLLIN, 0 } };
 
