--- a/src/settings.c
+++ b/src/settings.c
@@ -87,6 +87,19 @@
 	t->count = i;
 }
 
+/* Frees the table but for the operands, which the settings refer to. All other
+ * texts are those of the command line. */
+static void table_free(struct table *t, const struct ph_settings *settings)
+{
+	size_t i;
+
+	for (i = 0; i < t->count; i++)
+		if (t->args[i] != t->operands)
+			arg_freetable(&t->args[i], 1);
+	if (!settings->max_operands)
+		arg_freetable((void **)&t->operands, 1);
+}
+
 static void print_help(const struct ph_settings *settings, struct table *t)
 {
 	printf("Usage: %s", settings->program);
@@ -241,27 +254,27 @@
 int ph_settings_load(struct ph_settings *settings, int argc, char **argv)
 {
 	struct table t;
+	int status = -1;
 	int errors;
 
 	table_build(&t, settings);
 	errors = arg_parse(argc, argv, t.args);
 	if (t.help->count) {
 		print_help(settings, &t);
-		return PH_EXIT_OK;
-	}
-	if (errors) {
+		status = PH_EXIT_OK;
+	} else if (errors) {
 		arg_print_errors(stderr, t.end, settings->program);
-		return PH_EXIT_USAGE;
+		status = PH_EXIT_USAGE;
+	} else if (apply_all(settings, &t)) {
+		status = PH_EXIT_USAGE;
+	} else if (t.print->count) {
+		print_settings(settings);
+		status = PH_EXIT_OK;
 	}
-	if (apply_all(settings, &t))
-		return PH_EXIT_USAGE;
 	if (settings->max_operands) {
 		settings->operand_count = t.operands->count;
 		settings->operand = t.operands->sval;
 	}
-	if (t.print->count) {
-		print_settings(settings);
-		return PH_EXIT_OK;
-	}
-	return -1;
+	table_free(&t, settings);
+	return status;
 }
--- a/test/test_poolmsg.cc
+++ b/test/test_poolmsg.cc
@@ -166,11 +166,13 @@
 	bytes[2]--;
 	ASSERT_EQ(decode(bytes, &got), 0);
 	EXPECT_EQ(got.echo_us, 0U);
+	ph_poolmsg_clear(ph_mem_default(), &got);
 	bytes.pop_back();
 	bytes[2]--;
 	ASSERT_EQ(decode(bytes, &got), 0);
 	EXPECT_EQ(got.shards, 4U);
 	EXPECT_EQ(got.suspect_count, 0U);
+	ph_poolmsg_clear(ph_mem_default(), &got);
 }
 
 bool accepted(const ph_poolmsg &m)
