Heartbeats carry the revisions of shards and evacuations; plan of the parts

Fields at the end of a heartbeat, which versions before ignore, so that the parts of docs/design/overview.md can be built side by side. Nothing sets or uses them yet. PoolMsg tests pass, also for heartbeats without the fields.

--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -12,7 +12,7 @@
  * list change without their entries, of the other bodies, and of one entry (a
  * claim, a suspect or an executor). */
 #define HEADER_FIELDS 6U
-#define HEARTBEAT_FIELDS 12U
+#define HEARTBEAT_FIELDS 15U
 #define CLAIM_FIELDS 9U
 #define SUSPECT_FIELDS 5U
 #define BATCH_REQUEST_FIELDS 19U
@@ -92,6 +92,9 @@
 	for (i = 0; i < m->suspect_count; i++)
 		put_suspect(pk, &m->suspects[i]);
 	msgpack_pack_uint64(pk, m->echo_us);
+	msgpack_pack_uint64(pk, m->shards_revision);
+	msgpack_pack_uint64(pk, m->evacuation_revision);
+	msgpack_pack_uint64(pk, m->evacuation_age_us);
 }
 
 static void put_batch_request(msgpack_packer *pk,
@@ -396,6 +399,11 @@
 		get_suspect(r, &m->suspects[i]);
 	if (!r->bad && r->left)
 		m->echo_us = get_u64(r);
+	if (r->bad || !r->left)
+		return;
+	m->shards_revision = get_u64(r);
+	m->evacuation_revision = get_u64(r);
+	m->evacuation_age_us = get_u64(r);
 }
 
 static void get_batch_request(const struct ph_mem *mem, struct reader *r,
--- a/src/poolmsg.h
+++ b/src/poolmsg.h
@@ -58,7 +58,8 @@
 	const char *domain;
 	char addr[PH_ADDR_BYTES];
 	uint64_t incarnation;
-	/* The fields from here to echo_us are those of HEARTBEAT. */
+	/* The fields from here to evacuation_age_us are those of
+	 * HEARTBEAT. */
 	/** The sender is stopping and claims no more pools. */
 	bool leaving;
 	uint64_t config_version;
@@ -86,6 +87,14 @@
 	 * receiver; 0: none, or the sender's version does not tell. Versions
 	 * that don't know it ignore it. */
 	uint64_t echo_us;
+	/** Revision of the store at which the number of shards was written; 0:
+	 * it is not from the store. Versions that don't know this field and the
+	 * next two ignore them. */
+	uint64_t shards_revision;
+	/** Revision of the store as of which the sender knows the requests to
+	 * evacuate failure domains, and the age of that knowledge; 0: none. */
+	uint64_t evacuation_revision;
+	uint64_t evacuation_age_us;
 	/** Number that identifies a batch at the submitting instance; in all
 	 * types but HEARTBEAT, CONFIG_REQUEST, CONFIG and LIST. */
 	uint64_t seq;
--- a/test/test_poolmsg.cc
+++ b/test/test_poolmsg.cc
@@ -96,6 +96,9 @@
 			m.suspect_count = 1;
 			m.suspects[0].job = 77;
 			m.echo_us = UINT64_MAX - 1;
+			m.shards_revision = 9;
+			m.evacuation_revision = 1ULL << 41;
+			m.evacuation_age_us = 70;
 		}
 		if (t == PH_POOLMSG_SUBMIT) {
 			m.batch_request = &request;
@@ -120,6 +123,9 @@
 		EXPECT_EQ(got.suspect_count, m.suspect_count);
 		EXPECT_EQ(got.suspects[0].job, m.suspects[0].job);
 		EXPECT_EQ(got.echo_us, m.echo_us);
+		EXPECT_EQ(got.shards_revision, m.shards_revision);
+		EXPECT_EQ(got.evacuation_revision, m.evacuation_revision);
+		EXPECT_EQ(got.evacuation_age_us, m.evacuation_age_us);
 		EXPECT_EQ(got.claims[0].token, m.claims[0].token);
 		EXPECT_EQ(got.claims[0].offered, m.claims[0].offered);
 		EXPECT_EQ(got.result.possible_executor[1],
@@ -147,7 +153,8 @@
 	}
 }
 
-/* A heartbeat of the version before ends with the claims or the suspects. */
+/* A heartbeat of an earlier version ends with the claims, the suspects or the
+ * echo. */
 TEST(PoolMsg, AHeartbeatWithoutAnEchoIsDecoded)
 {
 	ph_poolmsg m = message(PH_POOLMSG_HEARTBEAT);
@@ -156,12 +163,17 @@
 
 	m.shards = 4;
 	bytes = encode(m);
-	/* An array of up to 65535 elements, and the two last numbers, of one
-	 * byte and of nine. */
+	/* An array of up to 65535 elements, and the last numbers, of one byte
+	 * and of nine. */
 	ASSERT_EQ(bytes[0], '\xdc');
-	ASSERT_EQ(bytes[2], 18);
+	ASSERT_EQ(bytes[2], 21);
 	m.echo_us = 1ULL << 40;
 	ASSERT_EQ(encode(m).size(), bytes.size() + 8);
+	bytes.resize(bytes.size() - 3);
+	bytes[2] -= 3;
+	ASSERT_EQ(decode(bytes, &got), 0);
+	EXPECT_EQ(got.evacuation_revision, 0U);
+	ph_poolmsg_clear(ph_mem_default(), &got);
 	bytes.pop_back();
 	bytes[2]--;
 	ASSERT_EQ(decode(bytes, &got), 0);
