Evacuated failure domains get no tasks; their batches go to other domains

Cause: nothing read the operators' key op/evacuate/DOMAIN, so tasks went on starting in a domain that was to be emptied.

Owners start nothing in an evacuated domain and return its batches: those not started as not run, started ones once no run is left and none may begin late. A resumed batch whose runs' places are known no longer causes a read of the list of executors.

No run with real processes yet.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -342,7 +342,9 @@
 	};
 
 	d->cluster = ph_cluster_new(&cluster);
+	ph_evacuation_init(&d->evacuation, d->mem, ph_clock_us());
 	submitter.cluster = d->cluster;
+	submitter.evacuation = &d->evacuation;
 	d->submitter = ph_submitter_new(&submitter);
 	d->directory = ph_directory_new(d->mem);
 	d->crashes = ph_crashes_new(d->mem);
@@ -428,6 +430,7 @@
 	for (i = 0; i < d->pool_count; i++)
 		ph_pool_free(d->pools[i].pool);
 	ph_crashes_free(d->crashes);
+	ph_evacuation_clear(&d->evacuation);
 	d->mem->free(d->pools);
 	d->mem->free(d->domains);
 	while (d->unacked_results) {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -122,6 +122,13 @@
 /** A read of the list of executors failed. */
 void ph_dispatcher_list_read_failed(struct ph_dispatcher *dispatcher,
 				    uint64_t now_us);
+/** The operators' requests to evacuate failure domains were read: the names of
+ * these domains as of a revision of the store. requested_us is when the read
+ * was sent. */
+void ph_dispatcher_evacuation_read(struct ph_dispatcher *dispatcher,
+				   uint64_t now_us, uint64_t requested_us,
+				   uint64_t revision, const char *const *names,
+				   size_t count);
 /** Counts an answer of the platform that can't be decoded. */
 void ph_dispatcher_count_unreadable(struct ph_dispatcher *dispatcher);
 /** Sets the number of entries of the last list of executors that were skipped
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -3,8 +3,9 @@
 
 /* Shared by dispatcher.c (the control thread, start and stop),
  * dispatcher_peers.c (messages), dispatcher_pools.c (pools, the cluster),
- * dispatcher_executors.c (the list of executors), dispatcher_jobs.c (callers)
- * and dispatcher_report.c (metrics, state dump). */
+ * dispatcher_executors.c (the list of executors), dispatcher_evacuation.c
+ * (evacuated domains), dispatcher_jobs.c (callers) and dispatcher_report.c
+ * (metrics, state dump). */
 
 #include <apr_thread_proc.h>
 
@@ -82,6 +83,8 @@
 	struct ph_directory *directory;
 	/** Of all pools. */
 	struct ph_crashes *crashes;
+	/** The evacuated domains. */
+	struct ph_evacuation evacuation;
 	struct ph_dispatcher_pool *pools;
 	struct ph_dispatcher_domain *domains;
 	size_t domain_count;
@@ -165,6 +168,26 @@
 void ph_dispatcher_check_submitters(struct ph_dispatcher *d,
 				    struct ph_pool *pool, uint64_t now_us);
 
+/* ## dispatcher_evacuation.c */
+
+/** Handles the revision of evacuations in a peer's heartbeat. */
+void ph_dispatcher_evacuation_heartbeat(struct ph_dispatcher *d,
+					const struct ph_poolmsg *heartbeat,
+					uint64_t now_us);
+/** Answers a request for the view of the evacuations. */
+void ph_dispatcher_evacuation_requested(struct ph_dispatcher *d,
+					const struct ph_poolmsg *msg,
+					uint64_t now_us);
+/** Handles a peer's view of the evacuations. */
+void ph_dispatcher_evacuation_received(struct ph_dispatcher *d,
+				       const struct ph_poolmsg *msg,
+				       uint64_t now_us);
+/** Appends the metrics of evacuations. */
+void ph_dispatcher_evacuation_metrics(struct ph_dispatcher *d,
+				      struct ph_buf *out);
+/** Writes the state of evacuations to the log. */
+void ph_dispatcher_evacuation_dump(struct ph_dispatcher *d, uint64_t now_us);
+
 /* ## dispatcher_executors.c */
 
 /** Applies a change of the list of executors that another instance sent. */
--- a/src/dispatcher_peers.c
+++ b/src/dispatcher_peers.c
@@ -281,6 +281,7 @@
 		ph_cluster_heartbeat_received(d->cluster, now_us, msg);
 		update_shards(d, msg);
 		request_config(d, msg, now_us);
+		ph_dispatcher_evacuation_heartbeat(d, msg, now_us);
 		for (i = 0; i < msg->suspect_count; i++)
 			ph_crashes_heard(d->crashes, now_us, &msg->suspects[i]);
 		break;
@@ -323,6 +324,12 @@
 	case PH_POOLMSG_LIST:
 		ph_dispatcher_list_changed(d, msg, now_us);
 		break;
+	case PH_POOLMSG_EVACUATION_REQUEST:
+		ph_dispatcher_evacuation_requested(d, msg, now_us);
+		break;
+	case PH_POOLMSG_EVACUATION:
+		ph_dispatcher_evacuation_received(d, msg, now_us);
+		break;
 	case PH_POOLMSG_TYPES:
 		break;
 	}
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -72,6 +72,7 @@
 		.lease_us = d->settings.lease_us,
 		.stop_us = d->settings.stop_us,
 		.first_call = (uint64_t)d->pool_count << PH_POOL_CALL_SHIFT,
+		.evacuation = &d->evacuation,
 		.crashes = d->crashes,
 		.sink = &pool_sink,
 		.ctx = d,
@@ -217,6 +218,8 @@
 	msg->shards = own_shards(d);
 	msg->list_digest = ph_directory_digest(d->directory);
 	msg->list_age_us = ph_directory_age_us(d->directory, now_us);
+	msg->evacuation_revision = d->evacuation.changed_revision;
+	msg->evacuation_age_us = ph_evacuation_age_us(&d->evacuation, now_us);
 	msg->heard_ago_us =
 		m && m->heard_us ? now_us - m->heard_us : UINT64_MAX;
 	for (i = 0; i < d->pool_count; i++) {
--- a/src/dispatcher_report.c
+++ b/src/dispatcher_report.c
@@ -35,6 +35,7 @@
 		{ "probes_total", c->probes },
 		{ "lost_executors_total", c->lost_executors },
 		{ "given_up_jobs_total", c->given_up },
+		{ "evacuated_batches_total", c->evacuated },
 	};
 	size_t i;
 
@@ -115,6 +116,7 @@
 		      d->routing ? (unsigned long long)d->routing->version : 0,
 		      ph_submitter_count(d->submitter), d->counters.skipped,
 		      d->routing ? d->routing->skipped : 0);
+	ph_dispatcher_evacuation_metrics(d, out);
 	put_peer_metrics(d, now_us, out);
 	for (i = 0; i < d->pool_count; i++)
 		put_pool_metrics(&d->pools[i], now_us, out);
@@ -130,6 +132,7 @@
 		 ph_submitter_count(d->submitter), ph_dispatcher_ready(d),
 		 d->routing ? (unsigned long long)d->routing->version : 0,
 		 ph_cluster_minority(d->cluster, now_us));
+	ph_dispatcher_evacuation_dump(d, now_us);
 	for (m = ph_cluster_first_member(d->cluster); m; m = m->next)
 		ph_event(PART,
 			 "event=dump_member member=%s silent_us=%llu "
--- a/src/pool.c
+++ b/src/pool.c
@@ -3,6 +3,7 @@
 #include "ident.h"
 #include "log.h"
 #include "pool_impl.h"
+#include "pool_shard.h"
 
 #define PART "pool"
 /* Bounds of the retry time that is sent to refused callers. */
@@ -35,9 +36,10 @@
 	struct ph_pool *pool = options->mem->calloc(1, sizeof(*pool));
 
 	pool->opt = *options;
+	pool->mem = options->mem;
 	pool->name = ph_intern(options->name);
 	pool->opt.name = pool->name;
-	pool->mem = options->mem;
+	pool->domain = ph_pool_shard_domain(pool->name);
 	pool->last_call = options->first_call;
 	pool->list_read_us = UINT64_MAX;
 	pool->own_crashes = !options->crashes;
@@ -203,6 +205,24 @@
 		 (unsigned long long)b->request->estimate_us);
 }
 
+/* Reports a result to which the state of the tasks is added. */
+static void batch_report_result(struct ph_pool *pool, struct ph_batch *b,
+				struct ph_result *result, uint64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->request->count; i++)
+		if (b->tasks[i].state == PH_BATCH_TASK_DONE)
+			ph_bit_set(result->done, i);
+	for (i = 0;
+	     result->verdict == PH_VERDICT_MOVED && i < b->request->count; i++)
+		result->possible_executor[result->count++] =
+			result->evacuated ? PH_EXECUTOR_NONE
+					  : task_possible_executor(b, i);
+	log_batch_end(b, result->verdict, result->reason, now_us);
+	pool->opt.sink->result(pool->opt.ctx, b->submitter, b->seq, result);
+}
+
 static void batch_report(struct ph_pool *pool, struct ph_batch *b,
 			 enum ph_verdict verdict, uint64_t retry_after_us,
 			 const char *reason, uint64_t now_us)
@@ -210,16 +230,8 @@
 	struct ph_result result = { .verdict = verdict,
 				    .retry_after_us = retry_after_us,
 				    .reason = reason };
-	uint32_t i;
 
-	for (i = 0; i < b->request->count; i++)
-		if (b->tasks[i].state == PH_BATCH_TASK_DONE)
-			ph_bit_set(result.done, i);
-	for (i = 0; verdict == PH_VERDICT_MOVED && i < b->request->count; i++)
-		result.possible_executor[result.count++] =
-			task_possible_executor(b, i);
-	log_batch_end(b, verdict, reason, now_us);
-	pool->opt.sink->result(pool->opt.ctx, b->submitter, b->seq, &result);
+	batch_report_result(pool, b, &result, now_us);
 }
 
 static bool was_closed(const struct ph_pool *pool, const char *submitter,
@@ -572,6 +584,35 @@
 	return true;
 }
 
+/* Returns a batch of an evacuated domain to its submitter and frees it; false
+ * if it has to wait for its runs. */
+static bool batch_evacuate(struct ph_pool *pool, struct ph_batch *b,
+			   uint64_t now_us)
+{
+	struct ph_result result = { .retry_after_us = RETRY_MIN_US,
+				    .reason = "domain is evacuated",
+				    .evacuated = true };
+
+	switch (ph_batch_evacuation(pool, b, now_us)) {
+	case PH_EVACUATION_WAIT:
+		return false;
+	case PH_EVACUATION_NOT_RUN:
+		result.verdict = PH_VERDICT_NOT_RUN;
+		break;
+	case PH_EVACUATION_ELSEWHERE:
+		result.verdict = PH_VERDICT_MOVED;
+		break;
+	case PH_EVACUATION_UNKNOWN:
+		result.verdict = PH_VERDICT_BROKEN;
+		result.reason = "domain is evacuated, a start may be late";
+		break;
+	}
+	pool->counters.evacuated++;
+	batch_report_result(pool, b, &result, now_us);
+	batch_remove(pool, b, now_us);
+	return true;
+}
+
 static struct ph_batch *batch_new(struct ph_pool *pool, uint64_t now_us,
 				  const char *submitter, uint64_t seq,
 				  struct ph_batch_request *request)
@@ -854,18 +895,44 @@
 		b->received_us >= pool->first_list_us + PH_UNLISTED_US);
 }
 
+/* Whether a task that waits may be running on any executor. */
+static bool location_unknown(const struct ph_batch *b)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->request->count; i++)
+		if (b->tasks[i].state == PH_BATCH_TASK_WAITING &&
+		    b->request->possible_executor[i] == PH_EXECUTOR_UNKNOWN)
+			return true;
+	return false;
+}
+
 bool ph_pool_needs_list(const struct ph_pool *pool)
 {
 	const struct ph_batch *b;
 
 	for (b = pool->batches; b; b = b->next)
-		if (b->request->resumed && b->waiting && !list_recent(pool, b))
+		if (b->request->resumed && b->waiting && location_unknown(b) &&
+		    !list_recent(pool, b))
 			return true;
 	return false;
 }
 
+/* Ends a batch if it has to; may free it. */
+static void batch_tick(struct ph_pool *pool, struct ph_batch *b, bool evacuated,
+		       uint64_t now_us)
+{
+	if (batch_give_up(pool, b, now_us))
+		return;
+	if (evacuated && batch_evacuate(pool, b, now_us))
+		return;
+	if (batch_overdue(pool, b, now_us))
+		batch_expire(pool, b, now_us);
+}
+
 void ph_pool_tick(struct ph_pool *pool, uint64_t now_us)
 {
+	bool evacuated = ph_pool_evacuated(pool);
 	struct ph_batch *b = pool->batches;
 
 	forget_closed(pool, now_us);
@@ -875,9 +942,7 @@
 	while (b) {
 		struct ph_batch *next = b->next;
 
-		if (!batch_give_up(pool, b, now_us) &&
-		    batch_overdue(pool, b, now_us))
-			batch_expire(pool, b, now_us);
+		batch_tick(pool, b, evacuated, now_us);
 		b = next;
 	}
 	if (pool->dirty || now_us >= pool->placed_us + PLACE_EVERY_US)
@@ -893,6 +958,7 @@
 void ph_pool_measure(const struct ph_pool *pool, uint64_t now_us,
 		     struct ph_pool_load *load)
 {
+	bool evacuated = ph_pool_evacuated(pool);
 	const struct ph_executor *x;
 	const struct ph_batch *b;
 
@@ -901,7 +967,7 @@
 		uint32_t total = x->info.capacity.cpu_milli;
 
 		load->executors += x->listed;
-		if (!ph_executor_usable(pool, x, now_us))
+		if (evacuated || !ph_executor_usable(pool, x, now_us))
 			continue;
 		load->usable++;
 		load->capacity_milli += total;
--- a/src/pool.h
+++ b/src/pool.h
@@ -8,6 +8,7 @@
  * calls: this code reads no clock and opens no socket.
  */
 
+#include "evacuation.h"
 #include "mechanisms.h"
 #include "pool_crashes.h"
 #include "pool_types.h"
@@ -59,6 +60,8 @@
 	struct ph_mechanisms_off off;
 	/** Call ids are assigned in increasing order, starting above this. */
 	uint64_t first_call;
+	/** The evacuated domains; NULL: none ever is. */
+	const struct ph_evacuation *evacuation;
 	/** Tasks that were on lost executors, as all pools of this instance
 	 * know them; NULL: the pool has a table of its own. */
 	struct ph_crashes *crashes;
@@ -66,8 +69,8 @@
 	void *ctx;
 };
 
-/** Copies the options; mem, policy, crashes, sink and ctx must outlive
- * the pool. */
+/** Copies the options; mem, policy, evacuation, crashes, sink and ctx must
+ * outlive the pool. */
 struct ph_pool *ph_pool_new(const struct ph_pool_options *options);
 void ph_pool_free(struct ph_pool *pool);
 
@@ -170,7 +173,8 @@
 	uint32_t batches;
 };
 
-/** Computes the pool's current load. */
+/** Computes the pool's current load. A pool whose domain is evacuated has no
+ * usable executors, so that instances that don't know it choose another one. */
 void ph_pool_measure(const struct ph_pool *pool, uint64_t now_us,
 		     struct ph_pool_load *load);
 
@@ -199,6 +203,8 @@
 	uint64_t lost_executors;
 	/** Batches that ended because a task of theirs crashes executors. */
 	uint64_t given_up;
+	/** Batches returned because the pool's domain is evacuated. */
+	uint64_t evacuated;
 };
 
 const struct ph_pool_counters *ph_pool_counters(const struct ph_pool *pool);
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -5,7 +5,8 @@
  * commands), pool_lease.c (leases), pool_late.c (starts that a restarted
  * executor may carry out), pool_poll.c (polls of executors), pool_probe.c
  * (reachability of executors of other owners), pool_placement.c (in which order
- * tasks start, and on which executors). */
+ * tasks start, and on which executors), pool_evacuation.c (batches of an
+ * evacuated failure domain). */
 
 #include "intern.h"
 #include "pool.h"
@@ -291,6 +292,8 @@
 	struct ph_pool_options opt;
 	const struct ph_mem *mem;
 	const char *name;
+	/** Its failure domain; interned. */
+	const char *domain;
 	bool owned;
 	bool fenced;
 	/** An executor has answered a poll under the present token. */
@@ -383,6 +386,35 @@
 /** Lets resumed batches claim the orphaned runs and ends reported so far. */
 void ph_pool_claim_orphans(struct ph_pool *pool, uint64_t now_us);
 
+/** Whether a task can't be running or be started any more on any executor of
+ * the pool, so that it may start here or, unless a start of it may still be
+ * carried out, in another pool. */
+bool ph_batch_task_clear(const struct ph_pool *pool,
+			 const struct ph_batch *batch, uint32_t index,
+			 uint64_t now_us);
+
+/* ## pool_evacuation.c */
+
+/** Whether the pool's domain is evacuated. */
+bool ph_pool_evacuated(const struct ph_pool *pool);
+/** Whether tasks may start in the pool's domain. */
+bool ph_pool_allows_start(const struct ph_pool *pool, uint64_t now_us);
+/** What to do with a batch of a pool whose domain is evacuated. */
+enum ph_evacuation_step {
+	/** Tasks of it run, or may run as far as is known here. */
+	PH_EVACUATION_WAIT,
+	/** It was not started. */
+	PH_EVACUATION_NOT_RUN,
+	/** What has not succeeded may run in any other pool. */
+	PH_EVACUATION_ELSEWHERE,
+	/** A task of it may still be started here, as late as seconds from now,
+	 * and so must not be started elsewhere. */
+	PH_EVACUATION_UNKNOWN,
+};
+enum ph_evacuation_step ph_batch_evacuation(const struct ph_pool *pool,
+					    const struct ph_batch *batch,
+					    uint64_t now_us);
+
 /* ## pool_run.c */
 
 struct ph_executor *ph_executor_find(struct ph_pool *pool, const char *id);
@@ -489,6 +521,9 @@
 /** Forgets the starts that can't be carried out any more. */
 void ph_late_starts_forget(struct ph_pool *pool, struct ph_executor *executor,
 			   uint64_t now_us);
+/** Whether a start of the task may still be carried out on some executor. */
+bool ph_late_start_of_task(const struct ph_pool *pool,
+			   const struct ph_batch *batch, uint32_t index);
 /** Whether a batch waits for the task of a remembered start. */
 bool ph_late_starts_awaited(const struct ph_pool *pool,
 			    const struct ph_executor *executor);
--- a/src/pool_late.c
+++ b/src/pool_late.c
@@ -106,6 +106,19 @@
 	return false;
 }
 
+bool ph_late_start_of_task(const struct ph_pool *pool, const struct ph_batch *b,
+			   uint32_t index)
+{
+	const struct ph_executor *x;
+	const struct ph_late_start *s;
+
+	for (x = pool->executors; x; x = x->next)
+		for (s = x->late_starts; s; s = s->next)
+			if (s->job_hash == b->job_hash && s->index == index)
+				return true;
+	return false;
+}
+
 bool ph_late_starts_awaited(const struct ph_pool *pool,
 			    const struct ph_executor *x)
 {
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -419,6 +419,12 @@
 	       !has_run(pool, b->request->job, index);
 }
 
+bool ph_batch_task_clear(const struct ph_pool *pool, const struct ph_batch *b,
+			 uint32_t index, uint64_t now_us)
+{
+	return may_start(pool, b, index, now_us);
+}
+
 /* True if the executor may turn out to be usable: this owner has sent its first
  * poll there and waits for the answer. */
 static bool first_poll_pending(const struct ph_pool *pool,
@@ -696,7 +702,7 @@
 	size_t i;
 
 	/* A refused token means that another instance may own the pool. */
-	if (pool->fenced)
+	if (pool->fenced || !ph_pool_allows_start(pool, now_us))
 		return;
 	update_widespread_loss(pool, now_us);
 	for (x = pool->executors; x; x = x->next)
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -227,7 +227,9 @@
 	uint64_t elapsed_us = now_us - run->created_us;
 	struct ph_batch_task *task;
 
+	/* In an evacuated domain, runs are left to their end. */
 	if (!run->batch || run->state != PH_RUN_RUNNING ||
+	    ph_pool_evacuated(pool) ||
 	    !ph_mechanism_on(pool->opt.off, PH_MECHANISM_MOVE_SLOW) ||
 	    !ph_progress_worth_move(pool, run, now_us))
 		return;
--- a/src/pool_shard.c
+++ b/src/pool_shard.c
@@ -57,6 +57,18 @@
 	return name;
 }
 
+const char *ph_pool_shard_domain(const char *pool)
+{
+	const char *domain;
+	struct ph_buf text;
+
+	ph_buf_init(&text, ph_mem_default());
+	ph_buf_printf(&text, "%.*s", (int)strcspn(pool, "#"), pool);
+	domain = ph_intern(text.data);
+	ph_buf_free(&text);
+	return domain;
+}
+
 bool ph_pool_shard_in(const char *pool, const char *domain)
 {
 	size_t len = strcspn(pool, "#");
--- a/src/pool_shard.h
+++ b/src/pool_shard.h
@@ -28,6 +28,9 @@
 /** Name of a shard's pool, which the process keeps. */
 const char *ph_pool_shard_name(const char *domain, uint32_t shard);
 
+/** Failure domain of a pool, which the process keeps. */
+const char *ph_pool_shard_domain(const char *pool);
+
 /** True if the pool is a shard of the failure domain. */
 bool ph_pool_shard_in(const char *pool, const char *domain);
 
--- a/src/pool_types.h
+++ b/src/pool_types.h
@@ -147,6 +147,10 @@
 	uint64_t retry_after_us;
 	/** Short explanation for the log. */
 	const char *reason;
+	/** The pool's failure domain is evacuated. With PH_VERDICT_MOVED no run
+	 * of the batch is left there and none can begin any more: the
+	 * unfinished tasks may be submitted to any pool. */
+	bool evacuated;
 	/** Bit set of the tasks that have succeeded. */
 	uint8_t done[(PH_MAX_TASKS + 7) / 8];
 	/** With PH_VERDICT_MOVED: number of entries in
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -16,9 +16,10 @@
 #define CLAIM_FIELDS 9U
 #define SUSPECT_FIELDS 5U
 #define BATCH_REQUEST_FIELDS 19U
-#define RESULT_FIELDS 5U
+#define RESULT_FIELDS 6U
 #define LIST_FIELDS 5U
 #define EXECUTOR_FIELDS 10U
+#define EVACUATION_FIELDS 3U
 /* Longest interval of an instance's heartbeats. */
 #define INTERVAL_MAX_US 60000000U
 
@@ -128,6 +129,8 @@
 	put_str(pk, r->reason);
 	put_bytes(pk, r->done, sizeof(r->done));
 	put_executor_ids(pk, r->possible_executor, r->count);
+	/* Last, since versions before this one don't have it. */
+	msgpack_pack_uint32(pk, r->evacuated);
 }
 
 static void put_executor(msgpack_packer *pk, const struct ph_executor_info *x)
@@ -161,6 +164,17 @@
 		msgpack_pack_uint64(pk, c->updated[i].started_ms);
 }
 
+static void put_evacuation(msgpack_packer *pk, const struct ph_poolmsg *m)
+{
+	uint32_t i;
+
+	msgpack_pack_uint64(pk, m->evacuation_revision);
+	msgpack_pack_uint64(pk, m->evacuation_age_us);
+	msgpack_pack_uint32(pk, m->evacuated_count);
+	for (i = 0; i < m->evacuated_count; i++)
+		put_str(pk, m->evacuated[i]);
+}
+
 static size_t heartbeat_fields(const struct ph_poolmsg *m)
 {
 	return HEARTBEAT_FIELDS + m->claim_count * CLAIM_FIELDS +
@@ -179,7 +193,10 @@
 	case PH_POOLMSG_CONFIG:
 		return 1;
 	case PH_POOLMSG_CONFIG_REQUEST:
+	case PH_POOLMSG_EVACUATION_REQUEST:
 		return 0;
+	case PH_POOLMSG_EVACUATION:
+		return EVACUATION_FIELDS + m->evacuated_count;
 	case PH_POOLMSG_LIST:
 		return LIST_FIELDS +
 		       m->change->updated_count * EXECUTOR_FIELDS +
@@ -209,6 +226,10 @@
 		put_bytes(pk, m->doc, m->doc_len);
 		break;
 	case PH_POOLMSG_CONFIG_REQUEST:
+	case PH_POOLMSG_EVACUATION_REQUEST:
+		break;
+	case PH_POOLMSG_EVACUATION:
+		put_evacuation(pk, m);
 		break;
 	case PH_POOLMSG_LIST:
 		put_list_change(pk, m->change);
@@ -444,6 +465,21 @@
 	m->result.reason = get_str(r);
 	get_bits(r, m->result.done, sizeof(m->result.done));
 	m->result.count = get_executor_ids(r, m->result.possible_executor);
+	if (!r->bad && r->left)
+		m->result.evacuated = get_u32(r) != 0;
+}
+
+static void get_evacuation(const struct ph_mem *mem, struct reader *r,
+			   struct ph_poolmsg *m)
+{
+	uint32_t i;
+
+	m->evacuation_revision = get_u64(r);
+	m->evacuation_age_us = get_u64(r);
+	m->evacuated_count = (uint32_t)get_uint(r, PH_EVACUATIONS_MAX);
+	m->evacuated = mem->calloc(m->evacuated_count + 1, sizeof(char *));
+	for (i = 0; i < m->evacuated_count; i++)
+		m->evacuated[i] = get_str(r);
 }
 
 static void get_executor(struct reader *r, struct ph_executor_info *x)
@@ -499,6 +535,10 @@
 		m->doc = ph_memdup(mem, doc, m->doc_len);
 		break;
 	case PH_POOLMSG_CONFIG_REQUEST:
+	case PH_POOLMSG_EVACUATION_REQUEST:
+		break;
+	case PH_POOLMSG_EVACUATION:
+		get_evacuation(mem, r, m);
 		break;
 	case PH_POOLMSG_LIST:
 		m->change = mem->calloc(1, sizeof(*m->change));
@@ -564,6 +604,9 @@
 	for (i = 0; m->change && i < m->change->updated_count; i++)
 		if (!executor_valid(&m->change->updated[i]))
 			return false;
+	for (i = 0; i < m->evacuated_count; i++)
+		if (!ph_platform_name_valid(m->evacuated[i]))
+			return false;
 	return ph_platform_name_valid(m->name) &&
 	       ph_platform_name_valid(m->domain) && ph_addr_valid(m->addr);
 }
@@ -573,9 +616,11 @@
 	ph_batch_request_free(mem, m->batch_request);
 	mem->free(m->doc);
 	mem->free(m->change);
+	mem->free(m->evacuated);
 	mem->free(m->texts);
 	m->texts = NULL;
 	m->batch_request = NULL;
 	m->doc = NULL;
 	m->change = NULL;
+	m->evacuated = NULL;
 }
--- a/src/poolmsg.h
+++ b/src/poolmsg.h
@@ -8,6 +8,7 @@
  */
 
 #include "directory.h"
+#include "evacuation.h"
 #include "pool.h"
 
 #define PH_POOLMSG_PROTOCOL 4U
@@ -33,6 +34,11 @@
 	/** Change of the list of executors, to instances of the sender's
 	 * failure domain. */
 	PH_POOLMSG_LIST,
+	/** Request for the view of the evacuated failure domains, answered by
+	 * PH_POOLMSG_EVACUATION; only to instances whose heartbeats carry an
+	 * evacuation_revision. */
+	PH_POOLMSG_EVACUATION_REQUEST,
+	PH_POOLMSG_EVACUATION,
 	PH_POOLMSG_TYPES,
 };
 
@@ -92,11 +98,15 @@
 	 * next two ignore them. */
 	uint64_t shards_revision;
 	/** Revision of the store as of which the sender knows the requests to
-	 * evacuate failure domains, and the age of that knowledge; 0: none. */
+	 * evacuate failure domains, and the age of that knowledge; 0: none. A
+	 * heartbeat carries the revision at which the sender first saw its
+	 * present set of requests, EVACUATION the latest one at which it was
+	 * valid. */
 	uint64_t evacuation_revision;
 	uint64_t evacuation_age_us;
 	/** Number that identifies a batch at the submitting instance; in all
-	 * types but HEARTBEAT, CONFIG_REQUEST, CONFIG and LIST. */
+	 * types but HEARTBEAT, CONFIG_REQUEST, CONFIG, LIST,
+	 * EVACUATION_REQUEST and EVACUATION. */
 	uint64_t seq;
 	/** SUBMIT: the pool, and the incarnation of its owner for which the
 	 * batch request is meant. */
@@ -110,6 +120,11 @@
 	size_t doc_len;
 	/** LIST: owned by the message when decoded, but for its texts. */
 	struct ph_list_change *change;
+	/** EVACUATION: names of all evacuated domains, at most
+	 * PH_EVACUATIONS_MAX; the array is owned by the message when decoded.
+	 */
+	const char **evacuated;
+	uint32_t evacuated_count;
 };
 
 /** Appends a message to out as a frame with its length. */
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -27,6 +27,14 @@
 #define MIN_WEIGHT_DIVISOR 4U
 /* Retry-after sent to the caller if no pool can be reached. */
 #define NO_POOL_RETRY_AFTER_US 1000000U
+/* Retry-after sent to the caller if all domains are evacuated: the time within
+ * which the end of an evacuation takes effect everywhere (evacuateMs). */
+#define EVACUATED_RETRY_AFTER_US 5000000U
+#define PERMILLE 1000U
+/* The choice of a pool among comparable ones uses the lower bits of the hash of
+ * a job's id, that of the jobs for a domain whose load is being restored the
+ * upper ones. */
+#define SHARE_HASH_SHIFT 32U
 /* Pools that a job is sent to before it is refused. */
 #define POOLS_TRIED_MAX 4U
 /* A stopping instance accepts only jobs that end before it exits. Declared run
@@ -66,6 +74,9 @@
 	uint32_t pools_tried;
 	/** Indices of the pools that the job was sent to. */
 	uint32_t tried_pools[POOLS_TRIED_MAX];
+	/** Of these, in the same order: the pool has returned the job since its
+	 * domain is evacuated. */
+	bool tried_evacuated[POOLS_TRIED_MAX];
 	/** Shortest retry-after of the pools that refused; 0: none did. */
 	uint64_t retry_after_us;
 };
@@ -103,7 +114,9 @@
 	} * sent;
 	/** Working array of choose_pool(), pool_count long. */
 	struct ph_pool_candidate *candidates;
-	/** Length of both arrays. */
+	/** Failure domains of the pools, by their indices. */
+	const char **domains;
+	/** Length of these arrays. */
 	size_t pool_count;
 };
 
@@ -143,6 +156,7 @@
 	}
 	s->mem->free(s->sent);
 	s->mem->free(s->candidates);
+	s->mem->free(s->domains);
 	s->mem->free(s);
 }
 
@@ -290,18 +304,26 @@
 	}
 }
 
-static bool was_tried(const struct job *j, uint32_t pool)
+/* Whether a job was sent to a pool, or returned by a pool of the same domain
+ * since that is evacuated. */
+static bool was_tried(const struct ph_submitter *s, const struct job *j,
+		      uint32_t pool)
 {
 	uint32_t i;
 
 	for (i = 0; i < j->pools_tried && i < POOLS_TRIED_MAX; i++)
-		if (j->tried_pools[i] == pool)
+		if (j->tried_pools[i] == pool ||
+		    (j->tried_evacuated[i] &&
+		     s->domains[j->tried_pools[i]] == s->domains[pool]))
 			return true;
 	return false;
 }
 
-static void grow_pools(struct ph_submitter *s)
+static void grow_pools(struct ph_submitter *s, const char *pool_name)
 {
+	s->domains = ph_array_grow(s->mem, s->domains, s->pool_count,
+				   sizeof(*s->domains));
+	s->domains[s->pool_count] = ph_pool_shard_domain(pool_name);
 	s->sent =
 		ph_array_grow(s->mem, s->sent, s->pool_count, sizeof(*s->sent));
 	s->candidates = ph_array_grow(s->mem, s->candidates, s->pool_count,
@@ -324,8 +346,47 @@
 	return o->load.usable;
 }
 
+/* Share of its usual load that a pool's domain gets, in thousandths. */
+static uint32_t share_permille(const struct ph_submitter *s, uint32_t pool,
+			       uint64_t now_us)
+{
+	return s->opt.evacuation
+		       ? ph_evacuation_share_permille(s->opt.evacuation, now_us,
+						      s->domains[pool])
+		       : PERMILLE;
+}
+
+/* Drops the candidates whose domain gets only part of its load and is not to
+ * get this job, unless no others are left: a job is not refused to spare
+ * executors. Returns the number of those that stay. */
+static size_t drop_returning(struct ph_submitter *s, const struct job *j,
+			     size_t count, uint64_t now_us)
+{
+	uint32_t point =
+		(uint32_t)((ph_hash_str(j->batch->job) >> SHARE_HASH_SHIFT) %
+			   PERMILLE);
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (point < share_permille(s, s->candidates[i].pool, now_us))
+			s->candidates[kept++] = s->candidates[i];
+	return kept || (j->pools_tried && !j->batch->resumed) ? kept : count;
+}
+
+/* Whether all known domains with pools are evacuated. */
+static bool all_evacuated(struct ph_submitter *s, uint64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < s->pool_count; i++)
+		if (share_permille(s, (uint32_t)i, now_us))
+			return false;
+	return s->pool_count > 0;
+}
+
 /* Chooses a pool for a job among those that it was not sent to yet; false if
- * none of them has an owner. */
+ * none of them has an owner, or their domains are evacuated. */
 static bool choose_pool(struct ph_submitter *s, struct job *j, uint64_t now_us,
 			uint32_t *pool)
 {
@@ -338,8 +399,8 @@
 	for (i = 0; (pool_name = ph_cluster_pool_name(s->opt.cluster, i));
 	     i++) {
 		if (i == s->pool_count)
-			grow_pools(s);
-		if (was_tried(j, i) ||
+			grow_pools(s, pool_name);
+		if (was_tried(s, j, i) || !share_permille(s, i, now_us) ||
 		    !owner_with_load(s, i, pool_name, now_us, &o))
 			continue;
 		c = &s->candidates[n++];
@@ -350,6 +411,7 @@
 		c->wait_us = s->opt.policy->wait_us(&o.load, c->own_domain,
 						    j->batch);
 	}
+	n = drop_returning(s, j, n, now_us);
 	if (!n)
 		return false;
 	i = s->candidates[s->opt.policy->pick(s->candidates, n,
@@ -501,19 +563,52 @@
 	return j->retry_after_us ? j->retry_after_us : NO_POOL_RETRY_AFTER_US;
 }
 
-/* Sends a job to a pool; none of its tasks has run yet. Answers "not run" if no
- * pool is left, or if another one would run it too late. During start-up the
- * job waits for the first owner of a pool instead. */
+/* Answers a job for which there is no pool. */
+static void answer_no_pool(struct ph_submitter *s, struct job *j,
+			   uint64_t now_us)
+{
+	if (j->batch->resumed)
+		answer(s, j, PH_JOB_UNKNOWN, 0,
+		       "no pool for the rest of an evacuated job", now_us);
+	else if (all_evacuated(s, now_us))
+		answer(s, j, PH_JOB_NOT_RUN, EVACUATED_RETRY_AFTER_US,
+		       "all domains are evacuated", now_us);
+	else
+		answer(s, j, PH_JOB_NOT_RUN, retry_after_us(j),
+		       j->pools_tried ? "no pool has room"
+				      : "no pool can be reached",
+		       now_us);
+}
+
+/* Whether a job for which there is no pool may wait for the first owner. */
+static bool may_await_owner(struct ph_submitter *s, const struct job *j,
+			    uint64_t now_us)
+{
+	return !j->pools_tried && !all_evacuated(s, now_us) &&
+	       ph_mechanism_on(s->opt.off, PH_MECHANISM_START_WAIT) &&
+	       ph_startup_may_wait(s->opt.startup_end_us, now_us, j->arrived_us,
+				   j->batch->caller_timeout_us);
+}
+
+/* Sends a job to a pool; none of its tasks has run yet, or it was returned by
+ * an evacuated domain where none of its runs is left. Answers "not run", or
+ * "unknown" in the second case, if no pool is left, or if another one would run
+ * it too late. During start-up the job waits for the first owner of a pool
+ * instead. */
 static void dispatch(struct ph_submitter *s, struct job *j, uint64_t now_us)
 {
 	uint32_t i = 0;
 
 	j->waiting_for_first_owner = false;
 	if (caller_left(s, j)) {
-		answer(s, j, PH_JOB_NOT_RUN, 0, "caller has left", now_us);
+		answer(s, j,
+		       j->batch->resumed ? PH_JOB_UNKNOWN : PH_JOB_NOT_RUN, 0,
+		       "caller has left", now_us);
 		return;
 	}
-	if (ph_batch_request_too_late(j->batch, now_us - j->arrived_us)) {
+	/* A pool lets started jobs go on until the caller's deadline. */
+	if (!j->batch->resumed &&
+	    ph_batch_request_too_late(j->batch, now_us - j->arrived_us)) {
 		answer(s, j, PH_JOB_NOT_RUN, retry_after_us(j),
 		       j->pools_tried ? "too late for another pool"
 				      : "too late for a first pool",
@@ -522,20 +617,13 @@
 	}
 	if (j->pools_tried >= pools_tried_max(s) ||
 	    !choose_pool(s, j, now_us, &i)) {
-		if (!j->pools_tried &&
-		    ph_mechanism_on(s->opt.off, PH_MECHANISM_START_WAIT) &&
-		    ph_startup_may_wait(s->opt.startup_end_us, now_us,
-					j->arrived_us,
-					j->batch->caller_timeout_us)) {
+		if (may_await_owner(s, j, now_us))
 			j->waiting_for_first_owner = true;
-			return;
-		}
-		answer(s, j, PH_JOB_NOT_RUN, retry_after_us(j),
-		       j->pools_tried ? "no pool has room"
-				      : "no pool can be reached",
-		       now_us);
+		else
+			answer_no_pool(s, j, now_us);
 		return;
 	}
+	j->tried_evacuated[j->pools_tried] = false;
 	j->tried_pools[j->pools_tried++] = i;
 	s->sent[i].sent_milli += requested_milli(j->batch);
 	s->sent[i].sent_milli_us +=
@@ -656,19 +744,61 @@
 	j->batch->resumed = true;
 }
 
-/* Takes over the state of a batch whose owner has lost the pool. */
-static void wait_for_new_owner(struct job *j, const struct ph_result *result,
-			       uint64_t now_us)
+/* Takes over the state of a batch that was returned. */
+static void take_state(struct job *j, const struct ph_result *result)
 {
 	size_t i;
 
 	for (i = 0; i < sizeof(result->done); i++)
 		j->batch->done[i] |= result->done[i];
 	set_run_locations(j, result);
+}
+
+/* Takes over the state of a batch whose owner has lost the pool. */
+static void wait_for_new_owner(struct job *j, const struct ph_result *result,
+			       uint64_t now_us)
+{
+	take_state(j, result);
 	j->waiting_for_owner = true;
 	j->owner_lost_us = now_us;
 }
 
+/* A pool that the job was sent to has returned it as its domain is evacuated.
+ */
+static void note_evacuated(struct job *j)
+{
+	if (j->pools_tried)
+		j->tried_evacuated[j->pools_tried - 1] = true;
+}
+
+/* The rest of a job may go to pools that have refused the whole of it. */
+static void forget_refusals(struct job *j)
+{
+	uint32_t kept = 0;
+	uint32_t i;
+
+	for (i = 0; i < j->pools_tried; i++) {
+		if (!j->tried_evacuated[i])
+			continue;
+		j->tried_pools[kept] = j->tried_pools[i];
+		j->tried_evacuated[kept++] = true;
+	}
+	j->pools_tried = kept;
+}
+
+/* Sends the rest of a job, of which no run is left, to a pool of another
+ * domain. */
+static void continue_elsewhere(struct ph_submitter *s, struct job *j,
+			       const struct ph_result *result, uint64_t now_us)
+{
+	ph_event(PART, "event=job_evacuated job=%s pool=%s owner=%s",
+		 j->batch->job, j->pool, j->owner.name);
+	take_state(j, result);
+	note_evacuated(j);
+	forget_refusals(j);
+	dispatch(s, j, now_us);
+}
+
 void ph_submitter_result(struct ph_submitter *s, uint64_t now_us, uint64_t seq,
 			 const struct ph_result *result)
 {
@@ -684,8 +814,10 @@
 		answer(s, j, PH_JOB_FAILED, 0, result->reason, now_us);
 		break;
 	case PH_VERDICT_NOT_RUN:
-		if (!j->retry_after_us ||
-		    result->retry_after_us < j->retry_after_us)
+		if (result->evacuated)
+			note_evacuated(j);
+		else if (!j->retry_after_us ||
+			 result->retry_after_us < j->retry_after_us)
 			j->retry_after_us = result->retry_after_us;
 		dispatch(s, j, now_us);
 		break;
@@ -693,7 +825,10 @@
 		answer(s, j, PH_JOB_UNKNOWN, 0, result->reason, now_us);
 		break;
 	case PH_VERDICT_MOVED:
-		wait_for_new_owner(j, result, now_us);
+		if (result->evacuated)
+			continue_elsewhere(s, j, result, now_us);
+		else
+			wait_for_new_owner(j, result, now_us);
 		break;
 	}
 }
--- a/src/submitter.h
+++ b/src/submitter.h
@@ -81,6 +81,8 @@
 	const char *domain;
 	const struct ph_pool_choice_policy *policy;
 	struct ph_cluster *cluster;
+	/** The evacuated domains; NULL: none ever is. */
+	const struct ph_evacuation *evacuation;
 	/** Sequence numbers of batches start above this, which is above those
 	 * of earlier incarnations of this instance. */
 	uint64_t first_seq;
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -493,6 +493,7 @@
 	options.policy = policy;
 	options.lease_us = kLeaseUs;
 	options.stop_us = kStopUs;
+	options.evacuation = evacuation;
 	options.first_call = (uint64_t)owners.size() << 48;
 	options.sink = &sink;
 	options.ctx = o;
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -152,6 +152,8 @@
 	std::map<std::string, uint64_t> duration_us;
 	/** Cores of each task in thousandths, by job. */
 	std::map<std::string, uint32_t> cpu_of;
+	/** The evacuated domains, for owners that are added later. */
+	const ph_evacuation *evacuation = nullptr;
 	/** Share of its declared cores that a run is reported to use. */
 	uint32_t reported_cpu_percent = 100;
 
--- a/test/test_poolmsg.cc
+++ b/test/test_poolmsg.cc
@@ -69,6 +69,7 @@
 	char spec[] = "text";
 	char doc[] = "{}";
 	ph_batch_request request = sample_batch_request(spec);
+	const char *evacuated[] = { "north", "south" };
 	auto change = std::make_unique<ph_list_change>();
 
 	change->digest_before = 3;
@@ -109,6 +110,13 @@
 			m.result.reason = "another owner";
 			m.result.count = 2;
 			m.result.possible_executor[1] = 8;
+			m.result.evacuated = true;
+		}
+		if (t == PH_POOLMSG_EVACUATION) {
+			m.evacuation_revision = 1ULL << 41;
+			m.evacuation_age_us = 70;
+			m.evacuated = evacuated;
+			m.evacuated_count = 2;
 		}
 		if (t == PH_POOLMSG_CONFIG) {
 			m.doc = doc;
@@ -130,6 +138,10 @@
 		EXPECT_EQ(got.claims[0].offered, m.claims[0].offered);
 		EXPECT_EQ(got.result.possible_executor[1],
 			  m.result.possible_executor[1]);
+		EXPECT_EQ(got.result.evacuated, m.result.evacuated);
+		ASSERT_EQ(got.evacuated_count, m.evacuated_count);
+		for (uint32_t i = 0; i < m.evacuated_count; i++)
+			EXPECT_STREQ(got.evacuated[i], m.evacuated[i]);
 		if (t == PH_POOLMSG_SUBMIT) {
 			EXPECT_STREQ(got.batch_request->job, request.job);
 			EXPECT_EQ(got.batch_request->possible_executor[1], 5U);
@@ -153,6 +165,27 @@
 	}
 }
 
+/* A result of an earlier version does not tell whether the domain is
+ * evacuated. */
+TEST(PoolMsg, AResultWithoutAnEvacuationIsDecoded)
+{
+	ph_poolmsg m = message(PH_POOLMSG_RESULT);
+	std::string bytes;
+	ph_poolmsg got;
+
+	m.result.verdict = PH_VERDICT_MOVED;
+	m.result.reason = "another owner";
+	m.result.evacuated = true;
+	bytes = encode(m);
+	ASSERT_EQ(bytes[0], '\x9d');
+	bytes.pop_back();
+	bytes[0]--;
+	ASSERT_EQ(decode(bytes, &got), 0);
+	EXPECT_EQ(got.result.verdict, PH_VERDICT_MOVED);
+	EXPECT_FALSE(got.result.evacuated);
+	ph_poolmsg_clear(ph_mem_default(), &got);
+}
+
 /* A heartbeat of an earlier version ends with the claims, the suspects or the
  * echo. */
 TEST(PoolMsg, AHeartbeatWithoutAnEchoIsDecoded)
