--- a/test/test_evacuation.cc
+++ b/test/test_evacuation.cc
@@ -199,6 +199,8 @@
 	uint32_t tasks;
 	/** Prepares the first executor before the batch is submitted. */
 	void (*prepare)(Executor *x);
+	/** Run time of a task of another job, submitted before; 0: none. */
+	uint64_t other_us;
 	/** From the submission to the request. */
 	uint64_t evacuated_after_us;
 	ph_verdict verdict;
@@ -221,26 +223,28 @@
 {
 	/* One executor with room for two tasks of 200 ms. */
 	const BatchCase cases[] = {
-		{ "all tasks run", 2, nothing, 100 * kMs, PH_VERDICT_DONE,
+		{ "all tasks run", 2, nothing, 0, 100 * kMs, PH_VERDICT_DONE,
 		  false, 3, 90 * kMs, 120 * kMs },
-		{ "two of four run", 4, nothing, 100 * kMs, PH_VERDICT_MOVED,
+		{ "two of four run", 4, nothing, 0, 100 * kMs, PH_VERDICT_MOVED,
 		  true, 3, 90 * kMs, 120 * kMs },
-		{ "two of three are done, the last one runs", 3, nothing,
+		{ "two of three are done, the last one runs", 3, nothing, 0,
 		  300 * kMs, PH_VERDICT_DONE, false, 7, 90 * kMs, 130 * kMs },
-		{ "not started", 2, [](Executor *x) { x->cpu = 0; }, 100 * kMs,
-		  PH_VERDICT_NOT_RUN, true, 0, 0, 20 * kMs },
-		{ "evacuated when it arrives", 2, nothing, 0,
+		{ "room appears while a task runs", 2, nothing, 150 * kMs,
+		  100 * kMs, PH_VERDICT_MOVED, true, 1, 90 * kMs, 120 * kMs },
+		{ "not started", 2, [](Executor *x) { x->cpu = 0; }, 0,
+		  100 * kMs, PH_VERDICT_NOT_RUN, true, 0, 0, 20 * kMs },
+		{ "evacuated when it arrives", 2, nothing, 0, 0,
 		  PH_VERDICT_NOT_RUN, true, 0, 0, 20 * kMs },
 		{ "a run failed", 2, [](Executor *x) { x->fails_all = true; },
-		  2 * kMs, PH_VERDICT_MOVED, true, 0, 0, 40 * kMs },
+		  0, 2 * kMs, PH_VERDICT_MOVED, true, 0, 0, 40 * kMs },
 		{ "a start is not answered and its stop is lost", 1,
 		  [](Executor *x) {
 			  x->loses_start_answers = true;
 			  x->loses_stops = true;
 		  },
-		  150 * kMs, PH_VERDICT_DONE, false, 1, 0, 150 * kMs },
+		  0, 150 * kMs, PH_VERDICT_DONE, false, 1, 0, 150 * kMs },
 		{ "a start may be late: the next incarnation carries it out", 1,
-		  [](Executor *x) { x->start_delay_us = 3000 * kMs; },
+		  [](Executor *x) { x->start_delay_us = 3000 * kMs; }, 0,
 		  100 * kMs, PH_VERDICT_BROKEN, true, 0, 100 * kMs, 600 * kMs },
 	};
 
@@ -261,6 +265,9 @@
 		submitted_us = w.now_us;
 		if (!c.evacuated_after_us)
 			v.set(w.now_us, 2, "north");
+		if (c.other_us)
+			w.submit(o, "b", 1, c.other_us, c.other_us, 2000 * kMs,
+				 3000 * kMs);
 		seq = w.submit(o, "a", c.tasks, 200 * kMs, 200 * kMs,
 			       2000 * kMs, 3000 * kMs);
 		w.run_until(submitted_us + c.evacuated_after_us);
