Scenario: a domain is evacuated and taken back under load

The stand-in fleet writes and removes op/evacuate/ keys, reports them to the watch, and counts starts in the domain later than 5 s after the request.

--- a/test/scenarios/lib_dispatch.lua
+++ b/test/scenarios/lib_dispatch.lua
@@ -155,6 +155,7 @@
 	expect(r.twice == 0, "no task runs twice at the same time")
 	expect(r.untrue == 0, "no job that was reported as not run has started")
 	expect(r.wrong == 0, "every answer is complete")
+	expect(r.evacuated_starts == 0, "no task starts in an evacuated domain")
 	expect(r.misplaced == 0, "no task starts on an executor without the required label")
 	expect(r.jobs > 0 and r.done >= served * r.jobs,
 		"at least " .. served .. " of the jobs are served")
--- a/test/standin_fleet.c
+++ b/test/standin_fleet.c
@@ -46,6 +46,11 @@
 #define EXECUTOR_CPU_MILLI 16000U
 /* Longest lease that a poll can set. */
 #define LEASE_MAX_US 1000000U
+/* Time in which a request to evacuate a domain has to take effect. */
+#define EVACUATION_US 5000000U
+/* Prefix of the operators' keys, and of the requests to evacuate a domain. */
+#define OPERATOR_KEYS "op/"
+#define EVACUATIONS "op/evacuate/"
 /* Delay of starts at an executor in the mode "late". */
 #define LATE_START_DELAY_US 2500000U
 /* Delay before a caller submits a job again whose outcome is unknown, and the
@@ -151,6 +156,7 @@
 	char key[256];
 	char value[128];
 	uint64_t revision;
+	bool removed;
 };
 
 static struct {
@@ -198,6 +204,12 @@
 	char *other_label;
 	/** Starts on executors without the required label. */
 	uint64_t misplaced;
+	/** Failure domain whose executors are to get no tasks, as requested at
+	 * evacuated_us; NULL: none. */
+	char *evacuated;
+	uint64_t evacuated_us;
+	/** Starts there later than EVACUATION_US after the request. */
+	uint64_t evacuated_starts;
 	/** Starts of a task while another run of it was in progress. */
 	uint64_t overlapping_runs;
 	uint64_t starts;
@@ -342,6 +354,9 @@
 	if (job)
 		job->started = true;
 	fleet.starts++;
+	if (fleet.evacuated && !strcmp(fleet.evacuated, x->zone) &&
+	    ph_clock_us() > fleet.evacuated_us + EVACUATION_US)
+		fleet.evacuated_starts++;
 	fleet.misplaced += !has_label(x);
 	r = &x->runs[x->run_count++];
 	ph_strcopy(r->task, TASK_BYTES, task);
@@ -610,7 +625,8 @@
 	size_t i;
 
 	for (i = 0; i < fleet.key_count; i++)
-		if (!strncmp(fleet.keys[i].key, prefix, strlen(prefix)))
+		if (!fleet.keys[i].removed &&
+		    !strncmp(fleet.keys[i].key, prefix, strlen(prefix)))
 			json_array_append_new(list,
 					      item(fleet.keys[i].key,
 						   fleet.keys[i].value,
@@ -618,10 +634,32 @@
 	return list;
 }
 
-static void put_key(const json_t *put)
+/* The configuration, and the operators' keys that were written or removed
+ * after a revision. */
+static json_t *operator_events(uint64_t after)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	json_array_append_new(list, config_item());
+	for (i = 0; i < fleet.key_count; i++) {
+		const struct key *k = &fleet.keys[i];
+
+		if (k->revision <= after ||
+		    strncmp(k->key, OPERATOR_KEYS, strlen(OPERATOR_KEYS)) != 0)
+			continue;
+		json_array_append_new(
+			list,
+			k->removed ? json_pack("{s:s,s:b,s:I}", "key", k->key,
+					       "tombstone", 1, "revision",
+					       (json_int_t)k->revision)
+				   : item(k->key, k->value, k->revision));
+	}
+	return list;
+}
+
+static struct key *find_key(const char *key)
 {
-	const char *key = json_string_value(json_object_get(put, "key"));
-	const char *value = json_string_value(json_object_get(put, "value"));
 	struct key *k = NULL;
 	size_t i;
 
@@ -630,9 +668,19 @@
 			k = &fleet.keys[i];
 	if (!k && fleet.key_count < KEYS_MAX)
 		k = &fleet.keys[fleet.key_count++];
+	if (k)
+		ph_strcopy(k->key, sizeof(k->key), key);
+	return k;
+}
+
+static void put_key(const json_t *put)
+{
+	const char *key = json_string_value(json_object_get(put, "key"));
+	const char *value = json_string_value(json_object_get(put, "value"));
+	struct key *k = find_key(key);
+
 	if (!k)
 		return;
-	ph_strcopy(k->key, sizeof(k->key), key);
 	memset(k->value, 0, sizeof(k->value));
 	if ((size_t)apr_base64_decode_len(value) < sizeof(k->value))
 		apr_base64_decode(k->value, value);
@@ -642,6 +690,7 @@
 static json_t *store_answer(struct ph_http_req *req, const char *path)
 {
 	const char *prefix = ph_http_req_arg(req, "prefix");
+	const char *after = ph_http_req_arg(req, "after");
 	json_t *doc = NULL;
 	size_t len;
 	const char *body = ph_http_req_body(req, &len);
@@ -658,7 +707,9 @@
 					: key_items(prefix ? prefix : ""),
 				"truncated", 0);
 	} else if (!strcmp(path, "/kv-watch")) {
-		doc = json_pack("{s:[o]}", "events", config_item());
+		doc = json_pack(
+			"{s:o}", "events",
+			operator_events(after ? strtoull(after, NULL, 10) : 0));
 	} else if (!strcmp(path, "/kv-txn")) {
 		json_array_foreach (json_object_get(o, "puts"), i, put) {
 			put_key(put);
@@ -791,8 +842,9 @@
 		false_refusals += fleet.jobs[i].state == JOB_REFUSED &&
 				  fleet.jobs[i].started;
 	}
-	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "jobs",
-			 (json_int_t)fleet.job_count, "done",
+	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}",
+			 "evacuated_starts", (json_int_t)fleet.evacuated_starts,
+			 "jobs", (json_int_t)fleet.job_count, "done",
 			 (json_int_t)counts[JOB_DONE], "refused",
 			 (json_int_t)counts[JOB_REFUSED], "lost",
 			 (json_int_t)counts[JOB_LOST], "open",
@@ -804,6 +856,24 @@
 			 (json_int_t)fleet.misplaced);
 }
 
+/* Writes or removes the operator's request to evacuate a domain. */
+static void set_evacuated(const char *zone, bool evacuated)
+{
+	struct key *k;
+	char name[256];
+
+	snprintf(name, sizeof(name), EVACUATIONS "%s", zone);
+	k = find_key(name);
+	if (!k)
+		return;
+	k->removed = !evacuated;
+	k->revision = ++fleet.revision;
+	fleet.mem->free(fleet.evacuated);
+	fleet.evacuated =
+		evacuated ? ph_memdup(fleet.mem, zone, strlen(zone)) : NULL;
+	fleet.evacuated_us = ph_clock_us();
+}
+
 /* Sets the given modes; "executor" is the index of the executor that they apply
  * to. Modes that are not given stay. */
 static void set_mode(const json_t *o)
@@ -824,6 +894,13 @@
 		x->fails_runs = ph_json_true(o, "fails");
 	if (json_object_get(o, "draining"))
 		x->draining = ph_json_true(o, "draining");
+	if (json_is_string(json_object_get(o, "evacuate")))
+		set_evacuated(json_string_value(json_object_get(o, "evacuate")),
+			      true);
+	if (json_is_string(json_object_get(o, "evacuation_end")))
+		set_evacuated(
+			json_string_value(json_object_get(o, "evacuation_end")),
+			false);
 	if (ph_json_true(o, "config"))
 		fleet.config_version++;
 	/* The executor restarts and has forgotten all. */
