peridothall evacuate: no task starts at the endpoints of an evacuated domain

Cause: the own interface had no way to empty a failure domain.

Change: the command writes peridothall/evacuate/DOMAIN in the platform's store; the entry instances of the domain watch the key and start no queued task while it is on. The state shows it.

Result: scenario evacuate passes; with the check in ph_dispatch_start_queued() taken out it fails (run so).

--- a/src/cli.c
+++ b/src/cli.c
@@ -7,6 +7,8 @@
 #include "cli.h"
 #include "client.h"
 #include "config.h"
+#include "ident.h"
+#include "platform.h"
 #include "settings.h"
 
 #define URL_BYTES 512
@@ -183,6 +185,63 @@
 	return PH_EXIT_OK;
 }
 
+/* ## Evacuation */
+
+int ph_cli_evacuate(int argc, char **argv)
+{
+	const char *platform;
+	uint64_t end;
+	struct ph_setting list[] = {
+		{ .flag = "platform",
+		  .type = PH_SETTING_TEXT,
+		  .help = "base URL of the platform",
+		  .text = &platform },
+		{ .flag = "end",
+		  .type = PH_SETTING_FLAG,
+		  .fallback = "0",
+		  .help = "end the evacuation",
+		  .number = &end },
+	};
+	struct ph_settings settings = {
+		.program = "peridothall evacuate",
+		.summary = "Has no task start in a failure domain until the "
+			   "evacuation is ended.",
+		.list = list,
+		.count = 2,
+		.operands = "DOMAIN",
+		.max_operands = 1,
+	};
+	int status = ph_settings_load(&settings, argc, argv);
+	char url[URL_BYTES];
+	char *answer;
+	bool written;
+
+	if (status >= 0)
+		return status;
+	if (settings.operand_count != 1 ||
+	    !ph_name_valid(settings.operand[0])) {
+		fprintf(stderr, "evacuate: a valid DOMAIN is required\n");
+		return PH_EXIT_USAGE;
+	}
+	snprintf(url, sizeof(url), "%s/v1/kv/" PH_KEY_EVACUATION "%s", platform,
+		 settings.operand[0]);
+	answer = ph_client_call(ph_mem_default(), "PUT", url, NULL,
+				end ? PH_EVACUATION_OFF : PH_EVACUATION_ON,
+				&status);
+	written = answer && status == 200 && !strncmp(answer, "true", 4);
+	free(answer);
+	if (!written) {
+		fprintf(stderr,
+			"evacuate: no confirmation from %s; the request may or "
+			"may not be in force\n",
+			platform);
+		return PH_EXIT_FAILED;
+	}
+	printf("%s: evacuation %s\n", settings.operand[0],
+	       end ? "ended" : "requested");
+	return PH_EXIT_OK;
+}
+
 /* ## Configuration */
 
 static void print_fault(void *ctx, const struct ph_fault *fault)
--- a/src/cli.h
+++ b/src/cli.h
@@ -12,6 +12,7 @@
 int ph_cli_replay(int argc, char **argv);
 int ph_cli_config(int argc, char **argv);
 int ph_cli_state(int argc, char **argv);
+int ph_cli_evacuate(int argc, char **argv);
 
 /**
  * Splits a comma-separated list in place, without its empty parts. Returns the
--- a/src/entry.c
+++ b/src/entry.c
@@ -171,6 +171,10 @@
 
 	if (!reply->err)
 		post_items(w, reply);
+	/* The key was removed, or there is none. */
+	if (!reply->err && !reply->item_count &&
+	    w->item_mail == MAIL_EVACUATION)
+		post(e, mail_new(e, MAIL_EVACUATION));
 	m->watch = w;
 	m->err = reply->err;
 	m->index = reply->index;
@@ -405,6 +409,23 @@
 
 /* ## Control thread */
 
+/* The value of the domain's evacuation key: only PH_EVACUATION_ON requests it.
+ */
+static void handle_evacuation(struct ph_entry *e, const struct mail *m,
+			      uint64_t now)
+{
+	bool on = m->len == strlen(PH_EVACUATION_ON) &&
+		  !memcmp(m->data, PH_EVACUATION_ON, m->len);
+
+	if (on == e->evacuated)
+		return;
+	e->evacuated = on;
+	ph_log(PART, "The evacuation of %s %s (index %llu).",
+	       e->settings.domain, on ? "is requested" : "has ended",
+	       (unsigned long long)m->index);
+	ph_core_set_evacuated(e->core, now, on);
+}
+
 /* Passes the endpoints of the own failure domain, and those without a domain,
  * to the core. */
 static void handle_endpoints(struct ph_entry *e, struct mail *m, uint64_t now)
@@ -473,6 +494,9 @@
 	case MAIL_CONFIG:
 		apply_config(e, m->data, m->len, now);
 		break;
+	case MAIL_EVACUATION:
+		handle_evacuation(e, m, now);
+		break;
 	case MAIL_ENDPOINTS:
 		handle_endpoints(e, m, now);
 		break;
@@ -696,6 +720,7 @@
 		   struct ph_entry **out)
 {
 	struct ph_entry *e = mem->calloc(1, sizeof(*e));
+	char key[PH_ID_BYTES];
 	int err;
 
 	e->mem = mem;
@@ -717,6 +742,8 @@
 	open_clients(e);
 	watch_add(e, MAIL_ROSTER_SEEN, KEY_ROSTERS);
 	watch_add(e, MAIL_CONFIG, KEY_CONFIG);
+	snprintf(key, sizeof(key), PH_KEY_EVACUATION "%s", settings->domain);
+	watch_add(e, MAIL_EVACUATION, key);
 	apr_thread_create(&e->thread, NULL, control_thread, e, e->pool);
 	*out = e;
 	return 0;
--- a/src/entry_core.c
+++ b/src/entry_core.c
@@ -118,6 +118,17 @@
 	ph_replicate_flush(core, now_us);
 }
 
+void ph_core_set_evacuated(struct ph_core *core, uint64_t now_us,
+			   bool evacuated)
+{
+	if (evacuated == core->evacuated)
+		return;
+	ph_core_enter(core, now_us);
+	core->evacuated = evacuated;
+	ph_dispatch_start_queued(core, now_us);
+	ph_replicate_flush(core, now_us);
+}
+
 void ph_core_message(struct ph_core *core, uint64_t now_us,
 		     const struct ph_msg *msg)
 {
@@ -416,14 +427,15 @@
 		  struct ph_buf *out)
 {
 	json_t *doc = json_pack(
-		"{s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:b,s:o}", "name",
+		"{s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:b,s:b,s:o}", "name",
 		core->self.name, "domain", core->domain, "incarnation",
 		(json_int_t)core->self.incarnation, "config_version",
 		(json_int_t)(core->config ? core->config->version : 0),
 		"active", (int)core->active, "outside",
 		(int)(core->non_member_since_us != 0), "stopping",
 		(int)core->stopping, "platform_failing",
-		(int)core->platform_failing, "roster", dump_roster(core));
+		(int)core->platform_failing, "evacuated", (int)core->evacuated,
+		"roster", dump_roster(core));
 	char *text;
 
 	json_object_set_new(
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -171,6 +171,10 @@
 void ph_core_set_endpoints(struct ph_core *core, uint64_t now_us,
 			   const char *service,
 			   const struct ph_endpoint_info *listed, size_t count);
+/** Whether the instance's failure domain is evacuated: while it is, no task
+ * starts; what runs ends. */
+void ph_core_set_evacuated(struct ph_core *core, uint64_t now_us,
+			   bool evacuated);
 
 /** Number of the attempt that a request is: the value of its header Attempt, 1
  * for the first one; 0 if that is NULL. A request may have waited unread for
--- a/src/entry_core_impl.h
+++ b/src/entry_core_impl.h
@@ -156,6 +156,8 @@
 	uint64_t platform_ok_us;
 	/** The last roster read failed, or a write with an unknown result. */
 	bool platform_failing;
+	/** The failure domain is evacuated: no task starts. */
+	bool evacuated;
 	/** State transfer for the present roster is complete: tasks may start
 	 * and new jobs are accepted. */
 	bool active;
--- a/src/entry_dispatch.c
+++ b/src/entry_dispatch.c
@@ -285,6 +285,8 @@
 {
 	size_t i;
 
+	if (core->evacuated)
+		return;
 	for (i = 0; i < core->service_queue_count; i++)
 		start_queued_tasks(core, now_us, &core->service_queues[i]);
 }
--- a/src/entry_impl.h
+++ b/src/entry_impl.h
@@ -37,6 +37,9 @@
 	MAIL_ROSTER_SEEN,
 	/** A configuration from the platform: data, len. */
 	MAIL_CONFIG,
+	/** Value of the evacuation key of the own failure domain: data, len;
+	 * empty if there is none. */
+	MAIL_EVACUATION,
 	/** The endpoints of a service: watch, listed, listed_count. */
 	MAIL_ENDPOINTS,
 	/** A watch has returned: watch, err, index. */
@@ -108,6 +111,8 @@
 	/** Calls since the start of the process. */
 	uint64_t endpoint_calls;
 	uint64_t watch_calls;
+	/** The evacuation of the own failure domain is requested. */
+	bool evacuated;
 	/** A stop was requested. */
 	bool stopping;
 	/** The HTTP server no longer accepts connections. */
--- a/src/main.c
+++ b/src/main.c
@@ -21,6 +21,7 @@
 	{ "replay", ph_cli_replay, "submit a file of jobs and print a report" },
 	{ "config", ph_cli_config, "check a configuration document" },
 	{ "state", ph_cli_state, "print the state of an entry instance" },
+	{ "evacuate", ph_cli_evacuate, "start no tasks in a failure domain" },
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- a/src/platform.h
+++ b/src/platform.h
@@ -10,6 +10,13 @@
 
 #include "endpoints.h"
 
+/** Prefix of the keys by which operators request the evacuation of a failure
+ * domain, followed by its name, and the value that requests it; any other value
+ * ends it. */
+#define PH_KEY_EVACUATION "peridothall/evacuate/"
+#define PH_EVACUATION_ON "on"
+#define PH_EVACUATION_OFF "off"
+
 /** A key of the store with its value. */
 struct ph_platform_item {
 	const char *key;
