Evacuation: the start of an instance makes no peer request its view

Cause: an instance that starts during no evacuation sent the revision of its first read in heartbeats; each peer with an earlier one requested its view.

Change: an empty first view counts as revision 1.

--- a/src/evacuation.c
+++ b/src/evacuation.c
@@ -132,7 +132,8 @@
 			  const char *const *names, size_t count)
 {
 	uint64_t valid_us = now_us > age_us ? now_us - age_us : 0;
-	bool changed = !e->revision;
+	bool first = !e->revision;
+	bool changed = false;
 	size_t skipped = 0;
 	size_t i;
 
@@ -152,9 +153,13 @@
 	changed |= end_unlisted(e, now_us, names, count);
 	for (i = 0; i < count; i++)
 		changed |= begin(e, now_us, names[i]);
+	/* An empty first view tells peers nothing that they would need at once:
+	 * the start of an instance makes none of them request its view. */
 	if (changed)
 		e->changed_revision = revision;
-	return changed;
+	else if (first)
+		e->changed_revision = 1;
+	return changed || first;
 }
 
 bool ph_evacuation_active(const struct ph_evacuation *e, const char *domain)
--- a/src/evacuation.h
+++ b/src/evacuation.h
@@ -31,8 +31,9 @@
 	size_t count;
 	/** Revision of the store as of which the set is valid; 0: unknown. */
 	uint64_t revision;
-	/** Revision at which this instance first saw the present set. It is
-	 * what heartbeats carry, as it changes with the set only. */
+	/** Revision at which this instance first saw the present set; 1 if its
+	 * first view was empty and still is. It is what heartbeats carry, as it
+	 * changes with the set only. */
 	uint64_t changed_revision;
 	/** The local time at which the set was valid. */
 	uint64_t valid_us;
