A job that only an evacuated domain could run is refused at once

Cause: another domain's pool without an executor of the service let the job wait for nearly half of the caller's timeout.

Change: while a domain is evacuated, a pool refuses such a batch as not run, with a retry-after of 5 s.

Result: unit test Evacuation.AJobThatNoOtherDomainCanRunIsRefusedAtOnce passes; its case without an evacuation shows the wait, which is unchanged there.

--- a/src/evacuation.c
+++ b/src/evacuation.c
@@ -169,6 +169,16 @@
 	return found && found->active;
 }
 
+bool ph_evacuation_any(const struct ph_evacuation *e)
+{
+	size_t i;
+
+	for (i = 0; i < e->count; i++)
+		if (e->domains[i].active)
+			return true;
+	return false;
+}
+
 bool ph_evacuation_allows_start(const struct ph_evacuation *e, uint64_t now_us,
 				const char *domain)
 {
--- a/src/evacuation.h
+++ b/src/evacuation.h
@@ -61,6 +61,9 @@
 /** Whether a domain is evacuated, as far as this instance knows. */
 bool ph_evacuation_active(const struct ph_evacuation *e, const char *domain);
 
+/** Whether any domain is evacuated. */
+bool ph_evacuation_any(const struct ph_evacuation *e);
+
 /** Whether a task may start in a domain: it is not evacuated, and a view is
  * known or has been awaited for long enough. */
 bool ph_evacuation_allows_start(const struct ph_evacuation *e, uint64_t now_us,
--- a/src/pool.c
+++ b/src/pool.c
@@ -9,6 +9,9 @@
 /* Bounds of the retry time that is sent to refused callers. */
 #define RETRY_MIN_US 1000000U
 #define RETRY_MAX_US 8000000U
+/* Retry time of batches that no executor of a domain in service could run: the
+ * time within which the end of an evacuation takes effect (evacuateMs). */
+#define NO_EXECUTOR_RETRY_US 5000000U
 #define US_PER_S 1000000U
 /* Part of the caller's timeout for which a batch may wait for its first start:
  * less than half, so that another pool still has time to serve the job. */
@@ -926,6 +929,12 @@
 		return;
 	if (evacuated && batch_evacuate(pool, b, now_us))
 		return;
+	if (!evacuated && ph_batch_has_no_executor(pool, b)) {
+		batch_report(pool, b, PH_VERDICT_NOT_RUN, NO_EXECUTOR_RETRY_US,
+			     "no executor of its kind", now_us);
+		batch_end(pool, b, now_us);
+		return;
+	}
 	if (batch_overdue(pool, b, now_us))
 		batch_expire(pool, b, now_us);
 }
--- a/src/pool_evacuation.c
+++ b/src/pool_evacuation.c
@@ -1,5 +1,7 @@
 /* What becomes of the batches of a pool whose failure domain is evacuated. */
 
+#include <string.h>
+
 #include "pool_impl.h"
 
 bool ph_pool_evacuated(const struct ph_pool *pool)
@@ -15,6 +17,29 @@
 					  pool->domain);
 }
 
+bool ph_batch_has_no_executor(const struct ph_pool *pool,
+			      const struct ph_batch *b)
+{
+	const struct ph_capacity nothing = { 0 };
+	const struct ph_executor *x;
+	bool any = false;
+
+	if (b->started || !pool->opt.evacuation ||
+	    !ph_evacuation_any(pool->opt.evacuation))
+		return false;
+	for (x = pool->executors; x; x = x->next) {
+		if (!x->listed)
+			continue;
+		any = true;
+		if (!strcmp(x->info.service, b->request->service) &&
+		    ph_capacity_fits(&x->info.capacity, &nothing,
+				     &b->request->need))
+			return false;
+	}
+	/* Without a list it is not known. */
+	return any;
+}
+
 static bool any_placed(const struct ph_batch *b)
 {
 	uint32_t i;
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -399,6 +399,11 @@
 bool ph_pool_evacuated(const struct ph_pool *pool);
 /** Whether tasks may start in the pool's domain. */
 bool ph_pool_allows_start(const struct ph_pool *pool, uint64_t now_us);
+/** While a domain is evacuated: whether no executor of the pool could run a
+ * batch that was not started, even with all of its capacity. It then has no
+ * pool, as its executors may all be in the evacuated domain. */
+bool ph_batch_has_no_executor(const struct ph_pool *pool,
+			      const struct ph_batch *batch);
 /** What to do with a batch of a pool whose domain is evacuated. */
 enum ph_evacuation_step {
 	/** Tasks of it run, or may run as far as is known here. */
--- a/test/test_evacuation.cc
+++ b/test/test_evacuation.cc
@@ -321,6 +321,31 @@
 	EXPECT_EQ(w.starts, 4);
 }
 
+/* Guards against a job that waits in a pool without executors of its kind as
+ * those are in the evacuated domain, and against jobs that are refused so while
+ * no domain is. */
+TEST(Evacuation, AJobThatNoOtherDomainCanRunIsRefusedAtOnce)
+{
+	for (const char *evacuated : { "", "south" }) {
+		SCOPED_TRACE(evacuated);
+		View v;
+		World w(1, 4000);
+
+		v.set(w.now_us, 1, evacuated);
+		w.evacuation = &v.e;
+		Owner *o = ready_owner(&w);
+		uint64_t seq = w.submit(o, "a", 1, 200 * kMs, 200 * kMs,
+					2000 * kMs, 3000 * kMs);
+
+		w.run_until(w.now_us + 30 * kMs);
+		EXPECT_EQ(w.ended(o, seq, PH_VERDICT_NOT_RUN),
+			  evacuated[0] != 0);
+		if (evacuated[0]) {
+			EXPECT_EQ(o->results[seq].retry_after_us, 5000 * kMs);
+		}
+	}
+}
+
 /* Guards against a handed-over batch that its submitter takes for one that may
  * go to any pool. */
 TEST(Evacuation, AHandOverOfAnEvacuatedPoolIsNoReturn)
