Resumed tasks wait for a poll sent after their batch arrived

Cause: a resumed task relied on any poll under the owner's token.

Change: the task waits until the executor that may have its run, or all executors of the service if that is not known, have answered a poll sent when the batch had arrived, or for the existing bound on leases of the earlier owner. Long polls that wait there are replaced by one that doesn't wait.

--- a/src/pool.c
+++ b/src/pool.c
@@ -649,6 +649,7 @@
 		 "event=batch_resumed job=%s submitter=%s seq=%llu "
 		 "tasks_left=%u",
 		 request->job, submitter, (unsigned long long)seq, b->left);
+	ph_poll_for_resumed(pool, b, now_us);
 	ph_pool_claim_orphans(pool, now_us);
 }
 
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -225,6 +225,10 @@
 	/** Id of the poll under way; 0: none. */
 	uint64_t poll_call;
 	uint64_t poll_sent_us;
+	/** The poll under way may wait before it is answered. */
+	bool poll_waits;
+	/** When the poll that was answered last was sent. */
+	uint64_t answered_sent_us;
 	/** Time of the last successful poll. */
 	uint64_t poll_ok_us;
 	/** Time from which the next poll may be sent. */
@@ -514,6 +518,17 @@
 void ph_poll_send(struct ph_pool *pool, struct ph_executor *executor,
 		  uint64_t now_us);
 
+/** Whether an executor has answered a poll, under the present token, that was
+ * sent when the batch had arrived. An earlier one shows no run that the
+ * executor has started since for the earlier owner, after a restart by which it
+ * forgot the token. */
+bool ph_poll_since_batch(const struct ph_executor *executor,
+			 const struct ph_batch *batch);
+/** Polls the executors on which earlier runs of a batch that has just arrived
+ * may be, in place of polls that wait there. */
+void ph_poll_for_resumed(struct ph_pool *pool, const struct ph_batch *batch,
+			 uint64_t now_us);
+
 /* ## pool_progress.c */
 
 /** When the progress of a batch's run should be looked at next. */
@@ -534,6 +549,11 @@
 
 /* ## pool_placement.c */
 
+/** Whether a task of a batch waits until a poll shows whether an earlier run of
+ * it is on this executor. */
+bool ph_batch_awaits_poll(const struct ph_pool *pool,
+			  const struct ph_batch *batch,
+			  const struct ph_executor *executor, uint64_t now_us);
 /** Starts all waiting tasks that fit, in the order of the policy. */
 void ph_pool_place(struct ph_pool *pool, uint64_t now_us);
 /** Room for the tasks of one batch. */
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -357,6 +357,42 @@
 	       pool->opt.lease_us / 10;
 }
 
+/* Whether an earlier run of a task may be on an executor, by what is known of
+ * its location. */
+static bool may_be_on(const struct ph_batch *b, uint32_t location,
+		      const struct ph_executor *x, uint64_t now_us)
+{
+	if (location == PH_EXECUTOR_UNKNOWN)
+		return ph_executor_followed(x, now_us) &&
+		       !strcmp(x->info.service, b->request->service);
+	return location == ph_executor_hash(x->info.id);
+}
+
+/* Whether an earlier run of a task may be alive, as far as time tells. */
+static bool earlier_run_possible(const struct ph_pool *pool,
+				 const struct ph_batch *b, uint32_t index,
+				 uint64_t now_us)
+{
+	return b->request->resumed &&
+	       b->request->possible_executor[index] != PH_EXECUTOR_NONE &&
+	       now_us < orphans_expired_us(pool, b);
+}
+
+bool ph_batch_awaits_poll(const struct ph_pool *pool, const struct ph_batch *b,
+			  const struct ph_executor *x, uint64_t now_us)
+{
+	uint32_t i;
+
+	if (!b->request->resumed || !b->waiting || ph_poll_since_batch(x, b))
+		return false;
+	for (i = 0; i < b->request->count; i++)
+		if (b->tasks[i].state == PH_BATCH_TASK_WAITING &&
+		    earlier_run_possible(pool, b, i, now_us) &&
+		    may_be_on(b, b->request->possible_executor[i], x, now_us))
+			return true;
+	return false;
+}
+
 static bool all_polled(const struct ph_pool *pool, uint64_t now_us)
 {
 	const struct ph_executor *x;
@@ -367,14 +403,25 @@
 	return true;
 }
 
-static bool executor_polled(const struct ph_pool *pool, uint32_t executor)
+/* Whether all executors where an earlier run of a task may be are known, and
+ * have answered a poll since the batch arrived. */
+static bool location_polled(const struct ph_pool *pool,
+			    const struct ph_batch *b, uint32_t location,
+			    uint64_t now_us)
 {
+	bool known = location == PH_EXECUTOR_UNKNOWN &&
+		     ph_batch_executors_known(pool, b) &&
+		     all_polled(pool, now_us);
 	const struct ph_executor *x;
 
-	for (x = pool->executors; x; x = x->next)
-		if (x->polled && ph_executor_hash(x->info.id) == executor)
-			return true;
-	return false;
+	for (x = pool->executors; x; x = x->next) {
+		if (!may_be_on(b, location, x, now_us))
+			continue;
+		if (!ph_poll_since_batch(x, b))
+			return false;
+		known = known || location != PH_EXECUTOR_UNKNOWN;
+	}
+	return known;
 }
 
 /* True if a task has no run left from an earlier owner: such a run would have
@@ -383,15 +430,9 @@
 			     const struct ph_batch *b, uint32_t index,
 			     uint64_t now_us)
 {
-	uint32_t executor = b->request->possible_executor[index];
-
-	if (!b->request->resumed || executor == PH_EXECUTOR_NONE ||
-	    now_us >= orphans_expired_us(pool, b))
-		return true;
-	return executor == PH_EXECUTOR_UNKNOWN
-		       ? all_polled(pool, now_us) &&
-				 ph_batch_executors_known(pool, b)
-		       : executor_polled(pool, executor);
+	return !earlier_run_possible(pool, b, index, now_us) ||
+	       location_polled(pool, b, b->request->possible_executor[index],
+			       now_us);
 }
 
 /* True if a run of the task is left, from an earlier submission of the job or
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -38,6 +38,23 @@
 #define MAX_MOVES 1U
 #define PERMILLE 1000U
 
+bool ph_poll_since_batch(const struct ph_executor *x, const struct ph_batch *b)
+{
+	return x->polled && x->answered_sent_us >= b->received_us;
+}
+
+/* Whether a resumed task waits for what the next poll shows. */
+static bool awaited(const struct ph_pool *pool, const struct ph_executor *x,
+		    uint64_t now_us)
+{
+	const struct ph_batch *b;
+
+	for (b = pool->batches; b; b = b->next)
+		if (ph_batch_awaits_poll(pool, b, x, now_us))
+			return true;
+	return false;
+}
+
 /* Longest wait of a poll: until the progress of one of the executor's runs has
  * to be looked at. None if a task waits for what the poll shows. */
 static uint64_t wait_us(const struct ph_pool *pool, const struct ph_executor *x,
@@ -48,6 +65,8 @@
 					      : POLL_WAIT_DIVISOR);
 	const struct ph_run *run;
 
+	if (awaited(pool, x, now_us))
+		return 0;
 	for (run = x->runs; run; run = run->next) {
 		uint64_t check_us;
 
@@ -86,10 +105,25 @@
 			poll.lease_until_ms = ph_lease_end(pool, x, now_us);
 		poll.wait_us = wait_us(pool, x, now_us);
 	}
+	x->poll_waits = poll.wait_us;
 	pool->counters.polls++;
 	pool->opt.sink->poll(pool->opt.ctx, &poll);
 }
 
+/* A poll that does not wait is answered soon, and the next one follows: batches
+ * that arrive one after the other don't delay each other's polls. One that
+ * fails is repeated by its schedule. */
+void ph_poll_for_resumed(struct ph_pool *pool, const struct ph_batch *b,
+			 uint64_t now_us)
+{
+	struct ph_executor *x;
+
+	for (x = pool->executors; x; x = x->next)
+		if (x->poll_call && x->poll_waits &&
+		    ph_batch_awaits_poll(pool, b, x, now_us))
+			ph_poll_send(pool, x, now_us);
+}
+
 static void record_poll(struct ph_pool *pool, bool lost)
 {
 	bool before = pool->short_polls;
@@ -424,6 +458,7 @@
 	x->clock_ms = reply->clock_ms;
 	x->clock_us = now_us;
 	x->poll_ok_us = now_us;
+	x->answered_sent_us = x->poll_sent_us;
 	x->rejected_us = 0;
 	x->other_owner = false;
 	for (i = 0; i < reply->ended_count; i++) {
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -415,6 +415,136 @@
 	}
 }
 
+/* Times of what happens around the next owner's first poll of an executor, in
+ * microseconds from when that poll is sent. */
+struct HandOver {
+	int64_t restart_us;
+	/** When a start of the earlier owner is carried out. */
+	int64_t start_us;
+	/** When the batch arrives at the next owner. */
+	int64_t batch_us;
+	/** The earlier owner has returned the batch, with the executor. */
+	bool told;
+	/** The poll that waits there gets no answer from the restart. */
+	bool silent;
+};
+
+/* Plays one late start beside a restart and a hand-over. Returns whether the
+ * task ran once at a time and was done. */
+bool runs_once(const HandOver &c)
+{
+	World w(4, 16000);
+	Owner *a = ready_owner(&w);
+	Owner *b;
+	/* Placement fills this executor first. */
+	Executor *x = &w.executors.back();
+	uint64_t t0 = w.now_us + 100 * kMs;
+	uint64_t seq;
+
+	/* The next owner prefers the one that fits more tightly. */
+	w.executors.front().cpu = 12000;
+	b = w.add_owner();
+	x->restarts_silently = c.silent;
+	x->start_delay_us =
+		(uint64_t)((int64_t)(100 * kMs - kLatencyUs) + c.start_us);
+	seq = w.submit(a, "a", 1, 2000 * kMs, 2000 * kMs, kLong, kLong);
+	w.at(t0 - 50 * kMs, [=] { x->start_delay_us = 0; });
+	w.at(t0 - 2 * kMs, [=, &w] {
+		if (c.told)
+			ph_pool_release(a->pool, w.now_us);
+		a->frozen = true;
+	});
+	w.at(t0 - kMs, [=, &w] { ph_pool_acquire(b->pool, w.now_us, 2000); });
+	w.at((uint64_t)((int64_t)t0 + c.restart_us), [&w, x] { w.restart(x); });
+	w.at((uint64_t)((int64_t)t0 + c.batch_us),
+	     [=, &w] { w.resubmit(a, b, seq); });
+	w.run_until(t0 + 4000 * kMs);
+	return !w.concurrent_runs && w.ended(b, seq, PH_VERDICT_DONE);
+}
+
+/* When the first poll that is sent after the batch has arrived reaches the
+ * executor; one that doesn't wait is answered before the next is sent. */
+int64_t relied_poll_us(int64_t batch_us)
+{
+	constexpr auto latency_us = (int64_t)kLatencyUs;
+
+	if (batch_us < 0)
+		return batch_us + latency_us;
+	return std::max(batch_us, 2 * latency_us) + latency_us;
+}
+
+/* Guards against a resumed task that starts as its executor was polled before
+ * its batch arrived: that has restarted since, knows no token any more, and
+ * carries out a start of the earlier owner. */
+TEST(PoolIncarnations, AResumedTaskStartsOnlyAfterAPollSentWhenItsBatchIsThere)
+{
+	const int64_t times_us[] = { -500, 100, 300, 2000, 4000, 25000 };
+	std::vector<HandOver> cases;
+
+	for (int64_t restart_us : times_us)
+		for (int64_t start_us : times_us)
+			for (int64_t batch_us : times_us) {
+				/* A poll that came before the restart shows
+				 * nothing: open, see RUNS 26. */
+				if (restart_us > relied_poll_us(batch_us) &&
+				    start_us >= restart_us)
+					continue;
+				for (bool told : { false, true })
+					for (bool silent : { false, true })
+						cases.push_back(
+							{ restart_us, start_us,
+							  batch_us, told,
+							  silent });
+			}
+	EXPECT_GE(cases.size(), 700U);
+	for (const HandOver &c : cases)
+		EXPECT_TRUE(runs_once(c))
+			<< "restart " << c.restart_us << " start " << c.start_us
+			<< " batch " << c.batch_us << " told " << c.told
+			<< " silent " << c.silent;
+}
+
+/* Guards against a wait of resumed tasks for longer than one poll without a
+ * wait, and against a poll for each of many batches that arrive at once. */
+TEST(PoolIncarnations, AResumedTaskWaitsForOnePollOnly)
+{
+	constexpr uint64_t poll_us = 2 * kLatencyUs;
+
+	for (bool told : { false, true }) {
+		SCOPED_TRACE(told);
+		World w(4, 16000);
+		Owner *a = ready_owner(&w);
+		Owner *b = w.add_owner();
+		std::vector<uint64_t> seqs;
+		uint64_t polls;
+
+		for (Executor &x : w.executors)
+			x.start_delay_us = 10000 * kMs;
+		for (int i = 0; i < 8; i++)
+			seqs.push_back(w.submit(a, "j" + std::to_string(i), 1,
+						60 * kMs, 60 * kMs, kLong,
+						kLong));
+		w.run_until(w.now_us + 50 * kMs);
+		for (Executor &x : w.executors)
+			x.start_delay_us = 0;
+		if (told)
+			ph_pool_release(a->pool, w.now_us);
+		a->frozen = true;
+		ph_pool_acquire(b->pool, w.now_us, 2000);
+		/* Long polls wait at all executors. */
+		w.run_until(w.now_us + 50 * kMs);
+		polls = ph_pool_counters(b->pool)->polls;
+		for (uint64_t seq : seqs)
+			w.resubmit(a, b, seq);
+		w.at(w.now_us + poll_us + 1,
+		     [&w, b] { ph_pool_handle_changes(b->pool, w.now_us); });
+		w.run_until(w.now_us + kTickUs);
+		EXPECT_EQ(w.starts, 8);
+		EXPECT_LE(ph_pool_counters(b->pool)->polls - polls,
+			  2 * w.executors.size());
+	}
+}
+
 /* Lists the only executor with its labels, as of an incarnation; 0: the list
  * does not tell which. */
 void list_executor(World *w, Owner *o, const char *labels, uint64_t started_ms)
