The next owner of a pool polls once the one before has released it

Cause: the next owner polled under its higher token in the tick in which it claimed a pool, and sent the heartbeat with the claim one tick later. Until the earlier owner had handled it, the executors refused the starts that it sent.

Change: heartbeats with a claim, or after a release, are sent in the same tick, before polls.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -224,6 +224,7 @@
 			&ph_dispatcher_cluster_sink, d);
 	for (i = 0; i < d->pool_count; i++) {
 		ph_dispatcher_check_fence(d, &d->pools[i], now_us);
+		ph_dispatcher_check_hand_over(d, &d->pools[i], now_us);
 		ph_dispatcher_check_submitters(d, d->pools[i].pool, now_us);
 		ph_pool_tick(d->pools[i].pool, now_us);
 	}
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -160,6 +160,10 @@
 void ph_dispatcher_check_fence(struct ph_dispatcher *d,
 			       struct ph_dispatcher_pool *pool,
 			       uint64_t now_us);
+/** Lets a pool poll its executors once the owner before has released it. */
+void ph_dispatcher_check_hand_over(struct ph_dispatcher *d,
+				   struct ph_dispatcher_pool *pool,
+				   uint64_t now_us);
 /** Has a pool start nothing, and renew no leases, for batches that their
  * submitters may have resumed elsewhere. */
 void ph_dispatcher_check_submitters(struct ph_dispatcher *d,
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -4,6 +4,7 @@
 
 #include "log.h"
 #include "dispatcher_impl.h"
+#include "hand_over.h"
 #include "pool_shard.h"
 
 #define PART "dispatcher"
@@ -101,6 +102,15 @@
 				  &ph_dispatcher_cluster_sink, d);
 }
 
+void ph_dispatcher_check_hand_over(struct ph_dispatcher *d,
+				   struct ph_dispatcher_pool *p,
+				   uint64_t now_us)
+{
+	if (ph_pool_awaits_hand_over(p->pool) &&
+	    !ph_hand_over_pending(d->cluster, now_us, p->name))
+		ph_pool_handed_over(p->pool);
+}
+
 void ph_dispatcher_poll_done(struct ph_dispatcher *d, uint64_t now_us,
 			     uint64_t call_id,
 			     const struct ph_poll_reply *reply)
@@ -166,10 +176,16 @@
 {
 	struct ph_dispatcher *d = ctx;
 	struct ph_dispatcher_pool *p = ph_dispatcher_pool(d, pool_name);
+	uint64_t now_us = ph_clock_us();
+	bool owned = p && ph_pool_owned(p->pool);
 
 	if (p)
-		ph_pool_acquire(p->pool, ph_clock_us(), token);
-	ph_dispatcher_heartbeat_soon(d, PH_HEARTBEAT_ALL);
+		ph_pool_acquire(p->pool, now_us, token);
+	if (p && !owned && ph_hand_over_pending(d->cluster, now_us, pool_name))
+		ph_pool_await_hand_over(p->pool, now_us + PH_HAND_OVER_MAX_US);
+	/* Sent in the same tick of the cluster: the other instances hear of the
+	 * claim before executors refuse the earlier owner. */
+	ph_cluster_heartbeat_soon(d->cluster, PH_HEARTBEAT_ALL);
 }
 
 static void sink_release(void *ctx, const char *pool_name)
@@ -179,7 +195,8 @@
 
 	if (p)
 		ph_pool_release(p->pool, ph_clock_us());
-	ph_dispatcher_heartbeat_soon(d, PH_HEARTBEAT_ALL);
+	/* Sent in the same tick of the cluster: the next owner waits for it. */
+	ph_cluster_heartbeat_soon(d->cluster, PH_HEARTBEAT_ALL);
 }
 
 static bool sink_reaches(void *ctx, const char *pool_name)
--- a/src/pool.c
+++ b/src/pool.c
@@ -716,6 +716,7 @@
 	if (!pool->owned)
 		forget_lengths(pool);
 	pool->token = token;
+	pool->hand_over_until_us = 0;
 	pool->fenced = false;
 	pool->accepted = false;
 	pool->dirty = true;
@@ -731,6 +732,24 @@
 	}
 }
 
+void ph_pool_await_hand_over(struct ph_pool *pool, uint64_t until_us)
+{
+	pool->hand_over_until_us = until_us;
+}
+
+bool ph_pool_awaits_hand_over(const struct ph_pool *pool)
+{
+	return pool->hand_over_until_us;
+}
+
+void ph_pool_handed_over(struct ph_pool *pool)
+{
+	ph_event(PART, "event=pool_handed_over pool=%s token=%llu", pool->name,
+		 (unsigned long long)pool->token);
+	pool->hand_over_until_us = 0;
+	pool->dirty = true;
+}
+
 void ph_pool_release(struct ph_pool *pool, uint64_t now_us)
 {
 	struct ph_executor *x;
@@ -740,6 +759,7 @@
 	ph_event(PART, "event=pool_released domain=%s token=%llu",
 		 pool->opt.name, (unsigned long long)pool->token);
 	pool->owned = false;
+	pool->hand_over_until_us = 0;
 	while (pool->batches) {
 		struct ph_batch *b = pool->batches;
 
--- a/src/pool.h
+++ b/src/pool.h
@@ -89,6 +89,14 @@
 /** Whether an executor has accepted the token since the pool was acquired. */
 bool ph_pool_token_accepted(const struct ph_pool *pool);
 
+/** Has the pool, which has just been acquired, poll no executor until the owner
+ * before has handed it over, or until this time: from the first poll on the
+ * executors refuse the starts of that owner. */
+void ph_pool_await_hand_over(struct ph_pool *pool, uint64_t until_us);
+bool ph_pool_awaits_hand_over(const struct ph_pool *pool);
+/** The owner before has released the pool, or is not heard any more. */
+void ph_pool_handed_over(struct ph_pool *pool);
+
 /**
  * Replaces the list of the pool's executors. Returns true while executors that
  * have left the list are still tracked; the caller then repeats the update.
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -342,6 +342,9 @@
 	 * that gave the first list. */
 	uint64_t list_read_us;
 	uint64_t first_list_us;
+	/** Until when the owner before may go on starting tasks: no executor is
+	 * polled before; 0: it does not. */
+	uint64_t hand_over_until_us;
 	/** The state changed since the last placement round. */
 	bool dirty;
 	/** Time of the last placement round. */
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -373,6 +373,7 @@
 		expire_runs(pool, x, now_us);
 		update_stops_overdue(x, now_us);
 		if (!x->poll_call && now_us >= x->next_poll_us &&
+		    now_us >= pool->hand_over_until_us &&
 		    ph_executor_followed(x, now_us))
 			ph_poll_send(pool, x, now_us);
 		runs_tick(pool, x, now_us);
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -69,6 +69,7 @@
 static ph_call_status start(World *w, Executor *x, const Run &run,
 			    uint64_t token, uint64_t until_ms)
 {
+	w->refused_tokens += token < x->token;
 	if (token < x->token)
 		return PH_CALL_FENCED;
 	x->token = token;
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -148,6 +148,8 @@
 	std::map<std::string, int> done;
 	/** Number of runs started on all executors. */
 	int starts = 0;
+	/** Number of starts refused for their token. */
+	int refused_tokens = 0;
 	/** Run time of each task, by job. */
 	std::map<std::string, uint64_t> duration_us;
 	/** Cores of each task in thousandths, by job. */
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -3,6 +3,7 @@
  * job when its caller, its submitter or the owner of its pool is lost. */
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
 #include <list>
 #include <map>
@@ -17,6 +18,7 @@
 
 extern "C" {
 #include "cluster.h"
+#include "hand_over.h"
 #include "submitter.h"
 }
 
@@ -120,6 +122,9 @@
 	std::map<std::pair<std::string, std::string>, uint64_t> delay_us;
 	/** Added to the latency of cancellations. */
 	uint64_t cancel_delay_us = 0;
+	/** Pools tick with their instance, as those of the dispatcher do: a new
+	 * owner polls in the tick in which it has claimed. */
+	bool pools_tick_along = false;
 	/** Interval at which instances look for callers that have left. */
 	uint64_t check_interval_us = kDisconnectCheckUs;
 	/** Instances that have lost power: their addresses refuse nothing. */
@@ -211,8 +216,14 @@
 	{
 		Instance *i = static_cast<Instance *>(ctx);
 
-		ph_pool_acquire(i->pools[pool]->pool, i->group->w.now_us,
-				token);
+		uint64_t now_us = i->group->w.now_us;
+		ph_pool *p = i->pools[pool]->pool;
+		bool owned = ph_pool_owned(p);
+
+		ph_pool_acquire(p, now_us, token);
+		if (!owned && ph_hand_over_pending(i->cluster, now_us, pool))
+			ph_pool_await_hand_over(p,
+						now_us + PH_HAND_OVER_MAX_US);
 		ph_cluster_heartbeat_soon(i->cluster, PH_HEARTBEAT_ALL);
 	}
 
@@ -591,9 +602,17 @@
 					p.first.c_str(),
 					ph_pool_token_accepted(p.second->pool),
 					cluster_sink(), i);
+		for (const auto &p : i->pools)
+			if (ph_pool_awaits_hand_over(p.second->pool) &&
+			    !ph_hand_over_pending(i->cluster, w.now_us,
+						  p.first.c_str()))
+				ph_pool_handed_over(p.second->pool);
 		for (const auto &p : i->pools)
 			ph_pool_check_submitters(p.second->pool, relies, surely,
 						 i);
+		for (const auto &p : i->pools)
+			if (pools_tick_along)
+				ph_pool_tick(p.second->pool, w.now_us);
 		ph_submitter_tick(i->submitter, w.now_us);
 		check_disconnects(i);
 		for (const auto &read : i->requests)
@@ -931,6 +950,68 @@
 	EXPECT_EQ(t.w.starts, 4);
 }
 
+/* Guards against an owner that goes on starting tasks when the next owner has
+ * polled under a higher token, and against a hand-over that callers notice: the
+ * executors refused these starts, until the heartbeat with the claim had been
+ * handled. */
+TEST(Resubmission, AHandOverOfAPoolInterruptsNoStarts)
+{
+	constexpr uint64_t run_us = 100 * kMs;
+	const struct {
+		const char *what;
+		/** The next owner gets no heartbeats of the one before. */
+		bool silent;
+		int refused_max;
+		uint64_t longest_us;
+	} cases[] = {
+		{ "both hear each other", false, 0, run_us + 40 * kMs },
+		{ "the next owner hears nothing", true, 100,
+		  run_us + 100 * kMs },
+	};
+
+	for (const auto &c : cases)
+		for (int offset = 0; offset < 10; offset++) {
+			SCOPED_TRACE(c.what + std::to_string(offset));
+			Trio t;
+			uint64_t longest_us = 0;
+			std::map<size_t, uint64_t> open;
+
+			ASSERT_NE(t.first, nullptr);
+			t.pools_tick_along = true;
+			for (int i = 0; i < 60; i++) {
+				uint64_t now_us = t.w.now_us;
+
+				if (i == offset)
+					t.leave(t.first);
+				if (i == offset + 9 && c.silent)
+					t.cut.insert({ t.first->name,
+						       t.next->name });
+				if (i % 2 == 0)
+					open[t.submit(t.submitter, 1, run_us,
+						      1500 * kMs)] = now_us;
+				t.run_for(kTickUs);
+				for (auto at = open.begin(); at != open.end();)
+					if (t.callers[at->first]
+						    .answers.size()) {
+						longest_us = std::max(
+							longest_us,
+							t.w.now_us -
+								at->second);
+						at = open.erase(at);
+					} else {
+						at++;
+					}
+			}
+			t.run_for(300 * kMs);
+			EXPECT_EQ(t.owner_of("north"), t.next);
+			for (const Caller &caller : t.callers)
+				ASSERT_EQ(caller.answers.size(), 1U);
+			EXPECT_EQ(t.w.concurrent_runs, 0);
+			EXPECT_LE(t.w.refused_tokens, c.refused_max);
+			EXPECT_LE(longest_us, c.longest_us);
+		}
+}
+
 /* The submission of an instance that was killed arrives late, after the owner
  * has reported its loss. Nothing would end the batch when the caller submits
  * the job elsewhere. */
