A new owner offers its pool before the executors have answered

Cause: the heartbeat with which an instance claims a pool is sent before it has polled an executor, so it told of no usable one. Submitters skip such a pool: until the next heartbeat, 100 ms later, jobs were refused with 'no pool can be reached' if there was no other pool.

Change: executors whose first answer is pending count as usable, with their capacity but with none of it free. One that has failed a poll does not count, nor does any while the pool is not owned.

--- a/src/pool.c
+++ b/src/pool.c
@@ -920,13 +920,17 @@
 	memset(load, 0, sizeof(*load));
 	for (x = pool->executors; x; x = x->next) {
 		uint32_t total = x->info.capacity.cpu_milli;
+		bool usable = ph_executor_usable(pool, x, now_us);
 
 		load->executors += x->listed;
-		if (!ph_executor_usable(pool, x, now_us))
+		/* A new owner's first heartbeat is sent before it has polled:
+		 * without these, jobs would be refused until the second. */
+		if (!usable &&
+		    !(pool->owned && ph_executor_first_poll_pending(pool, x)))
 			continue;
 		load->usable++;
 		load->capacity_milli += total;
-		if (total > x->used.cpu_milli)
+		if (usable && total > x->used.cpu_milli)
 			load->free_milli += total - x->used.cpu_milli;
 	}
 	load->backlog_milli_us = backlog_milli_us(pool);
--- a/src/pool.h
+++ b/src/pool.h
@@ -168,6 +168,8 @@
 /** Load figures by which other instances choose a pool for a job. */
 struct ph_pool_load {
 	uint32_t executors;
+	/** Includes executors of which a new owner awaits the first answer; so
+	 * does capacity_milli, but not free_milli. */
 	uint32_t usable;
 	uint32_t capacity_milli;
 	uint32_t free_milli;
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -573,6 +573,10 @@
 /** Measures the room for a batch, for the log. */
 void ph_pool_room(const struct ph_pool *pool, const struct ph_batch *batch,
 		  uint64_t now_us, struct ph_room *room);
+/** True if the executor may turn out to be usable: this owner has not had its
+ * first answer from it yet. */
+bool ph_executor_first_poll_pending(const struct ph_pool *pool,
+				    const struct ph_executor *executor);
 /** True if tasks may be placed on the executor. */
 bool ph_executor_usable(const struct ph_pool *pool,
 			const struct ph_executor *executor, uint64_t now_us);
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -460,10 +460,8 @@
 	       !has_run(pool, b->request->job, index);
 }
 
-/* True if the executor may turn out to be usable: this owner has sent its first
- * poll there and waits for the answer. */
-static bool first_poll_pending(const struct ph_pool *pool,
-			       const struct ph_executor *x)
+bool ph_executor_first_poll_pending(const struct ph_pool *pool,
+				    const struct ph_executor *x)
 {
 	return ph_mechanism_on(pool->opt.off, PH_MECHANISM_PENDING_POLLS) &&
 	       x->listed && !x->polled && !x->poll_failures &&
@@ -481,7 +479,7 @@
 	for (x = pool->executors; x; x = x->next)
 		if (!strcmp(x->info.service, service) &&
 		    (ph_executor_usable(pool, x, now_us) ||
-		     first_poll_pending(pool, x)))
+		     ph_executor_first_poll_pending(pool, x)))
 			sum += x->info.capacity.cpu_milli;
 	return sum;
 }
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -953,7 +953,8 @@
 /* Guards against an owner that goes on starting tasks when the next owner has
  * polled under a higher token, and against a hand-over that callers notice: the
  * executors refused these starts, until the heartbeat with the claim had been
- * handled. */
+ * handled, and jobs were refused until the new owner's second heartbeat, as its
+ * first one told of no usable executor. */
 TEST(Resubmission, AHandOverOfAPoolInterruptsNoStarts)
 {
 	constexpr uint64_t run_us = 100 * kMs;
@@ -1004,8 +1005,11 @@
 			}
 			t.run_for(300 * kMs);
 			EXPECT_EQ(t.owner_of("north"), t.next);
-			for (const Caller &caller : t.callers)
+			for (const Caller &caller : t.callers) {
 				ASSERT_EQ(caller.answers.size(), 1U);
+				EXPECT_EQ(caller.answers[0], PH_JOB_COMPLETED)
+					<< caller.job;
+			}
 			EXPECT_EQ(t.w.concurrent_runs, 0);
 			EXPECT_LE(t.w.refused_tokens, c.refused_max);
 			EXPECT_LE(longest_us, c.longest_us);
