A returned job that has not run is offered to another pool at once

Cause: a job whose owner had returned it waited for a new owner of its pool for up to 0.6 s, also if none of its tasks had been started, and was then answered as unknown. With the new owner known it still waited for the submitter's next tick.

Change: a result tells whether a task of the batch was ever started (last field, optional). If none was, the batch goes to the new owner, or to another pool if there is none, when the result arrives; after 0.6 s without either the job is answered as not run. A job that may have run still waits for its pool's new owner.

--- a/src/dispatcher_peers.c
+++ b/src/dispatcher_peers.c
@@ -218,7 +218,8 @@
 	struct ph_dispatcher_pool *p = ph_dispatcher_pool(d, msg->pool);
 	struct ph_batch_request *batch = msg->batch_request;
 	struct ph_result moved = { .verdict = PH_VERDICT_MOVED,
-				   .reason = "no such pool here" };
+				   .reason = "no such pool here",
+				   .not_started = !batch->resumed };
 
 	msg->batch_request = NULL;
 	ph_cluster_add_contact(d->cluster, msg->addr);
@@ -242,6 +243,7 @@
 	 * batch before it could acknowledge it. */
 	if (msg->owner_incarnation != d->incarnation) {
 		moved.reason = "meant for an earlier life";
+		moved.not_started = false;
 		p = NULL;
 		mark_locations_unknown(batch);
 	}
--- a/src/pool.c
+++ b/src/pool.c
@@ -207,9 +207,12 @@
 			 enum ph_verdict verdict, uint64_t retry_after_us,
 			 const char *reason, uint64_t now_us)
 {
-	struct ph_result result = { .verdict = verdict,
-				    .retry_after_us = retry_after_us,
-				    .reason = reason };
+	struct ph_result result = {
+		.verdict = verdict,
+		.retry_after_us = retry_after_us,
+		.reason = reason,
+		.not_started = verdict == PH_VERDICT_MOVED && !b->started
+	};
 	uint32_t i;
 
 	for (i = 0; i < b->request->count; i++)
--- a/src/pool_types.h
+++ b/src/pool_types.h
@@ -155,6 +155,9 @@
 	/** For each task, hash of the executor that may be running it, or one
 	 * of the special values. */
 	uint32_t possible_executor[PH_MAX_TASKS];
+	/** With PH_VERDICT_MOVED: no task was ever started, here or by an
+	 * earlier owner. Versions before this one don't tell. */
+	bool not_started;
 };
 
 /** An executor as listed by the platform. */
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -16,7 +16,7 @@
 #define CLAIM_FIELDS 9U
 #define SUSPECT_FIELDS 5U
 #define BATCH_REQUEST_FIELDS 19U
-#define RESULT_FIELDS 5U
+#define RESULT_FIELDS 6U
 #define LIST_FIELDS 5U
 #define EXECUTOR_FIELDS 10U
 /* Longest interval of an instance's heartbeats. */
@@ -128,6 +128,8 @@
 	put_str(pk, r->reason);
 	put_bytes(pk, r->done, sizeof(r->done));
 	put_executor_ids(pk, r->possible_executor, r->count);
+	/* Last, since versions before this one don't have it. */
+	msgpack_pack_uint32(pk, r->not_started);
 }
 
 static void put_executor(msgpack_packer *pk, const struct ph_executor_info *x)
@@ -444,6 +446,7 @@
 	m->result.reason = get_str(r);
 	get_bits(r, m->result.done, sizeof(m->result.done));
 	m->result.count = get_executor_ids(r, m->result.possible_executor);
+	m->result.not_started = get_u32(r) != 0;
 }
 
 static void get_executor(struct reader *r, struct ph_executor_info *x)
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -63,6 +63,8 @@
 	bool waiting_for_first_owner;
 	/** The last owner has returned the batch; there is no new one yet. */
 	bool waiting_for_owner;
+	/** No task of the batch that it has returned was ever started. */
+	bool not_started;
 	uint32_t pools_tried;
 	/** Indices of the pools that the job was sent to. */
 	uint32_t tried_pools[POOLS_TRIED_MAX];
@@ -452,6 +454,7 @@
 	j->accepted = false;
 	j->owner_lost_us = 0;
 	j->waiting_for_owner = false;
+	j->not_started = false;
 	j->first_sent_us = now_us;
 	j->batch->sent_us =
 		j->owner.clock_us
@@ -501,6 +504,18 @@
 	return j->retry_after_us ? j->retry_after_us : NO_POOL_RETRY_AFTER_US;
 }
 
+/* Sends a batch to the pool that choose_pool() has chosen. */
+static void send_to_pool(struct ph_submitter *s, struct job *j, uint32_t pool,
+			 uint64_t now_us)
+{
+	uint64_t milli = requested_milli(j->batch);
+
+	j->tried_pools[j->pools_tried++] = pool;
+	s->sent[pool].sent_milli += milli;
+	s->sent[pool].sent_milli_us += milli * j->batch->estimate_us;
+	send_first(s, j, now_us);
+}
+
 /* Sends a job to a pool; none of its tasks has run yet. Answers "not run" if no
  * pool is left, or if another one would run it too late. During start-up the
  * job waits for the first owner of a pool instead. */
@@ -536,11 +551,7 @@
 		       now_us);
 		return;
 	}
-	j->tried_pools[j->pools_tried++] = i;
-	s->sent[i].sent_milli += requested_milli(j->batch);
-	s->sent[i].sent_milli_us +=
-		requested_milli(j->batch) * j->batch->estimate_us;
-	send_first(s, j, now_us);
+	send_to_pool(s, j, i, now_us);
 }
 
 /* ## Events */
@@ -662,13 +673,85 @@
 {
 	size_t i;
 
+	j->not_started = result->not_started && !j->batch->resumed;
 	for (i = 0; i < sizeof(result->done); i++)
 		j->batch->done[i] |= result->done[i];
-	set_run_locations(j, result);
+	if (!j->not_started)
+		set_run_locations(j, result);
 	j->waiting_for_owner = true;
 	j->owner_lost_us = now_us;
 }
 
+/* Whether the owner that the batch was sent to may still have it: it has not
+ * returned it, and has not restarted. Messages to an owner that is not heard
+ * may still arrive there. */
+static bool may_keep_batch(const struct job *j, const struct ph_owner *next)
+{
+	return !j->waiting_for_owner && strcmp(next->name, j->owner.name) != 0;
+}
+
+/* Offers a returned batch of which no task was started to another pool, as the
+ * pool's new owner is not known yet. Returns false if there is none. */
+static bool offer_elsewhere(struct ph_submitter *s, struct job *j,
+			    uint64_t now_us)
+{
+	const char *from = j->pool;
+	uint32_t pool = 0;
+
+	if (!j->not_started || j->pools_tried >= pools_tried_max(s) ||
+	    caller_left(s, j) || !choose_pool(s, j, now_us, &pool))
+		return false;
+	ph_event(PART,
+		 "event=job_offered_elsewhere job=%s old_pool=%s pool=%s "
+		 "owner=%s lost_for_us=%llu",
+		 j->batch->job, from, j->pool, j->owner.name,
+		 (unsigned long long)(now_us - j->owner_lost_us));
+	send_to_pool(s, j, pool, now_us);
+	return true;
+}
+
+/* Resumes a batch at the pool's new owner, which claims the orphaned runs of
+ * the job. The earlier owner would go on renewing their leases, so the batch is
+ * cancelled there. Answers "unknown" if there is no new owner in time. */
+static void resume_at_new_owner(struct ph_submitter *s, struct job *j,
+				uint64_t now_us)
+{
+	struct ph_owner o;
+
+	if (ph_cluster_owner(s->opt.cluster, now_us, j->pool, &o) &&
+	    (o.token != j->owner.token || strcmp(o.name, j->owner.name) != 0)) {
+		ph_event(PART,
+			 "event=job_resumed job=%s pool=%s old_owner=%s "
+			 "old_token=%llu new_owner=%s new_token=%llu "
+			 "returned=%d lost_for_us=%llu",
+			 j->batch->job, j->pool, j->owner.name,
+			 (unsigned long long)j->owner.token, o.name,
+			 (unsigned long long)o.token, j->waiting_for_owner,
+			 (unsigned long long)(now_us - j->owner_lost_us));
+		if (may_keep_batch(j, &o))
+			cancel(s, j, now_us);
+		if (caller_left(s, j)) {
+			answer(s, j,
+			       j->not_started ? PH_JOB_NOT_RUN : PH_JOB_UNKNOWN,
+			       0, "caller has left", now_us);
+			return;
+		}
+		if (!j->waiting_for_owner)
+			set_run_locations(j, NULL);
+		j->owner = o;
+		send_first(s, j, now_us);
+		return;
+	}
+	if (offer_elsewhere(s, j, now_us) ||
+	    now_us <= j->owner_lost_us + NEW_OWNER_TIMEOUT_US)
+		return;
+	if (!j->waiting_for_owner)
+		cancel(s, j, now_us);
+	answer(s, j, j->not_started ? PH_JOB_NOT_RUN : PH_JOB_UNKNOWN,
+	       j->not_started ? retry_after_us(j) : 0,
+	       "pool owner lost, no new owner in time", now_us);
+}
+
 void ph_submitter_result(struct ph_submitter *s, uint64_t now_us, uint64_t seq,
 			 const struct ph_result *result)
 {
@@ -694,6 +777,7 @@
 		break;
 	case PH_VERDICT_MOVED:
 		wait_for_new_owner(j, result, now_us);
+		resume_at_new_owner(s, j, now_us);
 		break;
 	}
 }
@@ -717,53 +801,6 @@
 
 /* ## Time */
 
-/* Whether the owner that the batch was sent to may still have it: it has not
- * returned it, and has not restarted. Messages to an owner that is not heard
- * may still arrive there. */
-static bool may_keep_batch(const struct job *j, const struct ph_owner *next)
-{
-	return !j->waiting_for_owner && strcmp(next->name, j->owner.name) != 0;
-}
-
-/* Resumes a batch at the pool's new owner, which claims the orphaned runs of
- * the job. The earlier owner would go on renewing their leases, so the batch is
- * cancelled there. Answers "unknown" if there is no new owner in time. */
-static void resume_at_new_owner(struct ph_submitter *s, struct job *j,
-				uint64_t now_us)
-{
-	struct ph_owner o;
-
-	if (ph_cluster_owner(s->opt.cluster, now_us, j->pool, &o) &&
-	    (o.token != j->owner.token || strcmp(o.name, j->owner.name) != 0)) {
-		ph_event(PART,
-			 "event=job_resumed job=%s pool=%s old_owner=%s "
-			 "old_token=%llu new_owner=%s new_token=%llu "
-			 "returned=%d lost_for_us=%llu",
-			 j->batch->job, j->pool, j->owner.name,
-			 (unsigned long long)j->owner.token, o.name,
-			 (unsigned long long)o.token, j->waiting_for_owner,
-			 (unsigned long long)(now_us - j->owner_lost_us));
-		if (may_keep_batch(j, &o))
-			cancel(s, j, now_us);
-		if (caller_left(s, j)) {
-			answer(s, j, PH_JOB_UNKNOWN, 0, "caller has left",
-			       now_us);
-			return;
-		}
-		if (!j->waiting_for_owner)
-			set_run_locations(j, NULL);
-		j->owner = o;
-		send_first(s, j, now_us);
-		return;
-	}
-	if (now_us <= j->owner_lost_us + NEW_OWNER_TIMEOUT_US)
-		return;
-	if (!j->waiting_for_owner)
-		cancel(s, j, now_us);
-	answer(s, j, PH_JOB_UNKNOWN, 0, "pool owner lost, no new owner in time",
-	       now_us);
-}
-
 static void job_tick(struct ph_submitter *s, struct job *j, uint64_t now_us)
 {
 	bool owner_lost =
--- a/test/test_poolmsg.cc
+++ b/test/test_poolmsg.cc
@@ -109,6 +109,7 @@
 			m.result.reason = "another owner";
 			m.result.count = 2;
 			m.result.possible_executor[1] = 8;
+			m.result.not_started = true;
 		}
 		if (t == PH_POOLMSG_CONFIG) {
 			m.doc = doc;
@@ -130,6 +131,7 @@
 		EXPECT_EQ(got.claims[0].offered, m.claims[0].offered);
 		EXPECT_EQ(got.result.possible_executor[1],
 			  m.result.possible_executor[1]);
+		EXPECT_EQ(got.result.not_started, m.result.not_started);
 		if (t == PH_POOLMSG_SUBMIT) {
 			EXPECT_STREQ(got.batch_request->job, request.job);
 			EXPECT_EQ(got.batch_request->possible_executor[1], 5U);
--- a/test/test_submitter.cc
+++ b/test/test_submitter.cc
@@ -154,6 +154,20 @@
 		ph_submitter_submit(submitter, now_us, token, w);
 	}
 
+	/** The owner returns the batch sent last as it has lost the pool. */
+	void returned(bool not_started)
+	{
+		ph_result r = {};
+
+		r.verdict = PH_VERDICT_MOVED;
+		r.reason = "";
+		r.count = 4;
+		r.not_started = not_started;
+		for (uint32_t i = 0; i < r.count; i++)
+			r.possible_executor[i] = PH_EXECUTOR_NONE;
+		ph_submitter_result(submitter, now_us, sent.back().seq, &r);
+	}
+
 	void result(ph_verdict verdict, uint64_t retry_after_us = 0)
 	{
 		ph_result r = {};
@@ -443,6 +457,83 @@
 	}
 }
 
+/* Guards against a job that waits for a new owner of its pool, for up to 0.6 s,
+ * although it has certainly not run, and against one that may have run and is
+ * started in another pool or reported as not run. */
+TEST(Submitter, AReturnedJobThatHasNotRunIsOfferedElsewhereAtOnce)
+{
+	const struct {
+		const char *what;
+		bool not_started;
+		/** The pool's new owner, or another pool's, is known. */
+		bool new_owner;
+		bool other_pool;
+		/** What gets the batch at once; empty: nobody. */
+		const char *to;
+		bool resumed;
+		/** The answer if no new owner is heard of within 0.7 s. */
+		ph_job_outcome outcome;
+	} cases[] = {
+		{ "not run, the new owner is known", true, true, true, "n3",
+		  false, PH_JOB_COMPLETED },
+		{ "not run, another pool is known", true, false, true, "s1",
+		  false, PH_JOB_COMPLETED },
+		{ "not run, no pool has an owner", true, false, false, "",
+		  false, PH_JOB_NOT_RUN },
+		{ "may have run, the new owner is known", false, true, true,
+		  "n3", true, PH_JOB_COMPLETED },
+		{ "may have run, another pool is known", false, false, true, "",
+		  true, PH_JOB_UNKNOWN },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.what);
+		Fixture f;
+
+		f.receive_heartbeat("n2", "north", 5, 64000);
+		f.submit(1);
+		ph_submitter_accepted(f.submitter, f.sent.back().seq);
+		if (c.other_pool)
+			f.receive_heartbeat("s1", "south", 5, 64000);
+		if (c.new_owner)
+			f.receive_heartbeat("n3", "north", 6, 64000);
+		f.returned(c.not_started);
+		ASSERT_EQ(f.sent.size(), c.to[0] ? 2U : 1U);
+		if (c.to[0]) {
+			EXPECT_EQ(f.sent.back().to, c.to);
+			EXPECT_EQ(f.sent.back().resumed, c.resumed);
+			f.result(PH_VERDICT_DONE);
+		} else {
+			f.advance(700 * kMs);
+		}
+		ASSERT_EQ(f.answers.size(), 1U);
+		EXPECT_EQ(f.answers[0].outcome, c.outcome);
+	}
+}
+
+/* Guards against a job that is answered while its pool's next owner, of which
+ * the submitter hears later, could run it. */
+TEST(Submitter, AReturnedJobThatHasNotRunWaitsForANewOwnerIfThereIsNoOtherPool)
+{
+	for (bool other_pool : { false, true }) {
+		SCOPED_TRACE(other_pool);
+		Fixture f;
+
+		f.receive_heartbeat("n2", "north", 5, 64000);
+		f.submit(1);
+		ph_submitter_accepted(f.submitter, f.sent.back().seq);
+		f.returned(true);
+		f.advance(50 * kMs);
+		EXPECT_EQ(f.sent.size(), 1U);
+		f.receive_heartbeat(other_pool ? "s1" : "n3",
+				    other_pool ? "south" : "north", 6, 64000);
+		f.advance(10 * kMs);
+		ASSERT_EQ(f.sent.size(), 2U);
+		EXPECT_EQ(f.sent.back().to, other_pool ? "s1" : "n3");
+		EXPECT_FALSE(f.sent.back().resumed);
+	}
+}
+
 /* An owner that is not heard goes on with the batch while the next one starts
  * its tasks; one that has returned it, or has restarted, does not have it. */
 TEST(Submitter, AResumedBatchIsCancelledAtAnOwnerThatMayStillHaveIt)
