Results of the version before are decoded

Cause: the field that tells whether a task was ever started, added to results, was required; a result without it was rejected.

Change: it is read if it is there. Without it the batch counts as one that may have run. The test AResultOfAnEarlierVersionMayHaveRun failed before.

--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -446,7 +446,8 @@
 	m->result.reason = get_str(r);
 	get_bits(r, m->result.done, sizeof(m->result.done));
 	m->result.count = get_executor_ids(r, m->result.possible_executor);
-	m->result.not_started = get_u32(r) != 0;
+	if (!r->bad && r->left)
+		m->result.not_started = get_u32(r) != 0;
 }
 
 static void get_executor(struct reader *r, struct ph_executor_info *x)
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -63,7 +63,7 @@
 	bool waiting_for_first_owner;
 	/** The last owner has returned the batch; there is no new one yet. */
 	bool waiting_for_owner;
-	/** No task of the batch that it has returned was ever started. */
+	/** waiting_for_owner, and no task of the batch was ever started. */
 	bool not_started;
 	uint32_t pools_tried;
 	/** Indices of the pools that the job was sent to. */
@@ -712,7 +712,9 @@
 
 /* Resumes a batch at the pool's new owner, which claims the orphaned runs of
  * the job. The earlier owner would go on renewing their leases, so the batch is
- * cancelled there. Answers "unknown" if there is no new owner in time. */
+ * cancelled there. A returned batch of which no task was started is sent there
+ * as a new one, or to another pool. Without a new owner in time the answer is
+ * "unknown", or "not run" for such a batch. */
 static void resume_at_new_owner(struct ph_submitter *s, struct job *j,
 				uint64_t now_us)
 {
--- a/test/test_poolmsg.cc
+++ b/test/test_poolmsg.cc
@@ -189,6 +189,29 @@
 	ph_poolmsg_clear(ph_mem_default(), &got);
 }
 
+/* Guards against results of earlier versions, which end without telling whether
+ * a task was started, that are rejected or count as certainly not run. */
+TEST(PoolMsg, AResultOfAnEarlierVersionMayHaveRun)
+{
+	ph_poolmsg m = message(PH_POOLMSG_RESULT);
+	std::string bytes;
+	ph_poolmsg got;
+
+	m.result.verdict = PH_VERDICT_MOVED;
+	m.result.reason = "another owner";
+	m.result.count = 1;
+	m.result.not_started = true;
+	bytes = encode(m);
+	/* An array of up to 15 elements, the last one of one byte. */
+	ASSERT_EQ(bytes[0], '\x9d');
+	bytes.pop_back();
+	bytes[0]--;
+	ASSERT_EQ(decode(bytes, &got), 0);
+	EXPECT_EQ(got.result.verdict, PH_VERDICT_MOVED);
+	EXPECT_FALSE(got.result.not_started);
+	ph_poolmsg_clear(ph_mem_default(), &got);
+}
+
 bool accepted(const ph_poolmsg &m)
 {
 	ph_poolmsg got;
