--- a/src/pool.c
+++ b/src/pool.c
@@ -230,9 +230,12 @@
 			 enum ph_verdict verdict, uint64_t retry_after_us,
 			 const char *reason, uint64_t now_us)
 {
-	struct ph_result result = { .verdict = verdict,
-				    .retry_after_us = retry_after_us,
-				    .reason = reason };
+	struct ph_result result = {
+		.verdict = verdict,
+		.retry_after_us = retry_after_us,
+		.reason = reason,
+		.not_started = verdict == PH_VERDICT_MOVED && !b->started
+	};
 
 	batch_report_result(pool, b, &result, now_us);
 }
@@ -693,6 +696,7 @@
 		 "event=batch_resumed job=%s submitter=%s seq=%llu "
 		 "tasks_left=%u",
 		 request->job, submitter, (unsigned long long)seq, b->left);
+	ph_poll_for_resumed(pool, b, now_us);
 	ph_pool_claim_orphans(pool, now_us);
 }
 
@@ -759,6 +763,7 @@
 	if (!pool->owned)
 		forget_lengths(pool);
 	pool->token = token;
+	pool->hand_over_until_us = 0;
 	pool->fenced = false;
 	pool->accepted = false;
 	pool->dirty = true;
@@ -774,6 +779,24 @@
 	}
 }
 
+void ph_pool_await_hand_over(struct ph_pool *pool, uint64_t until_us)
+{
+	pool->hand_over_until_us = until_us;
+}
+
+bool ph_pool_awaits_hand_over(const struct ph_pool *pool)
+{
+	return pool->hand_over_until_us;
+}
+
+void ph_pool_handed_over(struct ph_pool *pool)
+{
+	ph_event(PART, "event=pool_handed_over pool=%s token=%llu", pool->name,
+		 (unsigned long long)pool->token);
+	pool->hand_over_until_us = 0;
+	pool->dirty = true;
+}
+
 void ph_pool_release(struct ph_pool *pool, uint64_t now_us)
 {
 	struct ph_executor *x;
@@ -783,6 +806,7 @@
 	ph_event(PART, "event=pool_released domain=%s token=%llu",
 		 pool->opt.name, (unsigned long long)pool->token);
 	pool->owned = false;
+	pool->hand_over_until_us = 0;
 	while (pool->batches) {
 		struct ph_batch *b = pool->batches;
 
@@ -974,13 +998,18 @@
 	memset(load, 0, sizeof(*load));
 	for (x = pool->executors; x; x = x->next) {
 		uint32_t total = x->info.capacity.cpu_milli;
+		bool usable = ph_executor_usable(pool, x, now_us);
 
 		load->executors += x->listed;
-		if (evacuated || !ph_executor_usable(pool, x, now_us))
+		/* A new owner's first heartbeat is sent before it has polled:
+		 * without these, jobs would be refused until the second. */
+		if (evacuated ||
+		    (!usable &&
+		     !(pool->owned && ph_executor_first_poll_pending(pool, x))))
 			continue;
 		load->usable++;
 		load->capacity_milli += total;
-		if (total > x->used.cpu_milli)
+		if (usable && total > x->used.cpu_milli)
 			load->free_milli += total - x->used.cpu_milli;
 	}
 	load->backlog_milli_us = backlog_milli_us(pool);
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -16,7 +16,7 @@
 #define CLAIM_FIELDS 9U
 #define SUSPECT_FIELDS 5U
 #define BATCH_REQUEST_FIELDS 19U
-#define RESULT_FIELDS 6U
+#define RESULT_FIELDS 7U
 #define LIST_FIELDS 5U
 #define EXECUTOR_FIELDS 10U
 #define EVACUATION_FIELDS 3U
@@ -131,6 +131,7 @@
 	put_executor_ids(pk, r->possible_executor, r->count);
 	/* Last, since versions before this one don't have it. */
 	msgpack_pack_uint32(pk, r->evacuated);
+	msgpack_pack_uint32(pk, r->not_started);
 }
 
 static void put_executor(msgpack_packer *pk, const struct ph_executor_info *x)
@@ -467,6 +468,8 @@
 	m->result.count = get_executor_ids(r, m->result.possible_executor);
 	if (!r->bad && r->left)
 		m->result.evacuated = get_u32(r) != 0;
+	if (!r->bad && r->left)
+		m->result.not_started = get_u32(r) != 0;
 }
 
 static void get_evacuation(const struct ph_mem *mem, struct reader *r,
--- a/test/test_poolmsg.cc
+++ b/test/test_poolmsg.cc
@@ -111,6 +111,7 @@
 			m.result.count = 2;
 			m.result.possible_executor[1] = 8;
 			m.result.evacuated = true;
+			m.result.not_started = true;
 		}
 		if (t == PH_POOLMSG_EVACUATION) {
 			m.evacuation_revision = 1ULL << 41;
@@ -142,6 +143,7 @@
 		ASSERT_EQ(got.evacuated_count, m.evacuated_count);
 		for (uint32_t i = 0; i < m.evacuated_count; i++)
 			EXPECT_STREQ(got.evacuated[i], m.evacuated[i]);
+		EXPECT_EQ(got.result.not_started, m.result.not_started);
 		if (t == PH_POOLMSG_SUBMIT) {
 			EXPECT_STREQ(got.batch_request->job, request.job);
 			EXPECT_EQ(got.batch_request->possible_executor[1], 5U);
@@ -177,9 +179,10 @@
 	m.result.reason = "another owner";
 	m.result.evacuated = true;
 	bytes = encode(m);
-	ASSERT_EQ(bytes[0], '\x9d');
-	bytes.pop_back();
-	bytes[0]--;
+	/* An array of up to 15 elements, the last two of one byte each. */
+	ASSERT_EQ(bytes[0], '\x9e');
+	bytes.resize(bytes.size() - 2);
+	bytes[0] -= 2;
 	ASSERT_EQ(decode(bytes, &got), 0);
 	EXPECT_EQ(got.result.verdict, PH_VERDICT_MOVED);
 	EXPECT_FALSE(got.result.evacuated);
@@ -220,6 +223,29 @@
 	ph_poolmsg_clear(ph_mem_default(), &got);
 }
 
+/* Guards against results of earlier versions, which end without telling whether
+ * a task was started, that are rejected or count as certainly not run. */
+TEST(PoolMsg, AResultOfAnEarlierVersionMayHaveRun)
+{
+	ph_poolmsg m = message(PH_POOLMSG_RESULT);
+	std::string bytes;
+	ph_poolmsg got;
+
+	m.result.verdict = PH_VERDICT_MOVED;
+	m.result.reason = "another owner";
+	m.result.count = 1;
+	m.result.not_started = true;
+	bytes = encode(m);
+	/* An array of up to 15 elements, the last two of one byte each. */
+	ASSERT_EQ(bytes[0], '\x9e');
+	bytes.resize(bytes.size() - 2);
+	bytes[0] -= 2;
+	ASSERT_EQ(decode(bytes, &got), 0);
+	EXPECT_EQ(got.result.verdict, PH_VERDICT_MOVED);
+	EXPECT_FALSE(got.result.not_started);
+	ph_poolmsg_clear(ph_mem_default(), &got);
+}
+
 bool accepted(const ph_poolmsg &m)
 {
 	ph_poolmsg got;
