All instances split a failure domain into the same number of shards

Instances computed the number of shards from the lists that they had seen, and a larger number in a heartbeat added pools without the list being split anew. Owners then shared executors and refused each other's tokens there.

The number is now read from the store with the registrations (one range read of peridothall/, in pages, replaces that of peridothall/members/), changes by a conditional write only, and is carried in heartbeats with its revision. An instance creates no pools of a domain before it knows the number, splits its list anew when the number changes, and then sends heartbeats to its domain. Log lines shards_changed, shards_proposed and shards_unreadable; metrics peridothall_shards, peridothall_shards_revision and peridothall_shards_proposed_total. An instance without pools is not ready.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -159,7 +159,7 @@
 	size_t count;
 
 	ph_directory_list(d->directory, &count);
-	return d->routing && count && !d->stopping;
+	return d->routing && count && d->pool_count && !d->stopping;
 }
 
 bool ph_dispatcher_may_wait_for_routing(const struct ph_dispatcher *d,
@@ -230,6 +230,7 @@
 	ph_submitter_tick(d->submitter, now_us);
 	ph_dispatcher_resend_results(d, now_us);
 	ph_dispatcher_list_tick(d, now_us);
+	ph_dispatcher_shards_tick(d, now_us);
 	d->platform->tick(d->platform_ctx, now_us);
 	if (d->heartbeat_all_due || d->heartbeat_domain_due)
 		ph_cluster_heartbeat_soon(
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -12,6 +12,7 @@
 #include "directory.h"
 #include "submitter.h"
 #include "routing.h"
+#include "shard_plan.h"
 
 struct ph_dispatcher;
 
@@ -128,6 +129,37 @@
  * as they name none that can be used. */
 void ph_dispatcher_set_skipped(struct ph_dispatcher *dispatcher,
 			       size_t entries);
+/** Name of the i-th failure domain that is known, which the process keeps; NULL
+ * past the end. */
+const char *ph_dispatcher_domain_name(const struct ph_dispatcher *dispatcher,
+				      size_t i);
+/** What the platform's store holds as the number of shards of a failure domain;
+ * shards counts only for PH_SHARDS_PRESENT. */
+struct ph_shards_row {
+	const char *domain;
+	enum ph_shards_stored stored;
+	uint32_t shards;
+	uint64_t revision;
+};
+
+/** The numbers of shards were read from the store, all that there are; the rows
+ * are borrowed. */
+void ph_dispatcher_shards_read(struct ph_dispatcher *dispatcher,
+			       uint64_t now_us,
+			       const struct ph_shards_row *rows, size_t count);
+/** Takes a proposal that is due: the adapter writes it under the condition that
+ * the key has the expected revision, and reports the outcome. Returns the name
+ * of the failure domain, which the process keeps, or NULL if none is due. */
+const char *
+ph_dispatcher_take_shards_proposal(struct ph_dispatcher *dispatcher,
+				   uint64_t now_us,
+				   struct ph_shards_proposal *proposal);
+/** The outcome of a proposal that was taken; row: what the store now holds for
+ * its domain, unless it failed. */
+void ph_dispatcher_shards_proposed(struct ph_dispatcher *dispatcher,
+				   uint64_t now_us,
+				   enum ph_shards_outcome outcome,
+				   const struct ph_shards_row *row);
 /** Adds the "ip:port" of an instance that the platform knows; it gets
  * heartbeats. */
 void ph_dispatcher_contact(struct ph_dispatcher *dispatcher, const char *addr);
@@ -141,7 +173,7 @@
 					uint64_t now_us, uint64_t arrived_us,
 					uint64_t caller_timeout_us);
 /** True if the load balancer may send new connections: there are a
- * configuration and executors, and the instance is not stopping. */
+ * configuration, executors and pools, and the instance is not stopping. */
 bool ph_dispatcher_ready(const struct ph_dispatcher *dispatcher);
 bool ph_dispatcher_stopping(const struct ph_dispatcher *dispatcher);
 
--- a/src/dispatcher_executors.c
+++ b/src/dispatcher_executors.c
@@ -19,34 +19,46 @@
 /* Interval at which the list is split again while a pool still has executors
  * that are no longer listed. */
 #define UNLISTED_CHECK_INTERVAL_US 1000000U
+#define NO_SHARD UINT32_MAX
 
 /* ## Split over the pools */
 
-/* Counts the executors of each domain and adds the shards that they need. */
-static void update_shard_counts(struct ph_dispatcher *d,
-				const struct ph_executor_info *all,
-				size_t count)
+/* Counts the executors of each domain, and creates the pools of those domains
+ * whose number of shards is known. */
+static void count_executors(struct ph_dispatcher *d, uint64_t now_us,
+			    const struct ph_executor_info *all, size_t count)
 {
+	uint32_t *executors;
 	size_t i;
 
-	for (i = 0; i < d->domain_count; i++)
-		d->domains[i].executors = 0;
-	for (i = 0; i < count; i++) {
-		struct ph_dispatcher_domain *domain =
-			ph_dispatcher_domain(d, all[i].domain);
-
-		if (domain)
-			domain->executors++;
+	for (i = 0; i < count; i++)
+		ph_dispatcher_domain(d, all[i].domain);
+	executors = d->mem->calloc(d->domain_count, sizeof(*executors));
+	for (i = 0; i < count; i++)
+		executors[ph_dispatcher_domain(d, all[i].domain) -
+			  d->domains]++;
+	for (i = 0; i < d->domain_count; i++) {
+		ph_dispatcher_shards_list(d, &d->domains[i], now_us,
+					  executors[i]);
+		if (executors[i])
+			ph_dispatcher_create_pools(d, &d->domains[i]);
 	}
-	for (i = 0; i < d->domain_count; i++)
-		ph_dispatcher_grow_shards(
-			d, &d->domains[i],
-			ph_pool_shard_count(d->domains[i].shards,
-					    d->domains[i].executors));
+	d->mem->free(executors);
 }
 
-/* Gives each pool its executors by their failure domain and shard. */
-static void split_executors(struct ph_dispatcher *d, uint64_t now_us)
+/* Number of the executor's shard; NO_SHARD while its domain has no pools. */
+static uint32_t shard_of(struct ph_dispatcher *d,
+			 const struct ph_executor_info *x)
+{
+	const struct ph_dispatcher_domain *domain =
+		ph_dispatcher_domain(d, x->domain);
+
+	return domain->plan.shards
+		       ? ph_pool_shard_of(x->id, domain->plan.shards)
+		       : NO_SHARD;
+}
+
+void ph_dispatcher_split_list(struct ph_dispatcher *d, uint64_t now_us)
 {
 	struct ph_executor_info *part;
 	const struct ph_executor_info *all;
@@ -58,16 +70,11 @@
 	d->list_split_us = now_us;
 	d->has_unlisted_executors = false;
 	all = ph_directory_list(d->directory, &count);
-	update_shard_counts(d, all, count);
+	count_executors(d, now_us, all, count);
 	part = d->mem->calloc(count, sizeof(*part));
 	shard = d->mem->calloc(count, sizeof(*shard));
-	for (i = 0; i < count; i++) {
-		struct ph_dispatcher_domain *domain =
-			ph_dispatcher_domain(d, all[i].domain);
-
-		shard[i] = domain ? ph_pool_shard_of(all[i].id, domain->shards)
-				  : 0;
-	}
+	for (i = 0; i < count; i++)
+		shard[i] = shard_of(d, &all[i]);
 	for (k = 0; k < d->pool_count; k++) {
 		const char *pool = d->pools[k].name;
 		uint32_t number = ph_pool_shard_number(pool);
@@ -110,7 +117,7 @@
 
 	if (!ph_directory_read(d->directory, now_us, requested_us, list, count))
 		return;
-	split_executors(d, now_us);
+	ph_dispatcher_split_list(d, now_us);
 	if (!ph_cluster_list_reader(d->cluster, now_us, &reader))
 		send_change_to_domain(d, now_us);
 }
@@ -134,7 +141,7 @@
 				const struct ph_poolmsg *msg, uint64_t now_us)
 {
 	if (ph_directory_apply(d->directory, now_us, msg->change))
-		split_executors(d, now_us);
+		ph_dispatcher_split_list(d, now_us);
 }
 
 void ph_dispatcher_list_tick(struct ph_dispatcher *d, uint64_t now_us)
@@ -147,7 +154,7 @@
 		ph_pool_list_read(d->pools[i].pool, read_us);
 	if (d->has_unlisted_executors &&
 	    now_us > d->list_split_us + UNLISTED_CHECK_INTERVAL_US)
-		split_executors(d, now_us);
+		ph_dispatcher_split_list(d, now_us);
 }
 
 /* ## Reads from the platform */
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -3,8 +3,9 @@
 
 /* Shared by dispatcher.c (the control thread, start and stop),
  * dispatcher_peers.c (messages), dispatcher_pools.c (pools, the cluster),
- * dispatcher_executors.c (the list of executors), dispatcher_jobs.c (callers)
- * and dispatcher_report.c (metrics, state dump). */
+ * dispatcher_executors.c (the list of executors), dispatcher_shards.c (the
+ * number of shards of each failure domain), dispatcher_jobs.c (callers) and
+ * dispatcher_report.c (metrics, state dump). */
 
 #include <apr_thread_proc.h>
 
@@ -23,11 +24,14 @@
 	struct ph_pool *pool;
 };
 
-/** A failure domain that has or had executors. */
+/** A failure domain that has or had executors, instances or a number of shards
+ * in the store. */
 struct ph_dispatcher_domain {
 	const char *name;
-	uint32_t executors;
-	uint32_t shards;
+	struct ph_shard_plan plan;
+	/** Number of its pools. One whose shard is beyond the plan's number has
+	 * no executors. */
+	uint32_t pools;
 };
 
 /** A queued message from this instance to itself. */
@@ -53,6 +57,8 @@
 	uint64_t unreadable;
 	/** Connections to peers that were replaced, by enum ph_link_doubt. */
 	uint64_t renewed[PH_LINK_DOUBTS];
+	/** Proposed numbers of shards, by enum ph_shards_outcome. */
+	uint64_t shards_proposed[PH_SHARDS_OUTCOMES];
 	/** Entries of the last list of executors that were skipped. */
 	size_t skipped;
 	/** Answers and response times, by enum ph_job_outcome. */
@@ -151,10 +157,9 @@
  * valid until the next addition. */
 struct ph_dispatcher_domain *ph_dispatcher_domain(struct ph_dispatcher *d,
 						  const char *name);
-/** Creates the pools of a domain up to this number of shards. */
-void ph_dispatcher_grow_shards(struct ph_dispatcher *d,
-			       struct ph_dispatcher_domain *domain,
-			       uint32_t shards);
+/** Creates the pools of a domain up to its number of shards. */
+void ph_dispatcher_create_pools(struct ph_dispatcher *d,
+				struct ph_dispatcher_domain *domain);
 /** Reports to the cluster if an executor has refused this instance's token of
  * an owned pool. */
 void ph_dispatcher_check_fence(struct ph_dispatcher *d,
@@ -173,6 +178,24 @@
 /** Tells the pools how old the list is, and splits it again when due, until no
  * pool has unlisted executors. */
 void ph_dispatcher_list_tick(struct ph_dispatcher *d, uint64_t now_us);
+/** Gives each pool its executors by their failure domain and shard. */
+void ph_dispatcher_split_list(struct ph_dispatcher *d, uint64_t now_us);
+
+/* ## dispatcher_shards.c */
+
+/** Notes the number of executors of a domain in a new list. */
+void ph_dispatcher_shards_list(struct ph_dispatcher *d,
+			       struct ph_dispatcher_domain *domain,
+			       uint64_t now_us, uint32_t executors);
+/** Takes over the number of shards in a heartbeat, if it has precedence. The
+ * instances of a domain are the first to know of new shards. */
+void ph_dispatcher_shards_heard(struct ph_dispatcher *d,
+				const struct ph_poolmsg *heartbeat,
+				uint64_t now_us);
+/** Computes numbers of shards that have not become known in time. */
+void ph_dispatcher_shards_tick(struct ph_dispatcher *d, uint64_t now_us);
+void ph_dispatcher_shards_metrics(const struct ph_dispatcher *d,
+				  struct ph_buf *out);
 
 /* ## dispatcher.c */
 
--- a/src/dispatcher_peers.c
+++ b/src/dispatcher_peers.c
@@ -258,18 +258,6 @@
 	ph_dispatcher_check_submitters(d, p->pool, now_us);
 }
 
-/* Creates the shards of the sender's domain up to the number in its heartbeat.
- * The instances of a domain are the first to know of new shards. */
-static void update_shards(struct ph_dispatcher *d,
-			  const struct ph_poolmsg *heartbeat)
-{
-	struct ph_dispatcher_domain *domain =
-		ph_dispatcher_domain(d, heartbeat->domain);
-
-	if (domain && heartbeat->shards > domain->shards)
-		ph_dispatcher_grow_shards(d, domain, heartbeat->shards);
-}
-
 void ph_dispatcher_message(struct ph_dispatcher *d, struct ph_poolmsg *msg,
 			   uint64_t now_us)
 {
@@ -279,7 +267,7 @@
 	switch (msg->type) {
 	case PH_POOLMSG_HEARTBEAT:
 		ph_cluster_heartbeat_received(d->cluster, now_us, msg);
-		update_shards(d, msg);
+		ph_dispatcher_shards_heard(d, msg, now_us);
 		request_config(d, msg, now_us);
 		for (i = 0; i < msg->suspect_count; i++)
 			ph_crashes_heard(d->crashes, now_us, &msg->suspects[i]);
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -142,13 +142,17 @@
 	return domain;
 }
 
-void ph_dispatcher_grow_shards(struct ph_dispatcher *d,
-			       struct ph_dispatcher_domain *domain,
-			       uint32_t shards)
+const char *ph_dispatcher_domain_name(const struct ph_dispatcher *d, size_t i)
 {
-	while (domain->shards < shards) {
+	return i < d->domain_count ? d->domains[i].name : NULL;
+}
+
+void ph_dispatcher_create_pools(struct ph_dispatcher *d,
+				struct ph_dispatcher_domain *domain)
+{
+	while (domain->pools < domain->plan.shards) {
 		const char *name =
-			ph_pool_shard_name(domain->name, domain->shards++);
+			ph_pool_shard_name(domain->name, domain->pools++);
 
 		pool_add(d, name);
 		ph_cluster_add_pools(d->cluster, &name, 1);
@@ -189,12 +193,13 @@
 	return p && ph_pool_reached(p->pool, ph_clock_us());
 }
 
-static uint32_t own_shards(struct ph_dispatcher *d)
+static void put_own_shards(struct ph_dispatcher *d, struct ph_poolmsg *msg)
 {
-	struct ph_dispatcher_domain *domain =
+	const struct ph_dispatcher_domain *domain =
 		ph_dispatcher_domain(d, d->settings.domain);
 
-	return domain ? domain->shards : 0;
+	msg->shards = domain->plan.shards;
+	msg->shards_revision = domain->plan.revision;
 }
 
 static void sink_send_heartbeat(void *ctx, const char *addr,
@@ -214,7 +219,7 @@
 	msg->clock_us = now_us;
 	msg->echo_us = m ? ph_submitter_echo_us(d->submitter, m) : 0;
 	msg->cpu_milli = d->settings.cpu_milli;
-	msg->shards = own_shards(d);
+	put_own_shards(d, msg);
 	msg->list_digest = ph_directory_digest(d->directory);
 	msg->list_age_us = ph_directory_age_us(d->directory, now_us);
 	msg->heard_ago_us =
--- a/src/dispatcher_report.c
+++ b/src/dispatcher_report.c
@@ -115,6 +115,7 @@
 		      d->routing ? (unsigned long long)d->routing->version : 0,
 		      ph_submitter_count(d->submitter), d->counters.skipped,
 		      d->routing ? d->routing->skipped : 0);
+	ph_dispatcher_shards_metrics(d, out);
 	put_peer_metrics(d, now_us, out);
 	for (i = 0; i < d->pool_count; i++)
 		put_pool_metrics(&d->pools[i], now_us, out);
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -846,6 +846,62 @@
 	}
 }
 
+/* Guards against a value of another writer that is taken for a number. */
+TEST(Wire, NumberOfShardsIsDecimalTextInRange)
+{
+	const struct {
+		std::string value;
+		uint32_t shards;
+	} cases[] = {
+		{ "1", 1 },	    { "17", 17 }, { "1000", 1000 },
+		{ "1001", 0 },	    { "0", 0 },	  { "", 0 },
+		{ "-1", 0 },	    { "+3", 0 },  { " 3", 0 },
+		{ "3 ", 0 },	    { "3\n", 0 }, { "03", 0 },
+		{ "3.0", 0 },	    { "0x3", 0 }, { "4294967299", 0 },
+		{ "three", 0 },	    { "1e2", 0 }, { std::string("3\0", 2), 0 },
+		{ "{\"n\":3}", 0 },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.value);
+		std::string text =
+			page({ item("peridothall/shards/z", c.value) });
+		ph_wire_items items;
+		uint32_t shards = 7;
+
+		ASSERT_EQ(ph_wire_read_items(mem(), text.data(), text.size(),
+					     &items),
+			  0);
+		ASSERT_EQ(items.count, 1U);
+		EXPECT_EQ(ph_wire_read_shards(&items.list[0], &shards),
+			  c.shards ? PH_SHARDS_PRESENT : PH_SHARDS_UNREADABLE);
+		EXPECT_EQ(shards, c.shards);
+		ph_wire_items_clear(mem(), &items);
+	}
+}
+
+/* Guards against a write without its condition: it would replace the number
+ * that another instance has written. */
+TEST(Wire, NumberOfShardsIsWrittenUnderTheExpectedRevision)
+{
+	ph_buf buf;
+
+	ph_buf_init(&buf, mem());
+	ph_wire_put_shards_write(&buf, "peridothall/shards/z", 4, 0);
+	ph_buf_put(&buf, "", 1);
+	EXPECT_STREQ(
+		buf.data,
+		R"({"expectedRev":[{"key":"peridothall/shards/z","revision":0}],"puts":[{"key":"peridothall/shards/z","value":"NA=="}],"remove":[]})");
+	buf.len = 0;
+	ph_wire_put_shards_write(&buf, "peridothall/shards/z", 1000, 12345);
+	ph_buf_put(&buf, "", 1);
+	EXPECT_NE(strstr(buf.data, R"("revision":12345)"), nullptr);
+	ph_buf_free(&buf);
+	EXPECT_EQ(ph_wire_read_revision(R"({"revision":31})", 15), 31U);
+	EXPECT_EQ(ph_wire_read_revision("{}", 2), 0U);
+	EXPECT_EQ(ph_wire_read_revision("x", 1), 0U);
+}
+
 /* Replaces each byte of a valid document in turn. The results are not checked:
  * every decoder has to return without a memory error. */
 TEST(Wire, DecodersReturnOnCorruptDocuments)
