--- a/test/standin_fleet.c
+++ b/test/standin_fleet.c
@@ -165,6 +165,8 @@
 	uint64_t revision;
 	uint64_t config_version;
 	bool store_down;
+	/** Executes writes of numbers of shards without confirming them. */
+	bool loses_shards;
 	struct ph_httpd *store;
 	struct ph_httpc *http;
 	char entries[ENTRIES_MAX][64];
@@ -618,16 +620,56 @@
 	return list;
 }
 
+static struct key *find_key(const char *key)
+{
+	size_t i;
+
+	for (i = 0; key && i < fleet.key_count; i++)
+		if (!strcmp(fleet.keys[i].key, key))
+			return &fleet.keys[i];
+	return NULL;
+}
+
+/* Whether all keys have the revisions that a write expects. */
+static bool revisions_expected(const json_t *rows)
+{
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach (rows, i, row) {
+		const struct key *k = find_key(
+			json_string_value(json_object_get(row, "key")));
+
+		if ((k ? k->revision : 0) != ph_json_number(row, "revision", 0))
+			return false;
+	}
+	return true;
+}
+
+/* The keys of these rows that exist. */
+static json_t *current_items(const json_t *rows)
+{
+	json_t *list = json_array();
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach (rows, i, row) {
+		const struct key *k = find_key(
+			json_string_value(json_object_get(row, "key")));
+
+		if (k)
+			json_array_append_new(
+				list, item(k->key, k->value, k->revision));
+	}
+	return list;
+}
+
 static void put_key(const json_t *put)
 {
 	const char *key = json_string_value(json_object_get(put, "key"));
 	const char *value = json_string_value(json_object_get(put, "value"));
-	struct key *k = NULL;
-	size_t i;
+	struct key *k = find_key(key);
 
-	for (i = 0; i < fleet.key_count; i++)
-		if (!strcmp(fleet.keys[i].key, key))
-			k = &fleet.keys[i];
 	if (!k && fleet.key_count < KEYS_MAX)
 		k = &fleet.keys[fleet.key_count++];
 	if (!k)
@@ -639,15 +681,33 @@
 	k->revision = ++fleet.revision;
 }
 
-static json_t *store_answer(struct ph_http_req *req, const char *path)
+static json_t *write_keys(const json_t *o, int *status)
+{
+	const json_t *expected = json_object_get(o, "expectedRev");
+	const json_t *put;
+	size_t i;
+
+	if (!revisions_expected(expected)) {
+		*status = 412;
+		return json_pack("{s:o}", "items", current_items(expected));
+	}
+	json_array_foreach (json_object_get(o, "puts"), i, put) {
+		put_key(put);
+	}
+	/* The writes under a condition are those of numbers of shards. */
+	if (fleet.loses_shards && json_array_size(expected))
+		*status = 500;
+	return json_pack("{s:I}", "revision", (json_int_t)fleet.revision);
+}
+
+static json_t *store_answer(struct ph_http_req *req, const char *path,
+			    int *status)
 {
 	const char *prefix = ph_http_req_arg(req, "prefix");
 	json_t *doc = NULL;
 	size_t len;
 	const char *body = ph_http_req_body(req, &len);
 	json_t *o = ph_json_object(body, len);
-	json_t *put;
-	size_t i;
 
 	if (!strcmp(path, "/kv-key")) {
 		doc = config_item();
@@ -660,11 +720,7 @@
 	} else if (!strcmp(path, "/kv-watch")) {
 		doc = json_pack("{s:[o]}", "events", config_item());
 	} else if (!strcmp(path, "/kv-txn")) {
-		json_array_foreach (json_object_get(o, "puts"), i, put) {
-			put_key(put);
-		}
-		doc = json_pack("{s:I}", "revision",
-				(json_int_t)fleet.revision);
+		doc = write_keys(o, status);
 	} else {
 		doc = json_pack("{s:i,s:i}", "lease", 7, "ttlMs", 20000);
 	}
@@ -816,6 +872,8 @@
 	if (json_object_get(o, "lost_answer_interval"))
 		fleet.lost_answer_interval =
 			ph_json_number(o, "lost_answer_interval", 0);
+	if (json_object_get(o, "loses_shards"))
+		fleet.loses_shards = ph_json_true(o, "loses_shards");
 	if (json_object_get(o, "sending"))
 		fleet.sending = ph_json_true(o, "sending");
 	if (json_object_get(o, "late"))
@@ -858,13 +916,17 @@
 	} else if (fleet.store_down) {
 		reply_json(req, 503, json_object());
 	} else {
+		int status = 200;
+		json_t *doc;
+
 		/* A watch is answered after 300 ms, changed or not. */
 		if (!strcmp(path, "/kv-watch")) {
 			unlock();
 			usleep(300 * US_PER_MS);
 			lock();
 		}
-		reply_json(req, 200, store_answer(req, path));
+		doc = store_answer(req, path, &status);
+		reply_json(req, status, doc);
 	}
 	unlock();
 }
