An owner that a few executors refuse keeps its pool

While instances hold different numbers of shards, or lists, two owners may regard an executor as theirs. If its refusals lasted for 1.5 s the pool counted as refused altogether: the second time the owner left it to the other one, and in a minority at once, although the rest of its executors had no other owner.

An owner of the pool's own domain now raises its token in that case and keeps the pool, unless a claim that it hears of takes precedence. What an executor accepts is unchanged, and so is the pause of starts and leases from the refusal to the new token.

Pool.AFewRefusalsOfTheTokenDoNotStopThePool also checks when refusals count as being in part. The world of the resubmission tests reacts as the dispatcher does.

--- a/src/cluster.h
+++ b/src/cluster.h
@@ -223,6 +223,16 @@
 		       uint64_t unix_ms, const char *pool, bool accepted,
 		       const struct ph_cluster_sink *sink, void *ctx);
 
+/**
+ * Less than half of a pool's executors have rejected this instance's token for
+ * a while: acquires the pool again under a higher token. Unless another
+ * instance's claim takes precedence, the pool is not released: the rest of its
+ * executors has no other owner.
+ */
+void ph_cluster_fenced_in_part(struct ph_cluster *cluster, uint64_t now_us,
+			       uint64_t unix_ms, const char *pool,
+			       const struct ph_cluster_sink *sink, void *ctx);
+
 /**
  * Detects failed peers, decides on claims and sends heartbeats that are due.
  * Has to be called at least every 50 ms.
--- a/src/cluster_impl.h
+++ b/src/cluster_impl.h
@@ -37,6 +37,8 @@
 	uint64_t fenced_since_us;
 	/** How often the token has been raised since the pool was claimed. */
 	uint32_t token_raises;
+	/** When the token was last raised as a few executors refused it. */
+	uint64_t raised_in_part_us;
 	/** How often of late the pool was taken by an instance that isn't
 	 * heard, and when it was last. */
 	uint32_t contests;
--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -69,6 +69,11 @@
 #define TOKEN_RAISE_FACTOR 8U
 /* Rejections after which the raise grows no further. */
 #define TOKEN_RAISES_MAX 6U
+/* Time between two raises of a token that a few executors refuse from which on
+ * the raise begins at its least again. If the raised token was still too low
+ * the next follows in 1.5 to 2 s, if another owner has exceeded it in 3 s or
+ * more: two owners that raise in turn must not get to 2^53. */
+#define RAISED_ENOUGH_US 2500000U
 /* Two instances that don't hear of each other take a pool from each other for
  * as long as that lasts. Each leaves it to the other for a time that doubles,
  * from the shortest to the longest, and is up to twice as long by chance. */
@@ -712,6 +717,29 @@
 	acquire(cluster, p, unix_ms, sink, ctx);
 }
 
+void ph_cluster_fenced_in_part(struct ph_cluster *cluster, uint64_t now_us,
+			       uint64_t unix_ms, const char *pool,
+			       const struct ph_cluster_sink *sink, void *ctx)
+{
+	struct ph_pool_claim *p = claim_find(cluster, pool);
+
+	if (!p || !p->owned)
+		return;
+	if (!cluster->claims_indexed)
+		index_claims(cluster, now_us);
+	ph_event(PART, "event=token_rejected_in_part pool=%s token=%llu", pool,
+		 (unsigned long long)p->token);
+	if (outranked(cluster, p)) {
+		ph_claim_release(p, sink, ctx);
+		return;
+	}
+	if (now_us > p->raised_in_part_us + RAISED_ENOUGH_US)
+		p->token_raises = 0;
+	p->raised_in_part_us = now_us;
+	raise_token(p);
+	acquire(cluster, p, unix_ms, sink, ctx);
+}
+
 void ph_claims_tick(struct ph_cluster *cluster, uint64_t now_us,
 		    uint64_t unix_ms, const struct ph_cluster_sink *sink,
 		    void *ctx)
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -95,7 +95,15 @@
 void ph_dispatcher_check_fence(struct ph_dispatcher *d,
 			       struct ph_dispatcher_pool *p, uint64_t now_us)
 {
-	if (ph_pool_owned(p->pool) && ph_pool_fenced(p->pool))
+	if (!ph_pool_owned(p->pool) || !ph_pool_fenced(p->pool))
+		return;
+	/* A domain that has instances of its own is theirs, also in part. */
+	if (ph_pool_shard_in(p->name, d->settings.domain) &&
+	    ph_pool_fenced_in_part(p->pool))
+		ph_cluster_fenced_in_part(d->cluster, now_us,
+					  ph_clock_unix_ms(), p->name,
+					  &ph_dispatcher_cluster_sink, d);
+	else
 		ph_cluster_fenced(d->cluster, now_us, ph_clock_unix_ms(),
 				  p->name, ph_pool_token_accepted(p->pool),
 				  &ph_dispatcher_cluster_sink, d);
--- a/src/pool.c
+++ b/src/pool.c
@@ -152,6 +152,11 @@
 	return pool->fenced;
 }
 
+bool ph_pool_fenced_in_part(const struct ph_pool *pool)
+{
+	return pool->fenced && !ph_pool_most_refuse(pool);
+}
+
 bool ph_pool_token_accepted(const struct ph_pool *pool)
 {
 	return pool->accepted;
--- a/src/pool.h
+++ b/src/pool.h
@@ -86,6 +86,10 @@
  * have another owner. No task starts until this one acquires the pool again
  * with a higher token. */
 bool ph_pool_fenced(const struct ph_pool *pool);
+/** Whether the pool is fenced although less than half of its executors refuse
+ * the token: another owner regards these as its own, by another list or number
+ * of shards, or they have a higher token from an owner before. */
+bool ph_pool_fenced_in_part(const struct ph_pool *pool);
 /** Whether an executor has accepted the token since the pool was acquired. */
 bool ph_pool_token_accepted(const struct ph_pool *pool);
 
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -414,6 +414,8 @@
 /** Sends a stop command; the run's batch, if any, waits for the end. */
 void ph_run_stop(struct ph_pool *pool, struct ph_executor *executor,
 		 struct ph_run *run, uint64_t now_us);
+/** Whether at least half of the listed executors refuse the token. */
+bool ph_pool_most_refuse(const struct ph_pool *pool);
 /** Handles the refusal of the token by an executor. The pool is fenced once at
  * least half of the listed executors refuse it, or one does for long. */
 void ph_pool_fenced_by(struct ph_pool *pool, struct ph_executor *executor,
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -298,6 +298,19 @@
 		ph_run_stop(pool, run->executor, run, now_us);
 }
 
+bool ph_pool_most_refuse(const struct ph_pool *pool)
+{
+	const struct ph_executor *x;
+	uint32_t listed = 0;
+	uint32_t rejecting = 0;
+
+	for (x = pool->executors; x; x = x->next) {
+		listed += x->listed;
+		rejecting += x->listed && x->rejected_us;
+	}
+	return rejecting * 2 >= listed;
+}
+
 /* The refusal by an executor that has left the pool doesn't show that the pool
  * has another owner. Nor does that by a few of the listed ones: they may have
  * left it by a newer list than this instance has. If one does not, its token
@@ -305,21 +318,13 @@
 void ph_pool_fenced_by(struct ph_pool *pool, struct ph_executor *x,
 		       uint64_t now_us)
 {
-	const struct ph_executor *other;
-	uint32_t listed = 0;
-	uint32_t rejecting = 0;
-
 	x->other_owner = true;
 	if (!x->listed)
 		return;
 	if (!x->rejected_us)
 		x->rejected_us = now_us;
 	x->polled = false;
-	for (other = pool->executors; other; other = other->next) {
-		listed += other->listed;
-		rejecting += other->listed && other->rejected_us;
-	}
-	if (rejecting * 2 >= listed ||
+	if (ph_pool_most_refuse(pool) ||
 	    now_us > x->rejected_us + REJECTION_PERSISTS_US)
 		pool->fenced = true;
 }
--- a/test/test_cluster.cc
+++ b/test/test_cluster.cc
@@ -784,6 +784,123 @@
 	}
 }
 
+/* Guards against a pool that loses its owner as a few executors have another
+ * one, by another number of shards: the rest would have none. If most refuse
+ * the token again after it was raised, the pool is left to the other owner; a
+ * minority leaves it at once. */
+TEST(Cluster, AnOwnerThatAFewExecutorsRefuseKeepsItsPool)
+{
+	const struct {
+		const char *what;
+		bool in_part;
+		bool minority;
+		bool kept;
+	} cases[] = {
+		{ "a few refuse", true, false, true },
+		{ "a few refuse, in a minority", true, true, true },
+		{ "most refuse", false, false, false },
+		{ "most refuse, in a minority", false, true, false },
+	};
+	const ph_cluster_sink sink = { Network::on_acquire,
+				       Network::on_release,
+				       nullptr,
+				       nullptr,
+				       nullptr,
+				       nullptr };
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.what);
+		Network net;
+		Instance *owner;
+		uint64_t token;
+
+		net.pools = { "north" };
+		for (const char *name : { "n1", "n2", "n3" })
+			net.add(name, "north");
+		net.start_all();
+		net.run_until(net.now_us + 1500 * kMs);
+		ASSERT_EQ(net.owners("north").size(), 1U);
+		owner = net.owners("north")[0];
+		if (c.minority) {
+			net.group[owner->name] = net.group["north"] = 1;
+			net.run_until(net.now_us + 1000 * kMs);
+		}
+		ASSERT_EQ(ph_cluster_minority(owner->cluster, net.now_us),
+			  c.minority);
+		token = owner->owned["north"];
+		for (int i = 0; i < 60 && owner->owned.count("north"); i++) {
+			net.now_us += 100 * kMs;
+			if (c.in_part)
+				ph_cluster_fenced_in_part(
+					owner->cluster, net.now_us,
+					kUnixMs + net.now_us / 1000, "north",
+					&sink, owner);
+			else
+				ph_cluster_fenced(owner->cluster, net.now_us,
+						  kUnixMs + net.now_us / 1000,
+						  "north", true, &sink, owner);
+			if (c.kept) {
+				EXPECT_GT(owner->owned["north"], token);
+			}
+			token = owner->owned.count("north")
+					? owner->owned["north"]
+					: 0;
+		}
+		EXPECT_EQ(token != 0, c.kept);
+	}
+}
+
+/* Guards against tokens that run ahead of the time of day, up to the largest
+ * that executors can read, while two owners raise theirs in turn; and against a
+ * token that is raised too slowly to exceed one from before the clock was set
+ * back. */
+TEST(Cluster, ATokenThatAFewExecutorsRefuseIsRaisedAsFarAsNeeded)
+{
+	const struct {
+		const char *what;
+		uint64_t interval_ms;
+		int raises;
+		uint64_t least_ahead_ms;
+		uint64_t most_ahead_ms;
+	} cases[] = {
+		{ "another owner exceeds each", 3000, 1200, 0, 5000 },
+		{ "too low each time", 1700, 7, 3600 * 1000, UINT64_MAX },
+	};
+	const ph_cluster_sink sink = { Network::on_acquire,
+				       Network::on_release,
+				       nullptr,
+				       nullptr,
+				       nullptr,
+				       nullptr };
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.what);
+		Network net;
+		Instance *owner;
+		uint64_t unix_ms = 0;
+		uint64_t token_ms;
+
+		net.pools = { "north" };
+		net.add("n1", "north");
+		net.start_all();
+		net.run_until(net.now_us + 1500 * kMs);
+		ASSERT_EQ(net.owners("north").size(), 1U);
+		owner = net.owners("north")[0];
+		for (int i = 0; i < c.raises; i++) {
+			net.now_us += c.interval_ms * kMs;
+			unix_ms = kUnixMs + net.now_us / 1000;
+			ph_cluster_fenced_in_part(owner->cluster, net.now_us,
+						  unix_ms, "north", &sink,
+						  owner);
+		}
+		token_ms = owner->owned["north"] >> 12;
+		EXPECT_GE(token_ms, unix_ms + c.least_ahead_ms);
+		EXPECT_LE(token_ms, c.most_ahead_ms == UINT64_MAX
+					    ? UINT64_MAX
+					    : unix_ms + c.most_ahead_ms);
+	}
+}
+
 /* In a domain of enough instances the one with the most CPU reads the list of
  * executors for all of them. */
 TEST(Cluster, OneInstanceOfALargeDomainReadsTheExecutorList)
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -1664,8 +1664,13 @@
 	w.run_until(w.now_us + 300 * kMs);
 	EXPECT_TRUE(w.ended(a, seq, PH_VERDICT_DONE));
 	EXPECT_EQ(w.starts, 8);
+	EXPECT_FALSE(ph_pool_fenced_in_part(a->pool));
 	w.run_until(w.now_us + 2000 * kMs);
 	EXPECT_TRUE(ph_pool_fenced(a->pool));
+	EXPECT_TRUE(ph_pool_fenced_in_part(a->pool));
+	w.executors[2].token = 5000;
+	w.run_until(w.now_us + 300 * kMs);
+	EXPECT_FALSE(ph_pool_fenced_in_part(a->pool));
 }
 
 TEST(Pool, BatchesOfALostSubmitterAreStopped)
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -583,14 +583,22 @@
 	{
 		ph_cluster_tick(i->cluster, w.now_us, unix_ms(i),
 				cluster_sink(), i);
-		for (const auto &p : i->pools)
-			if (ph_pool_owned(p.second->pool) &&
-			    ph_pool_fenced(p.second->pool))
+		for (const auto &p : i->pools) {
+			if (!ph_pool_owned(p.second->pool) ||
+			    !ph_pool_fenced(p.second->pool))
+				continue;
+			if (p.first == i->domain &&
+			    ph_pool_fenced_in_part(p.second->pool))
+				ph_cluster_fenced_in_part(
+					i->cluster, w.now_us, unix_ms(i),
+					p.first.c_str(), cluster_sink(), i);
+			else
 				ph_cluster_fenced(
 					i->cluster, w.now_us, unix_ms(i),
 					p.first.c_str(),
 					ph_pool_token_accepted(p.second->pool),
 					cluster_sink(), i);
+		}
 		for (const auto &p : i->pools)
 			ph_pool_check_submitters(p.second->pool, relies, surely,
 						 i);
