--- a/fuzz/fuzz_wire.c
+++ b/fuzz/fuzz_wire.c
@@ -13,6 +13,7 @@
 	struct ph_executor_info info;
 	struct ph_poll_reply poll;
 	struct ph_wire_items items;
+	uint32_t shards;
 	const char *reason;
 
 	if (!ph_wire_read_config(mem, text, size, &routing))
@@ -23,7 +24,13 @@
 		ph_executor_info_clear(mem, &info);
 	ph_wire_poll_reply(mem, 200, text, size, &poll);
 	ph_wire_poll_clear(mem, &poll);
-	if (!ph_wire_read_items(mem, text, size, &items))
+	ph_wire_read_revision(text, size);
+	if (!ph_wire_read_items(mem, text, size, &items)) {
+		size_t i;
+
+		for (i = 0; i < items.count; i++)
+			ph_wire_read_shards(&items.list[i], &shards);
 		ph_wire_items_clear(mem, &items);
+	}
 	return 0;
 }
--- a/src/pool_shard.h
+++ b/src/pool_shard.h
@@ -16,8 +16,8 @@
 
 /**
  * Number of shards for a domain with this many executors that had "before"
- * shards so far (0: none yet). The number never falls: instances that disagree
- * on it would start tasks on the same executors.
+ * shards so far (0: none yet); never less than before. It depends on what an
+ * instance has seen: shard_plan.h tells which number is in force.
  */
 uint32_t ph_pool_shard_count(uint32_t before, uint32_t executors);
 
