Jobs without a prospect of a start in time are refused at once

Under a burst that outlasts the wait of jobs, those that had missed their target waited behind those that could still meet theirs, at up to four pools. The owner now predicts a waiting batch's start and refuses what would start too late to be of use.

--- a/src/mechanisms.c
+++ b/src/mechanisms.c
@@ -25,6 +25,7 @@
 	[PH_MECHANISM_SHARED_PLAN] = "shared-plan",
 	[PH_MECHANISM_READY_FIRST] = "ready-first",
 	[PH_MECHANISM_LENGTH_LIMIT] = "length-limit",
+	[PH_MECHANISM_ADMISSION] = "admission",
 };
 
 const char *ph_mechanism_name(enum ph_mechanism mechanism)
--- a/src/pool.c
+++ b/src/pool.c
@@ -469,13 +469,34 @@
 	return wait_us * MIN_RUN_TIME_PERCENT / 100;
 }
 
+/* Whether a batch would start too late to be of use, as far as the last round
+ * and the recent past tell. */
+static bool batch_hopeless(const struct ph_pool *pool, const struct ph_batch *b,
+			   uint64_t now_us)
+{
+	const struct ph_lengths *l = ph_lengths_of(pool, b->request->service);
+	struct ph_admission_need need = {
+		.ahead_milli_us = b->ahead_milli_us,
+		.capacity_milli = b->possible_milli,
+		.target_start_us = ph_batch_target_start_us(b),
+		.useful_start_us =
+			b->arrived_us + ph_batch_longest_wait_us(pool, b),
+	};
+
+	/* Without a target, any start before the caller leaves is of use. */
+	return ph_mechanism_on(pool->opt.off, PH_MECHANISM_ADMISSION) &&
+	       b->request->target_us && b->possible_milli && !b->held_back &&
+	       ph_admission_hopeless(&l->admission, now_us, &need);
+}
+
 static bool batch_overdue(const struct ph_pool *pool, const struct ph_batch *b,
 			  uint64_t now_us)
 {
 	if (b->started)
 		return now_us >= b->arrived_us + b->request->caller_timeout_us;
 	return now_us + min_wait_us(pool, b) >=
-	       b->arrived_us + ph_batch_longest_wait_us(pool, b);
+		       b->arrived_us + ph_batch_longest_wait_us(pool, b) ||
+	       batch_hopeless(pool, b, now_us);
 }
 
 /* Capacity that is held by runs which are declared to last for longer than a
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -361,6 +361,8 @@
  * first start. It is bounded by the time that is left before its result is of
  * no use, by the caller's timeout less the declared run time, and by the part
  * of the timeout after which another pool should be tried. */
+/** Latest start with which a batch is likely to meet its latency target. */
+uint64_t ph_batch_target_start_us(const struct ph_batch *batch);
 uint64_t ph_batch_longest_wait_us(const struct ph_pool *pool,
 				  const struct ph_batch *batch);
 /** Declared core time of a batch's waiting tasks, in millicore-microseconds. */
--- a/src/pool_lengths.c
+++ b/src/pool_lengths.c
@@ -101,6 +101,16 @@
 	l->left_milli_us[length] += left_us * milli;
 }
 
+uint64_t ph_lengths_held_milli(const struct ph_lengths *l)
+{
+	uint64_t held = 0;
+	uint32_t k;
+
+	for (k = 0; k < PH_LENGTH_OCTAVES; k++)
+		held += l->held_milli[k];
+	return held;
+}
+
 uint64_t ph_lengths_limit_milli(const struct ph_lengths *l, uint64_t length_us)
 {
 	return l->limit_milli[ph_lengths_octave(length_us)];
--- a/src/pool_lengths.h
+++ b/src/pool_lengths.h
@@ -14,6 +14,7 @@
 #include <stdbool.h>
 
 #include "buf.h"
+#include "pool_admission.h"
 
 /** Octaves of microseconds: up to 71 minutes, the last one without an end. */
 #define PH_LENGTH_OCTAVES 32U
@@ -34,6 +35,8 @@
 	struct ph_lengths *next;
 	/** Owned; of any length. */
 	char *service;
+	/** What the refusal of hopeless batches goes by. */
+	struct ph_admission admission;
 	/** Since when offered work has been counted. */
 	uint64_t since_us;
 	/** Ring, by the number of the interval. */
@@ -66,6 +69,9 @@
 void ph_lengths_hold(struct ph_lengths *lengths, uint64_t length_us,
 		     uint64_t left_us, uint64_t milli);
 
+/** What tasks of all lengths hold, in thousandths of a core. */
+uint64_t ph_lengths_held_milli(const struct ph_lengths *lengths);
+
 /** Most that tasks of a length and longer ones may hold in all, in thousandths
  * of a core. */
 uint64_t ph_lengths_limit_milli(const struct ph_lengths *lengths,
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -59,6 +59,11 @@
 	return b->arrived_us + slack_us * slack_percent / PERCENT;
 }
 
+uint64_t ph_batch_target_start_us(const struct ph_batch *b)
+{
+	return latest_start_us(b, SLACK_PERCENT);
+}
+
 static enum lateness lateness(const struct ph_batch *b, uint64_t latest_us,
 			      uint64_t now_us)
 {
@@ -462,9 +467,14 @@
 				 struct ph_batch *b, uint32_t index,
 				 uint64_t now_us)
 {
-	ph_lengths_hold(ph_lengths_of(pool, b->request->service),
-			b->request->estimate_us, b->request->estimate_us,
+	struct ph_lengths *l = ph_lengths_of(pool, b->request->service);
+
+	ph_lengths_hold(l, b->request->estimate_us, b->request->estimate_us,
 			b->request->need.cpu_milli);
+	if (b->started || now_us <= ph_batch_target_start_us(b))
+		ph_admission_started(&l->admission, now_us,
+				     (uint64_t)b->request->need.cpu_milli *
+					     b->request->estimate_us);
 	return ph_run_start(pool, x, b, index, now_us);
 }
 
@@ -689,6 +699,22 @@
 	measure_wait(pool, b, line);
 }
 
+/* Notes how much is in use where tasks were left without an executor. What a
+ * label leaves of the capacity is not known, so lines with one don't count. */
+static void note_blocked(struct ph_pool *pool)
+{
+	const struct ph_line *line;
+	struct ph_lengths *l;
+
+	for (line = pool->lines; line; line = line->next) {
+		if (!line->blocked || line->label[0])
+			continue;
+		l = ph_lengths_of(pool, line->service);
+		ph_admission_blocked(&l->admission, ph_lengths_held_milli(l),
+				     l->capacity_milli);
+	}
+}
+
 void ph_pool_place(struct ph_pool *pool, uint64_t now_us)
 {
 	struct ph_executor *x;
@@ -708,6 +734,7 @@
 		place_alone(pool, pool->waiting[i], now_us);
 	for (i = 0; i < count; i++)
 		place_in_turn(pool, pool->waiting[i], now_us);
+	note_blocked(pool);
 	free_lines(pool);
 	pool->dirty = false;
 	pool->placed_us = now_us;
