Placement: executors are reserved for tasks that find no room

Cause: a waiting task that finds no executor is skipped, and smaller tasks that follow it take capacity as it is released, so a large one may never find enough of it on one executor.

Change: src/pool_reserve.c computes when an executor will have room, by the expected ends of its runs, and which tasks may start there meanwhile: those that end before with a margin for run times, and those that fit beside. Where no task waits, a round computes nothing more.

--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -80,8 +80,10 @@
 };
 
 const Variant variants[] = {
-	{ "best fit", "", false },
-	{ "unfragmented", "", true },
+	{ "first fit", "best-fit,look-ahead", false },
+	{ "best fit", "look-ahead", false },
+	{ "look-ahead", "", false },
+	{ "unfragmented", "look-ahead", true },
 };
 
 struct Tally {
@@ -301,7 +303,7 @@
 	fflush(stdout);
 }
 
-void compare(int seeds, double seconds, bool full)
+void compare(int seeds, double seconds, bool full, const char *only)
 {
 	for (const Mix &mix : mixes) {
 		printf("%s; in time: all, 8 x 0.06 s, 4 x 0.9 s, 2 x 0.2 s, "
@@ -311,6 +313,8 @@
 		for (int executors : { 8, 16, 36 })
 			for (double factor : { 0.7, 0.85, 1.0, 1.2, 1.6 })
 				for (const Variant &v : variants) {
+					if (only && strcmp(only, v.name) != 0)
+						continue;
 					Load load = { executors, factor,
 						      seconds,	 &mix,
 						      &v,	 0 };
@@ -390,10 +394,12 @@
 	struct arg_dbl *seconds = arg_dbl0(NULL, "seconds", "X",
 					   "time in which jobs arrive (12)");
 	struct arg_lit *full = arg_lit0(NULL, "full", "print waits as well");
+	struct arg_str *only =
+		arg_str0(NULL, "only", "VARIANT", "compare only this variant");
 	struct arg_lit *round =
 		arg_lit0(NULL, "round", "measure the time of a round");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { seeds, seconds, full, round, end };
+	void *table[] = { seeds, seconds, full, only, round, end };
 	int bad = arg_parse(argc, argv, table);
 
 	if (bad) {
@@ -403,8 +409,8 @@
 		measure_rounds(1100, 5000);
 	} else {
 		compare(seeds->count ? seeds->ival[0] : 2,
-			seconds->count ? seconds->dval[0] : 12,
-			full->count > 0);
+			seconds->count ? seconds->dval[0] : 12, full->count > 0,
+			only->count ? only->sval[0] : NULL);
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return bad ? 2 : 0;
--- a/src/mechanisms.c
+++ b/src/mechanisms.c
@@ -25,6 +25,8 @@
 	[PH_MECHANISM_SHARED_PLAN] = "shared-plan",
 	[PH_MECHANISM_READY_FIRST] = "ready-first",
 	[PH_MECHANISM_LENGTH_LIMIT] = "length-limit",
+	[PH_MECHANISM_BEST_FIT] = "best-fit",
+	[PH_MECHANISM_LOOK_AHEAD] = "look-ahead",
 };
 
 const char *ph_mechanism_name(enum ph_mechanism mechanism)
--- a/src/pool.c
+++ b/src/pool.c
@@ -127,6 +127,7 @@
 	if (pool->own_crashes)
 		ph_crashes_free(pool->crashes);
 	pool->mem->free(pool->waiting);
+	pool->mem->free(pool->ends);
 	pool->mem->free(pool->probed_last);
 	while (pool->calls) {
 		struct ph_pending_command *c = pool->calls;
--- a/src/pool.h
+++ b/src/pool.h
@@ -199,6 +199,12 @@
 	uint64_t lost_executors;
 	/** Batches that ended because a task of theirs crashes executors. */
 	uint64_t given_up;
+	/** Waiting tasks for which an executor was reserved, each counted once.
+	 */
+	uint64_t reservations;
+	/** Tasks that were started on an executor that was reserved for
+	 * another one. */
+	uint64_t backfilled;
 };
 
 const struct ph_pool_counters *ph_pool_counters(const struct ph_pool *pool);
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -10,6 +10,7 @@
 #include "intern.h"
 #include "pool.h"
 #include "pool_lengths.h"
+#include "pool_reserve.h"
 
 #define PH_US_PER_MS 1000U
 /* Longest wait for a call's answer: leaves time to repeat a poll before the
@@ -90,6 +91,8 @@
 	/** Capacity of the service's executors that may start these tasks, in
 	 * thousandths of a core; set only if ahead_milli_us isn't 0. */
 	uint64_t possible_milli;
+	/** Most executors that were reserved for its tasks at a time. */
+	uint32_t reserved;
 	/** Tasks in state PH_BATCH_TASK_WAITING. */
 	uint32_t waiting;
 	/** Tasks that are not done. */
@@ -183,6 +186,9 @@
 	/** What the last task needed that found no executor; NULL: all found
 	 * one. */
 	const struct ph_capacity *blocked;
+	/** What the last task needed, and its declared run time, that found
+	 * only reserved executors; NULL: none. */
+	const struct ph_batch_request *deferred;
 	/** Core time of tasks that still wait, in millicore-microseconds, by
 	 * the octave of their length. */
 	uint64_t waiting_milli_us[PH_LENGTH_OCTAVES];
@@ -253,6 +259,11 @@
 	/** Nothing is started in this placement round, so that it gets empty
 	 * for a task that is to run alone. */
 	bool held;
+	/** What this placement round keeps for a task that waits; as of the
+	 * last round. */
+	struct ph_reservation reserved;
+	/** Working value of a placement round: what could be reserved. */
+	struct ph_reservation candidate;
 };
 
 /** A run command that has been sent and not yet answered. */
@@ -307,6 +318,12 @@
 	size_t waiting_size;
 	/** Valid during a placement round. */
 	struct ph_line *lines;
+	/** Reservations that this round may still make. */
+	uint32_t reservations_left;
+	/** Working array of a placement round: the runs of one executor, and
+	 * its size in entries. */
+	struct ph_reserve_run *ends;
+	size_t ends_size;
 	struct ph_pending_command *calls;
 	/** What jobs of different lengths may hold, for each service of which
 	 * a batch has come since the pool was acquired. */
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -32,6 +32,14 @@
 /* Part of the usable executors that may be set aside at a time for tasks that
  * are to run alone, but one at least. */
 #define ALONE_DIVISOR 4U
+/* Share of the usable executors that are reserved at a time for tasks that find
+ * no room, but one at least. With half of them, jobs of small tasks lose more
+ * than those of large ones gain. */
+#define RESERVED_PERCENT 25U
+/* Nothing is reserved while the jobs that have not started would keep all
+ * usable executors busy for longer than this: not all of them can be served in
+ * time then, and small tasks serve more of them with the same capacity. */
+#define BACKLOG_MAX_US 200000U
 
 /* ## Order of starts */
 
@@ -212,6 +220,8 @@
 static uint64_t rank(const struct ph_pool *pool, const struct ph_executor *x,
 		     const struct ph_capacity *need)
 {
+	if (!ph_mechanism_on(pool->opt.off, PH_MECHANISM_BEST_FIT))
+		return (uint64_t)failures(pool, x) << 48;
 	uint64_t left = x->info.capacity.cpu_milli - x->used.cpu_milli -
 			need->cpu_milli;
 	uint64_t run_time = x->run_time_percent < RUN_TIME_MIN_PERCENT
@@ -306,9 +316,18 @@
 	return false;
 }
 
+/* Run time of a batch's tasks on an executor, as far as it is known. */
+static uint64_t expected_us(const struct ph_executor *x,
+			    const struct ph_batch *b)
+{
+	return b->request->estimate_us * x->run_time_percent / PERCENT;
+}
+
+/* Chooses an executor for a task. Tells whether there is one that has room, but
+ * is reserved for another task. */
 static struct ph_executor *choose_executor(struct ph_pool *pool,
 					   const struct ph_batch *batch,
-					   uint64_t now_us)
+					   bool *deferred, uint64_t now_us)
 {
 	const struct ph_batch_request *w = batch->request;
 	struct ph_executor *best = NULL;
@@ -318,6 +337,11 @@
 		if (!ph_capacity_fits(&x->info.capacity, &x->used, &w->need) ||
 		    !suitable(pool, x, w, now_us) || on_trial(pool, x))
 			continue;
+		if (!ph_reserve_admits(&x->reserved, &w->need,
+				       expected_us(x, batch), now_us)) {
+			*deferred = true;
+			continue;
+		}
 		if (!best ||
 		    rank(pool, x, &w->need) < rank(pool, best, &w->need))
 			best = x;
@@ -445,6 +469,124 @@
 	return sum;
 }
 
+/* ## Look-ahead */
+
+/* Prepares the reservations of a round. */
+static void begin_reservations(struct ph_pool *pool, uint64_t now_us)
+{
+	uint64_t capacity_milli = 0;
+	uint64_t waiting_milli_us = 0;
+	const struct ph_batch *b;
+	struct ph_executor *x;
+	uint32_t usable = 0;
+
+	pool->reservations_left = 0;
+	if (!ph_mechanism_on(pool->opt.off, PH_MECHANISM_LOOK_AHEAD))
+		return;
+	for (x = pool->executors; x; x = x->next) {
+		if (!ph_executor_usable(pool, x, now_us))
+			continue;
+		usable++;
+		capacity_milli += x->info.capacity.cpu_milli;
+	}
+	for (b = pool->batches; b; b = b->next)
+		waiting_milli_us += b->started ? 0 : ph_batch_core_time(b);
+	if (waiting_milli_us > capacity_milli * BACKLOG_MAX_US)
+		return;
+	pool->reservations_left = usable * RESERVED_PERCENT / PERCENT;
+	if (!pool->reservations_left && usable)
+		pool->reservations_left = 1;
+}
+
+/* When a run is likely to end. A run of unknown length keeps its capacity for
+ * as long as it may be claimed. */
+static uint64_t expected_end_us(const struct ph_executor *x,
+				const struct ph_run *run, uint64_t now_us)
+{
+	uint64_t elapsed_us =
+		now_us > run->created_us ? now_us - run->created_us : 0;
+	uint64_t percent_us = x->poll_ok_us > run->created_us
+				      ? x->poll_ok_us - run->created_us
+				      : 0;
+
+	if (!run->batch)
+		return now_us + elapsed_us;
+	return now_us + ph_reserve_left_us(run->batch->request->estimate_us,
+					   x->run_time_percent, elapsed_us,
+					   run->percent, percent_us);
+}
+
+/* Finds out what an executor could reserve for a task. */
+static void find_candidate(struct ph_pool *pool, struct ph_executor *x,
+			   const struct ph_batch *b, uint64_t now_us)
+{
+	const struct ph_run *run;
+	size_t n = 0;
+
+	x->candidate.from_us = 0;
+	if (x->reserved.from_us || !suitable(pool, x, b->request, now_us) ||
+	    on_trial(pool, x))
+		return;
+	for (run = x->runs; run; run = run->next)
+		n++;
+	if (n > pool->ends_size) {
+		pool->ends_size = 2 * n;
+		pool->ends = pool->mem->realloc(
+			pool->ends, pool->ends_size * sizeof(*pool->ends));
+	}
+	n = 0;
+	for (run = x->runs; run; run = run->next) {
+		pool->ends[n].end_us = expected_end_us(x, run, now_us);
+		pool->ends[n++].need = run->need;
+	}
+	if (!ph_reserve_find(&x->info.capacity, pool->ends, n,
+			     &b->request->need, now_us, &x->candidate))
+		x->candidate.from_us = 0;
+}
+
+/* Start up to which capacity is kept free for a batch: a job that is not
+ * likely to end in time leaves it to others, unless it would lose what it has
+ * computed. */
+static uint64_t latest_reserved_us(const struct ph_pool *pool,
+				   const struct ph_batch *b)
+{
+	return b->started ? b->arrived_us + ph_batch_longest_wait_us(pool, b)
+			  : latest_start_us(b, SLACK_PERCENT);
+}
+
+/* Reserves executors for the waiting tasks of a batch that find no capacity, if
+ * they will have it in time. */
+static void reserve(struct ph_pool *pool, struct ph_batch *b, uint64_t now_us)
+{
+	uint64_t latest_us = latest_reserved_us(pool, b);
+	struct ph_executor *x;
+	uint32_t n = 0;
+
+	if (!pool->reservations_left || latest_us < now_us)
+		return;
+	for (x = pool->executors; x; x = x->next)
+		find_candidate(pool, x, b, now_us);
+	for (; n < b->waiting && pool->reservations_left; n++) {
+		struct ph_executor *best = NULL;
+
+		for (x = pool->executors; x; x = x->next)
+			if (x->candidate.from_us &&
+			    x->candidate.from_us <= latest_us &&
+			    (!best ||
+			     x->candidate.from_us < best->candidate.from_us))
+				best = x;
+		if (!best)
+			break;
+		best->reserved = best->candidate;
+		best->candidate.from_us = 0;
+		pool->reservations_left--;
+	}
+	if (n > b->reserved) {
+		pool->counters.reservations += n - b->reserved;
+		b->reserved = n;
+	}
+}
+
 /* ## Jobs of different lengths */
 
 /* Whether the length of a batch's tasks lets one more of them start. */
@@ -465,6 +607,9 @@
 	ph_lengths_hold(ph_lengths_of(pool, b->request->service),
 			b->request->estimate_us, b->request->estimate_us,
 			b->request->need.cpu_milli);
+	pool->counters.backfilled += x->reserved.from_us != 0;
+	ph_reserve_start(&x->reserved, &b->request->need, expected_us(x, b),
+			 now_us);
 	return ph_run_start(pool, x, b, index, now_us);
 }
 
@@ -541,12 +686,22 @@
 	}
 }
 
+/* Why the placement of a batch has stopped. */
+enum placed {
+	/** Its tasks were started, or may not start at present. */
+	PLACED,
+	/** No executor has room. */
+	NO_ROOM,
+	/** Only reserved executors have room. */
+	ROOM_RESERVED,
+};
+
 /* Starts the other waiting tasks of a batch until one finds no executor, or
- * tasks of their length hold as much as they may. Returns false in the first
- * case. */
-static bool place_batch(struct ph_pool *pool, struct ph_batch *b,
-			uint64_t now_us)
+ * tasks of their length hold as much as they may. */
+static enum placed place_batch(struct ph_pool *pool, struct ph_batch *b,
+			       uint64_t now_us)
 {
+	bool deferred = false;
 	bool suspects = ph_crashes_has_job(pool->crashes, b->job_hash);
 	uint32_t i;
 
@@ -559,14 +714,14 @@
 			continue;
 		b->held_back = !length_allows(pool, b);
 		if (b->held_back)
-			return true;
-		x = choose_executor(pool, b, now_us);
+			return PLACED;
+		x = choose_executor(pool, b, &deferred, now_us);
 		if (!x)
-			return false;
+			return deferred ? ROOM_RESERVED : NO_ROOM;
 		if (may_start(pool, b, i, now_us))
 			start_task(pool, x, b, i, now_us);
 	}
-	return true;
+	return PLACED;
 }
 
 /* The context of a comparison of two batches. */
@@ -639,15 +794,27 @@
 	}
 }
 
+static bool needs_no_less(const struct ph_capacity *need,
+			  const struct ph_capacity *than)
+{
+	return need->cpu_milli >= than->cpu_milli &&
+	       need->mem_mb >= than->mem_mb && need->gpu >= than->gpu;
+}
+
 /* Whether a batch finds no executor, since one that precedes it and needs no
  * more has found none. */
 static bool blocked(const struct ph_batch *b, const struct ph_line *line)
 {
-	const struct ph_capacity *need = &b->request->need;
+	return line->blocked && needs_no_less(&b->request->need, line->blocked);
+}
 
-	return line->blocked && need->cpu_milli >= line->blocked->cpu_milli &&
-	       need->mem_mb >= line->blocked->mem_mb &&
-	       need->gpu >= line->blocked->gpu;
+/* Whether a batch finds only reserved executors, since one that precedes it,
+ * needs no more and takes no longer has found no others. */
+static bool deferred(const struct ph_batch *b, const struct ph_line *line)
+{
+	return line->deferred &&
+	       b->request->estimate_us >= line->deferred->estimate_us &&
+	       needs_no_less(&b->request->need, &line->deferred->need);
 }
 
 /* Notes what is ahead of a batch. Tasks for other executors are not: they need
@@ -684,8 +851,16 @@
 	struct ph_line *line = line_of(pool, b);
 
 	b->held_back = false;
-	if (!blocked(b, line) && !place_batch(pool, b, now_us))
-		line->blocked = &b->request->need;
+	if (!blocked(b, line) && !deferred(b, line)) {
+		enum placed placed = place_batch(pool, b, now_us);
+
+		if (placed == NO_ROOM)
+			line->blocked = &b->request->need;
+		else if (placed == ROOM_RESERVED)
+			line->deferred = b->request;
+	}
+	if (b->waiting && !b->held_back)
+		reserve(pool, b, now_us);
 	measure_wait(pool, b, line);
 }
 
@@ -699,11 +874,15 @@
 	if (pool->fenced)
 		return;
 	update_widespread_loss(pool, now_us);
-	for (x = pool->executors; x; x = x->next)
+	for (x = pool->executors; x; x = x->next) {
 		x->held = false;
+		x->reserved.from_us = 0;
+	}
 	count = sort_waiting(pool, now_us);
-	if (count)
+	if (count) {
 		measure_lengths(pool, now_us);
+		begin_reservations(pool, now_us);
+	}
 	for (i = 0; i < count; i++)
 		place_alone(pool, pool->waiting[i], now_us);
 	for (i = 0; i < count; i++)
