--- a/src/dispatcher_report.c
+++ b/src/dispatcher_report.c
@@ -36,6 +36,8 @@
 		{ "lost_executors_total", c->lost_executors },
 		{ "given_up_jobs_total", c->given_up },
 		{ "evacuated_batches_total", c->evacuated },
+		{ "reservations_total", c->reservations },
+		{ "backfilled_tasks_total", c->backfilled },
 	};
 	size_t i;
 
@@ -150,6 +152,8 @@
 			 d->pools[i].name, ph_pool_owned(d->pools[i].pool),
 			 load.executors, load.usable, load.free_milli,
 			 load.batches);
+		if (ph_pool_owned(d->pools[i].pool))
+			ph_pool_dump_reservations(d->pools[i].pool, now_us);
 	}
 }
 
--- a/src/pool.h
+++ b/src/pool.h
@@ -192,6 +192,9 @@
 void ph_pool_measure(const struct ph_pool *pool, uint64_t now_us,
 		     struct ph_pool_load *load);
 
+/** Logs the reservations of the last placement round. */
+void ph_pool_dump_reservations(const struct ph_pool *pool, uint64_t now_us);
+
 struct ph_pool_counters {
 	/** Start commands sent. */
 	uint64_t starts;
@@ -219,6 +222,12 @@
 	uint64_t given_up;
 	/** Batches returned because the pool's domain is evacuated. */
 	uint64_t evacuated;
+	/** Waiting tasks for which an executor was reserved, each counted once.
+	 */
+	uint64_t reservations;
+	/** Tasks that were started on an executor that was reserved for
+	 * another one. */
+	uint64_t backfilled;
 };
 
 const struct ph_pool_counters *ph_pool_counters(const struct ph_pool *pool);
