Heartbeats tell new instances of a domain who owns its pools

An instance that started without a list of the others claimed pools of live owners as soon as it had heard one peer. Heartbeats to instances of the own domain that became known within 2 s now list the owners and other new instances; the receiver contacts them and treats the pools as owned until it hears the owner, is refused by it, or 0.7 s have passed.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -32,6 +32,7 @@
 		cluster->mem->free(m);
 	}
 	cluster->mem->free(cluster->contacts);
+	cluster->mem->free(cluster->reports);
 	cluster->mem->free(cluster->pools);
 	cluster->mem->free(cluster->by_name);
 	cluster->mem->free(cluster);
@@ -281,6 +282,7 @@
 	}
 	if (had_claims != (m->claim_count > 0))
 		list_owners(cluster);
+	ph_reports_received(cluster, m, heartbeat, now_us);
 	return m;
 }
 
@@ -298,6 +300,7 @@
 {
 	struct ph_member *m;
 
+	ph_reports_refused(cluster, addr);
 	for (m = cluster->first; m; m = m->next) {
 		if (strcmp(m->addr, addr) != 0)
 			continue;
@@ -400,6 +403,7 @@
 		     uint64_t unix_ms, const struct ph_cluster_sink *sink,
 		     void *ctx)
 {
+	ph_reports_expire(cluster, now_us);
 	ph_heartbeat_check_peers(cluster, now_us, sink, ctx);
 	ph_claims_tick(cluster, now_us, unix_ms, sink, ctx);
 	ph_heartbeat_send_due(cluster, now_us, sink, ctx);
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -131,6 +131,16 @@
 uint64_t ph_cluster_interval_us(const struct ph_cluster *cluster,
 				const struct ph_member *member);
 
+/**
+ * Lists the owners of the pools of the own domain, and instances of it that
+ * have become known lately, for a heartbeat to a peer that has itself become
+ * known lately. Returns their number, of at most PH_REPORTED_OWNERS_MAX; 0 for
+ * other peers and for NULL.
+ */
+uint32_t ph_cluster_report_owners(const struct ph_cluster *cluster,
+				  uint64_t now_us, const struct ph_member *to,
+				  struct ph_reported_owner *owners);
+
 /** Whether an owned pool is currently offered to other instances. */
 bool ph_cluster_pool_offered(const struct ph_cluster *cluster, uint64_t now_us,
 			     const char *pool);
--- a/src/cluster_impl.h
+++ b/src/cluster_impl.h
@@ -2,7 +2,8 @@
 #define PH_CLUSTER_IMPL_H
 
 /* Shared by cluster.c (members and failure detection), cluster_heartbeat.c
- * (heartbeats and connections) and cluster_ownership.c (claims of pools). */
+ * (heartbeats and connections), cluster_ownership.c (claims of pools) and
+ * cluster_start.c (what an instance that starts is told of the others). */
 
 #include "cluster.h"
 #include "intern.h"
@@ -59,6 +60,22 @@
 	uint64_t renewed_us;
 };
 
+/** What a peer has reported of an instance of the own domain that was not heard
+ * at that time. */
+struct ph_owner_report {
+	/** "": it owns no pool of the domain. */
+	const char *pool_name;
+	const char *name;
+	char addr[PH_ADDR_BYTES];
+	uint64_t token;
+	/** When it was reported first. */
+	uint64_t first_us;
+	/** Until then the pool counts as owned. */
+	uint64_t until_us;
+	/** The instance is heard now, or its process is gone. */
+	bool settled;
+};
+
 struct ph_cluster {
 	const struct ph_mem *mem;
 	struct ph_cluster_options opt;
@@ -85,6 +102,13 @@
 	/** When this instance last claimed, and last offered, a pool. */
 	uint64_t last_claim_us;
 	uint64_t last_offer_us;
+	struct ph_owner_report *reports;
+	size_t report_count;
+	/** A peer that has been running for long knows of this instance, so
+	 * that its heartbeats report the owners. */
+	bool introduced;
+	/** Until then no pool of the own domain is claimed before that. */
+	uint64_t introduction_until_us;
 };
 
 /* ## cluster.c */
@@ -146,4 +170,22 @@
 		    uint64_t unix_ms, const struct ph_cluster_sink *sink,
 		    void *ctx);
 
+/* ## cluster_start.c */
+
+/** Handles the reports of owners in a heartbeat of m. */
+void ph_reports_received(struct ph_cluster *cluster, const struct ph_member *m,
+			 const struct ph_poolmsg *heartbeat, uint64_t now_us);
+/** A connection to this address was refused. */
+void ph_reports_refused(struct ph_cluster *cluster, const char *addr);
+/** Removes reports that have had no effect for long. */
+void ph_reports_expire(struct ph_cluster *cluster, uint64_t now_us);
+/** Whether an owner of the pool was reported that is not heard yet. */
+bool ph_reports_owned(const struct ph_cluster *cluster, const char *pool,
+		      uint64_t now_us);
+/** Highest token of the reported owners of a pool. */
+uint64_t ph_reports_token(const struct ph_cluster *cluster, const char *pool);
+/** Whether claims of pools of the own domain have to wait for other instances,
+ * which are about to be heard. */
+bool ph_reports_incomplete(const struct ph_cluster *cluster, uint64_t now_us);
+
 #endif
--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -434,7 +434,10 @@
 	uint64_t own = hash & ((1U << TOKEN_SHIFT) - 1);
 	uint64_t ahead_ms = 1 + ((hash >> TOKEN_SHIFT) & (TOKEN_SPREAD_MS - 1));
 	uint64_t token = unix_ms << TOKEN_SHIFT | own;
+	uint64_t reported = ph_reports_token(cluster, p->name);
 
+	if (reported > p->highest_token)
+		p->highest_token = reported;
 	if (token <= p->highest_token)
 		token = ((p->highest_token >> TOKEN_SHIFT) + ahead_ms)
 				<< TOKEN_SHIFT |
@@ -517,12 +520,13 @@
  * committed claim or, for an instance of its domain, just claims by instances
  * of other domains. */
 static bool vacant(const struct ph_cluster *cluster,
-		   const struct ph_pool_claim *p)
+		   const struct ph_pool_claim *p, uint64_t now_us)
 {
 	const struct ph_member *m = p->committed_claimant;
 	bool in_domain = ph_pool_shard_in(p->name, cluster->opt.domain);
 
-	return !m || (in_domain && !ph_pool_shard_in(p->name, m->domain));
+	return (!m || (in_domain && !ph_pool_shard_in(p->name, m->domain))) &&
+	       !ph_reports_owned(cluster, p->name, now_us);
 }
 
 /* Claims a pool that the plan has assigned to this instance for long enough. */
@@ -550,7 +554,8 @@
 		p->vacant_since_us = now_us;
 	if (!p->assigned_to_self)
 		return;
-	if (now_us < p->contested_until_us)
+	if (now_us < p->contested_until_us ||
+	    (in_domain && ph_reports_incomplete(cluster, now_us)))
 		return;
 	/* The waits run at the same time. */
 	if (now_us < cluster->opt.start_us + start_delay_us ||
@@ -726,7 +731,7 @@
 
 		if (p->owned && outranked(cluster, p))
 			ph_claim_release(p, sink, ctx);
-		p->vacant = !p->owned && vacant(cluster, p);
+		p->vacant = !p->owned && vacant(cluster, p, now_us);
 		/* The other instance is heard by now. */
 		if (p->committed_claimant)
 			p->contested_until_us = 0;
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -234,6 +234,8 @@
 	}
 	msg->suspect_count =
 		ph_crashes_recent(d->crashes, now_us, msg->suspects);
+	msg->reported_owner_count = ph_cluster_report_owners(
+		d->cluster, now_us, m, msg->reported_owners);
 	ph_dispatcher_send(d, addr, msg);
 }
 
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -10,11 +10,12 @@
 
 /* Numbers of array elements: of the header, of the body of a heartbeat and of a
  * list change without their entries, of the other bodies, and of one entry (a
- * claim, a suspect or an executor). */
+ * claim, a suspect, a reported owner or an executor). */
 #define HEADER_FIELDS 6U
-#define HEARTBEAT_FIELDS 15U
+#define HEARTBEAT_FIELDS 16U
 #define CLAIM_FIELDS 9U
 #define SUSPECT_FIELDS 5U
+#define REPORTED_OWNER_FIELDS 5U
 #define BATCH_REQUEST_FIELDS 19U
 #define RESULT_FIELDS 5U
 #define LIST_FIELDS 5U
@@ -72,6 +73,16 @@
 	msgpack_pack_uint32(pk, s->suspected);
 }
 
+static void put_reported_owner(msgpack_packer *pk,
+			       const struct ph_reported_owner *o)
+{
+	put_str(pk, o->pool_name);
+	put_str(pk, o->name);
+	put_str(pk, o->addr);
+	msgpack_pack_uint64(pk, o->token);
+	msgpack_pack_uint64(pk, o->heard_ago_us);
+}
+
 static void put_heartbeat(msgpack_packer *pk, const struct ph_poolmsg *m)
 {
 	uint32_t i;
@@ -95,6 +106,9 @@
 	msgpack_pack_uint64(pk, m->shards_revision);
 	msgpack_pack_uint64(pk, m->evacuation_revision);
 	msgpack_pack_uint64(pk, m->evacuation_age_us);
+	msgpack_pack_uint32(pk, m->reported_owner_count);
+	for (i = 0; i < m->reported_owner_count; i++)
+		put_reported_owner(pk, &m->reported_owners[i]);
 }
 
 static void put_batch_request(msgpack_packer *pk,
@@ -164,7 +178,8 @@
 static size_t heartbeat_fields(const struct ph_poolmsg *m)
 {
 	return HEARTBEAT_FIELDS + m->claim_count * CLAIM_FIELDS +
-	       m->suspect_count * SUSPECT_FIELDS;
+	       m->suspect_count * SUSPECT_FIELDS +
+	       m->reported_owner_count * REPORTED_OWNER_FIELDS;
 }
 
 static size_t body_fields(const struct ph_poolmsg *m)
@@ -376,6 +391,15 @@
 	s->suspected = get_u32(r) != 0;
 }
 
+static void get_reported_owner(struct reader *r, struct ph_reported_owner *o)
+{
+	o->pool_name = get_str(r);
+	o->name = get_str(r);
+	get_short_str(r, o->addr, sizeof(o->addr));
+	o->token = get_u64(r);
+	o->heard_ago_us = get_u64(r);
+}
+
 static void get_heartbeat(struct reader *r, struct ph_poolmsg *m)
 {
 	uint32_t i;
@@ -404,6 +428,11 @@
 	m->shards_revision = get_u64(r);
 	m->evacuation_revision = get_u64(r);
 	m->evacuation_age_us = get_u64(r);
+	if (r->bad || !r->left)
+		return;
+	m->reported_owner_count = (uint32_t)get_uint(r, PH_REPORTED_OWNERS_MAX);
+	for (i = 0; i < m->reported_owner_count; i++)
+		get_reported_owner(r, &m->reported_owners[i]);
 }
 
 static void get_batch_request(const struct ph_mem *mem, struct reader *r,
@@ -557,10 +586,32 @@
 	       ph_platform_name_valid(x->domain) && ph_addr_valid(x->addr);
 }
 
+/* Whether a name is that of a pool of the domain. */
+static bool pool_in_domain(const char *pool, const char *domain)
+{
+	const char *shard = strchr(pool, '#');
+
+	return ph_pool_shard_in(pool, domain) &&
+	       (!shard ||
+		(shard[1] && !shard[1 + strspn(shard + 1, "0123456789")] &&
+		 ph_pool_shard_number(pool) < PH_POOL_SHARDS_MAX));
+}
+
+static bool reported_owner_valid(const struct ph_reported_owner *o,
+				 const char *domain)
+{
+	return (!o->pool_name[0] || pool_in_domain(o->pool_name, domain)) &&
+	       ph_platform_name_valid(o->name) && ph_addr_valid(o->addr);
+}
+
 bool ph_poolmsg_names_valid(const struct ph_poolmsg *m)
 {
 	size_t i;
 
+	for (i = 0; i < m->reported_owner_count; i++)
+		if (!reported_owner_valid(&m->reported_owners[i], m->domain))
+			return false;
+
 	for (i = 0; m->change && i < m->change->updated_count; i++)
 		if (!executor_valid(&m->change->updated[i]))
 			return false;
--- a/src/poolmsg.h
+++ b/src/poolmsg.h
@@ -13,6 +13,9 @@
 #define PH_POOLMSG_PROTOCOL 4U
 /** Most pools that an instance owns: as many as a heartbeat can carry. */
 #define PH_CLAIMS_MAX 32U
+/** Most owners in a heartbeat: 1,100 executors in one domain make 35 pools, and
+ * some instances that own none start at the same time. */
+#define PH_REPORTED_OWNERS_MAX 64U
 
 enum ph_poolmsg_type {
 	/** Shows that the sender is alive; carries its claims and their load.
@@ -46,6 +49,19 @@
 	struct ph_pool_load load;
 };
 
+/** An instance of the sender's domain that the sender hears: the owner of one
+ * of the domain's pools, or an instance that has become known lately. */
+struct ph_reported_owner {
+	/** "": it owns none of them. */
+	const char *pool_name;
+	const char *name;
+	char addr[PH_ADDR_BYTES];
+	/** Fencing token; 0 without a pool. */
+	uint64_t token;
+	/** Time since its last heartbeat was received by the sender. */
+	uint64_t heard_ago_us;
+};
+
 /** A message; fields that its type does not carry are unused, 0 if decoded. Its
  * strings are borrowed when it is encoded. */
 struct ph_poolmsg {
@@ -58,7 +74,7 @@
 	const char *domain;
 	char addr[PH_ADDR_BYTES];
 	uint64_t incarnation;
-	/* The fields from here to evacuation_age_us are those of
+	/* The fields from here to reported_owners are those of
 	 * HEARTBEAT. */
 	/** The sender is stopping and claims no more pools. */
 	bool leaving;
@@ -95,6 +111,11 @@
 	 * evacuate failure domains, and the age of that knowledge; 0: none. */
 	uint64_t evacuation_revision;
 	uint64_t evacuation_age_us;
+	/** To an instance of the own domain that has become known lately: who
+	 * owns the domain's pools. Versions that don't know them ignore them.
+	 */
+	uint32_t reported_owner_count;
+	struct ph_reported_owner reported_owners[PH_REPORTED_OWNERS_MAX];
 	/** Number that identifies a batch at the submitting instance; in all
 	 * types but HEARTBEAT, CONFIG_REQUEST, CONFIG and LIST. */
 	uint64_t seq;
--- a/test/test_poolmsg.cc
+++ b/test/test_poolmsg.cc
@@ -99,6 +99,13 @@
 			m.shards_revision = 9;
 			m.evacuation_revision = 1ULL << 41;
 			m.evacuation_age_us = 70;
+			m.reported_owner_count = 2;
+			m.reported_owners[0].pool_name = "north#3";
+			m.reported_owners[0].name = "n2";
+			strcpy(m.reported_owners[0].addr, "10.0.0.2:1");
+			m.reported_owners[0].token = 1ULL << 51;
+			m.reported_owners[0].heard_ago_us = 99;
+			m.reported_owners[1].name = "n3";
 		}
 		if (t == PH_POOLMSG_SUBMIT) {
 			m.batch_request = &request;
@@ -126,6 +133,18 @@
 		EXPECT_EQ(got.shards_revision, m.shards_revision);
 		EXPECT_EQ(got.evacuation_revision, m.evacuation_revision);
 		EXPECT_EQ(got.evacuation_age_us, m.evacuation_age_us);
+		ASSERT_EQ(got.reported_owner_count, m.reported_owner_count);
+		for (uint32_t i = 0; i < got.reported_owner_count; i++) {
+			const ph_reported_owner &o = m.reported_owners[i];
+			const ph_reported_owner &r = got.reported_owners[i];
+
+			EXPECT_STREQ(r.pool_name,
+				     o.pool_name ? o.pool_name : "");
+			EXPECT_STREQ(r.name, o.name);
+			EXPECT_STREQ(r.addr, o.addr);
+			EXPECT_EQ(r.token, o.token);
+			EXPECT_EQ(r.heard_ago_us, o.heard_ago_us);
+		}
 		EXPECT_EQ(got.claims[0].token, m.claims[0].token);
 		EXPECT_EQ(got.claims[0].offered, m.claims[0].offered);
 		EXPECT_EQ(got.result.possible_executor[1],
@@ -153,8 +172,8 @@
 	}
 }
 
-/* A heartbeat of an earlier version ends with the claims, the suspects or the
- * echo. */
+/* A heartbeat of an earlier version ends with the claims, the suspects, the
+ * echo or the age of the requests to evacuate. */
 TEST(PoolMsg, AHeartbeatWithoutAnEchoIsDecoded)
 {
 	ph_poolmsg m = message(PH_POOLMSG_HEARTBEAT);
@@ -166,9 +185,14 @@
 	/* An array of up to 65535 elements, and the last numbers, of one byte
 	 * and of nine. */
 	ASSERT_EQ(bytes[0], '\xdc');
-	ASSERT_EQ(bytes[2], 21);
+	ASSERT_EQ(bytes[2], 22);
 	m.echo_us = 1ULL << 40;
 	ASSERT_EQ(encode(m).size(), bytes.size() + 8);
+	bytes.pop_back();
+	bytes[2]--;
+	ASSERT_EQ(decode(bytes, &got), 0);
+	EXPECT_EQ(got.reported_owner_count, 0U);
+	ph_poolmsg_clear(ph_mem_default(), &got);
 	bytes.resize(bytes.size() - 3);
 	bytes[2] -= 3;
 	ASSERT_EQ(decode(bytes, &got), 0);
@@ -215,6 +239,25 @@
 		  [](ph_poolmsg &m) { m.domain = "north#2"; } },
 		{ "too many shards", PH_POOLMSG_HEARTBEAT,
 		  [](ph_poolmsg &m) { m.shards = PH_POOL_SHARDS_MAX + 1; } },
+		{ "an owner with a host name", PH_POOLMSG_HEARTBEAT,
+		  [](ph_poolmsg &m) {
+			  strcpy(m.reported_owners[0].addr, "n2.example:1");
+		  } },
+		{ "an owner with an unsafe name", PH_POOLMSG_HEARTBEAT,
+		  [](ph_poolmsg &m) { m.reported_owners[0].name = "a\nb"; } },
+		{ "an owner of a pool of another domain", PH_POOLMSG_HEARTBEAT,
+		  [](ph_poolmsg &m) {
+			  m.reported_owners[0].pool_name = "south";
+		  } },
+		{ "an owner of a pool without a number", PH_POOLMSG_HEARTBEAT,
+		  [](ph_poolmsg &m) {
+			  m.reported_owners[0].pool_name = "north#";
+		  } },
+		{ "an owner of a pool with too high a number",
+		  PH_POOLMSG_HEARTBEAT,
+		  [](ph_poolmsg &m) {
+			  m.reported_owners[0].pool_name = "north#1000";
+		  } },
 		{ "an interval of an hour", PH_POOLMSG_HEARTBEAT,
 		  [](ph_poolmsg &m) { m.interval_us = 3600000000; } },
 		{ "CPU that overflows a sum", PH_POOLMSG_SUBMIT,
@@ -248,6 +291,12 @@
 		change->updated[0].id = "x1";
 		strcpy(change->updated[0].addr, "10.0.0.9:80");
 		change->updated[0].domain = "north";
+		if (c.type == PH_POOLMSG_HEARTBEAT) {
+			m.reported_owner_count = 1;
+			m.reported_owners[0].pool_name = "north#2";
+			m.reported_owners[0].name = "n2";
+			strcpy(m.reported_owners[0].addr, "10.0.0.2:1");
+		}
 		if (c.type == PH_POOLMSG_SUBMIT)
 			m.batch_request = &request;
 		if (c.type == PH_POOLMSG_LIST)
