Two instances that start at once agree on claims although they hear each other late

An instance judged whether another one may claim by when it first heard it, so two that heard each other late each took the other as not ready and both claimed. It now uses the start times in the heartbeats.

--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -53,6 +53,7 @@
 #define OFFER_MAX_LOAD_PERCENT 75U
 #define PERCENT 100U
 #define MS_PER_S 1000U
+#define US_PER_MS 1000U
 /* A fencing token is the Unix time in milliseconds, shifted left by this many
  * bits, with bits of a hash of the instance below. It stays below 2^53, beyond
  * which a JSON reader may round numbers. */
@@ -306,10 +307,26 @@
 	return r;
 }
 
+/* When a peer started, by the local monotonic clock: by the difference of the
+ * start times in the heartbeats, so that two instances that hear of each other
+ * late judge alike, but no later than it was first heard, as the clocks of the
+ * time of day may differ. */
+static uint64_t start_of(const struct ph_cluster *cluster,
+			 const struct ph_member *m)
+{
+	int64_t later_ms = (int64_t)(m->incarnation - cluster->opt.incarnation);
+	uint64_t later_us = (uint64_t)later_ms * US_PER_MS;
+	uint64_t start_us = cluster->opt.start_us + later_us;
+
+	if (later_ms < 0 && 0 - later_us > cluster->opt.start_us)
+		return 0;
+	return start_us < m->first_heard_us ? start_us : m->first_heard_us;
+}
+
 static struct rank rank_of(const struct ph_cluster *cluster,
 			   const struct ph_member *m, uint64_t now_us)
 {
-	struct rank r = { ready_to_claim(cluster, m->first_heard_us, now_us),
+	struct rank r = { ready_to_claim(cluster, start_of(cluster, m), now_us),
 			  m->claim_count, m->cpu_milli, m->incarnation,
 			  m->name };
 
--- a/test/cluster_network.h
+++ b/test/cluster_network.h
@@ -55,6 +55,8 @@
  * or never if the instances are in different groups (a network partition). */
 struct Network {
 	uint64_t now_us = 1000000;
+	/** Time until a heartbeat is handled, or a refused dial is known. */
+	uint64_t latency_us = kMs;
 	std::vector<std::unique_ptr<Instance>> instances;
 	std::map<std::string, int> group;
 	std::multimap<uint64_t, std::function<void()>> events;
@@ -67,6 +69,12 @@
 	 * good. A new one that is dialed takes their place. */
 	std::set<std::pair<std::string, std::string>> severed;
 	bool new_connections_work = true;
+	/** An instance sends heartbeats at once when it claims or releases a
+	 * pool, as the dispatcher does. */
+	bool announces_changes = false;
+	/** Pools that were claimed although an instance of their domain owned
+	 * them and would have kept them. */
+	int taken = 0;
 
 	~Network()
 	{
@@ -74,17 +82,39 @@
 			ph_cluster_free(n->cluster);
 	}
 
+	/* Whether an instance of the pool's domain other than n owns it and
+	 * keeps it. */
+	bool kept_by_other(const Instance *n, const char *pool)
+	{
+		std::string name = pool;
+		std::string domain = name.substr(0, name.find('#'));
+
+		for (auto &o : instances)
+			if (o.get() != n && o->running && !o->leaving &&
+			    o->domain == domain && o->owned.count(name) &&
+			    !ph_cluster_pool_offered(o->cluster, now_us, pool))
+				return true;
+		return false;
+	}
+
 	static void on_acquire(void *ctx, const char *pool, uint64_t token)
 	{
 		Instance *n = static_cast<Instance *>(ctx);
 
+		n->net->taken += n->net->kept_by_other(n, pool);
 		n->owned[pool] = token;
 		n->acquisitions++;
+		if (n->net->announces_changes)
+			ph_cluster_heartbeat_soon(n->cluster, PH_HEARTBEAT_ALL);
 	}
 
 	static void on_release(void *ctx, const char *pool)
 	{
-		static_cast<Instance *>(ctx)->owned.erase(pool);
+		Instance *n = static_cast<Instance *>(ctx);
+
+		n->owned.erase(pool);
+		if (n->net->announces_changes)
+			ph_cluster_heartbeat_soon(n->cluster, PH_HEARTBEAT_ALL);
 	}
 
 	static void on_send_heartbeat(void *ctx, const char *addr,
@@ -125,13 +155,16 @@
 		    net->severed.count({ from->name, to }))
 			return;
 		if (!net->find(to)->running) {
-			net->events.emplace(net->now_us + kMs, [net, from, to] {
-				ph_cluster_connection_refused(
-					from->cluster, net->now_us, to.c_str());
-			});
+			net->events.emplace(
+				net->now_us + net->latency_us, [net, from, to] {
+					ph_cluster_connection_refused(
+						from->cluster, net->now_us,
+						to.c_str());
+				});
 			return;
 		}
-		net->events.emplace(net->now_us + kMs, [net, to, msg] {
+		net->events.emplace(net->now_us + net->latency_us, [net, to,
+								    msg] {
 			Instance *n = net->find(to);
 
 			if (n && n->running && !n->frozen)
--- a/test/test_cluster_start.cc
+++ b/test/test_cluster_start.cc
@@ -21,6 +21,7 @@
 				       : "north");
 	for (int i = 0; i < instances; i++)
 		net->add("n" + std::to_string(i), "north");
+	net->announces_changes = true;
 	net->start_all();
 	net->run_until(net->now_us + 3000 * kMs);
 }
@@ -81,4 +82,147 @@
 	}
 }
 
+struct TwoStartsCase {
+	int instances;
+	int pools;
+	/** Time between the starts of the two. */
+	uint64_t gap_us;
+	/** Until a heartbeat is handled: instances that are short of CPU. */
+	uint64_t latency_us;
+};
+
+/* Two instances are down, then all others but one die, and the two start
+ * knowing only that one. Returns how often a pool was claimed that another
+ * instance owned. */
+int taken_by_two_starts(const TwoStartsCase &c, uint64_t down_us,
+			uint64_t vacant_us)
+{
+	std::vector<Instance *> two;
+	Instance *peer;
+	Network net;
+
+	net.latency_us = c.latency_us;
+	one_domain(&net, c.instances, c.pools);
+	peer = without_pools(&net)[0];
+	for (auto &n : net.instances)
+		if (n.get() != peer && two.size() < 2)
+			two.push_back(n.get());
+	for (Instance *n : two)
+		n->running = false;
+	net.run_until(net.now_us + down_us);
+	for (auto &n : net.instances)
+		n->running = n.get() == peer;
+	net.run_until(net.now_us + vacant_us);
+	net.taken = 0;
+	for (Instance *n : two) {
+		n->contact = peer->name;
+		net.start(n);
+		net.run_until(net.now_us + c.gap_us);
+	}
+	net.run_until(net.now_us + 2000 * kMs);
+	EXPECT_EQ(owners_of_all(&net).size(), net.pools.size());
+	return net.taken;
+}
+
+/* Guards against two instances that send tokens of the same pool to its
+ * executors: they start at once and hear of each other late, or only from a
+ * peer, when the pools have no owner. */
+TEST(ClusterStart, TwoThatStartAtOnceAgreeBeforeEitherClaims)
+{
+	int taken = 0;
+
+	for (int instances : { 3, 4, 6 })
+		for (int pools : { 1, 2 })
+			for (uint64_t gap_ms : { 0, 10, 30, 70 })
+				for (uint64_t latency_ms : { 1, 20, 40 })
+					for (uint64_t ms = 0; ms < 300;
+					     ms += 50) {
+						TwoStartsCase c = {
+							instances, pools,
+							gap_ms * kMs,
+							latency_ms * kMs
+						};
+
+						taken += taken_by_two_starts(
+							c, (400 + ms) * kMs,
+							ms * kMs);
+					}
+	EXPECT_EQ(taken, 0);
+}
+
+struct GoneCase {
+	const char *what;
+	void (*fail)(Network *, Instance *);
+};
+
+const GoneCase gone_cases[] = {
+	{ "killed", [](Network *, Instance *n) { n->running = false; } },
+	{ "frozen", [](Network *, Instance *n) { n->frozen = true; } },
+	{ "partitioned",
+	  [](Network *net, Instance *n) { net->group[n->name] = 1; } },
+};
+
+/* Guards against a pool that stays vacant as its owner was reported alive: it
+ * fails while other instances start. */
+TEST(ClusterStart, APoolWhoseReportedOwnerFailsIsClaimedInTime)
+{
+	/* As in Cluster.AnOwnerThatFailsOrLeavesIsReplaced. */
+	constexpr uint64_t kReplacedWithinUs = 700 * kMs;
+
+	for (const GoneCase &c : gone_cases) {
+		for (uint64_t failure_ms = 0; failure_ms < 600;
+		     failure_ms += 20) {
+			SCOPED_TRACE(c.what);
+			SCOPED_TRACE(failure_ms);
+			Network net;
+			std::vector<Instance *> now;
+			std::vector<Instance *> idle;
+			Instance *owner;
+
+			one_domain(&net, 5, 1);
+			owner = net.owners("north")[0];
+			idle = without_pools(&net);
+			idle[0]->running = false;
+			idle[1]->running = false;
+			net.run_until(net.now_us + 1000 * kMs);
+			for (Instance *n : { idle[0], idle[1] }) {
+				n->contact = idle[2]->name;
+				net.start(n);
+			}
+			net.run_until(net.now_us + failure_ms * kMs);
+			c.fail(&net, owner);
+			net.run_until(net.now_us + kReplacedWithinUs);
+			now = net.owners("north");
+			now.erase(std::remove(now.begin(), now.end(), owner),
+				  now.end());
+			EXPECT_EQ(now.size(), 1U);
+		}
+	}
+}
+
+/* Guards against a wait for other instances where all of them start: the first
+ * claim is due 1.2 heartbeat intervals after the start, with reports as without
+ * them. */
+TEST(ClusterStart, InstancesThatAllStartAtOnceClaimAtTheUsualTime)
+{
+	for (bool reports : { false, true })
+		for (int instances : { 1, 2, 3, 4, 8 })
+			for (uint64_t latency_ms : { 1, 20 }) {
+				SCOPED_TRACE(instances);
+				Network net;
+
+				net.latency_us = latency_ms * kMs;
+				one_domain(&net, instances, 2);
+				for (auto &n : net.instances) {
+					n->running = false;
+					n->reports_owners = reports;
+				}
+				net.run_until(net.now_us + 1500 * kMs);
+				for (auto &n : net.instances)
+					net.start(n.get());
+				net.run_until(net.now_us + 120 * kMs);
+				EXPECT_FALSE(owners_of_all(&net).empty());
+			}
+}
+
 } // namespace
