The shared claim plan waits for no instance that has just started

In a domain of four or more instances the plan took all of them as ready to claim, and preferred the one that was started last, so the pool of a killed owner waited for the first claim of an instance that had just started: 210 ms without an owner.

--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -43,6 +43,10 @@
 /* Number of live instances of a domain from which on its pools are claimed
  * without CLAIM_INTERVAL_US, since all of them compute the same claim plan. */
 #define PLAN_MIN_INSTANCES 4U
+/* Time since its start after which an instance counts as established: longer
+ * than it takes all instances to start at once, and less than the interval
+ * between two steps of a rolling restart, 1 s. */
+#define ESTABLISHED_US 700000U
 /* Least time between two offers of a pool to less loaded instances, and between
  * a claim and an offer. */
 #define OFFER_INTERVAL_US 1500000U
@@ -354,6 +358,8 @@
 /* A live instance that may claim more pools, and its failure domain. */
 struct candidate {
 	struct rank rank;
+	/** It started before those that start at once now. */
+	bool established;
 	const char *domain;
 };
 
@@ -366,6 +372,8 @@
 	if (!cluster->leaving &&
 	    ph_claims_owned_count(cluster) < PH_CLAIMS_MAX) {
 		list[n].rank = rank_self(cluster, now_us);
+		list[n].established =
+			now_us >= cluster->opt.start_us + ESTABLISHED_US;
 		list[n++].domain = cluster->opt.domain;
 	}
 	for (m = cluster->first; m; m = m->next) {
@@ -373,6 +381,8 @@
 		    m->claim_count >= PH_CLAIMS_MAX)
 			continue;
 		list[n].rank = rank_of(cluster, m, now_us);
+		list[n].established =
+			now_us >= start_of(cluster, m) + ESTABLISHED_US;
 		list[n++].domain = m->domain;
 	}
 	return n;
@@ -411,16 +421,22 @@
 		cluster->mem->calloc(cluster->member_count + 1, sizeof(*list));
 	uint32_t count = list_candidates(cluster, now_us, list);
 	uint32_t same_domain = 0;
+	uint32_t established = 0;
 	uint32_t i;
 
-	for (i = 0; i < count; i++)
-		same_domain += !strcmp(list[i].domain, cluster->opt.domain);
+	for (i = 0; i < count; i++) {
+		bool same = !strcmp(list[i].domain, cluster->opt.domain);
+
+		same_domain += same;
+		established += same && list[i].established;
+	}
 	cluster->plan_shared =
 		same_domain >= PLAN_MIN_INSTANCES &&
 		ph_mechanism_on(cluster->opt.off, PH_MECHANISM_SHARED_PLAN);
 	/* The shared plan of a large domain spreads its pools over all
-	 * instances instead of waiting for as few as possible. */
-	if (cluster->plan_shared ||
+	 * instances instead of waiting for as few as possible, but waits for
+	 * none where most have been running for long. */
+	if ((cluster->plan_shared && 2 * established < same_domain) ||
 	    !ph_mechanism_on(cluster->opt.off, PH_MECHANISM_READY_FIRST))
 		for (i = 0; i < count; i++)
 			list[i].rank.ready = true;
