No pool is offered to another instance while a domain is restarted

An owner offered a pool to an instance that had just started, which is stopped in turn or loses its offerer: in the table of rolling restarts pools changed owners that lived 128 times. Offers now wait for 4 s after the latest start of an instance of the domain: 0 times.

--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -50,6 +50,11 @@
 /* Least time between two offers of a pool to less loaded instances, and between
  * a claim and an offer. */
 #define OFFER_INTERVAL_US 1500000U
+/* Time since the latest start of an instance of the domain for which no pool is
+ * offered: two steps of a rolling restart, which come every 1 to 2 s. Each
+ * change of an owner costs its callers a wait, and the next step may undo it.
+ */
+#define OFFER_AFTER_START_US 4000000U
 /* An offer ends after this time if no instance claims the pool. */
 #define OFFER_DURATION_US 700000U
 /* A pool is offered only if the other instance, with the pool, would own less
@@ -610,6 +615,17 @@
 
 /* ## Offers */
 
+/* Whether an instance of the own domain has started of late. */
+static bool started_of_late(const struct ph_cluster *cluster, uint64_t now_us)
+{
+	const struct ph_member *m = NULL;
+
+	while ((m = ph_cluster_next_in_domain(cluster, m, now_us)))
+		if (now_us < m->first_heard_us + OFFER_AFTER_START_US)
+			return true;
+	return false;
+}
+
 /* Whether a live peer of the own domain would, with one more pool, still own
  * far fewer pools per CPU than this instance. */
 static bool peer_has_spare_capacity(const struct ph_cluster *cluster,
@@ -640,6 +656,7 @@
 	    !ph_mechanism_on(cluster->opt.off, PH_MECHANISM_OFFERS) ||
 	    now_us < cluster->last_offer_us + OFFER_INTERVAL_US ||
 	    now_us < cluster->last_claim_us + OFFER_INTERVAL_US ||
+	    started_of_late(cluster, now_us) ||
 	    !peer_has_spare_capacity(cluster, now_us))
 		return;
 	for (i = 0; i < cluster->pool_count; i++) {
--- a/test/test_cluster_start.cc
+++ b/test/test_cluster_start.cc
@@ -396,6 +396,7 @@
 		EXPECT_LE(r.vacant_us,
 			  c.instances > 3 ? kVacantUs : kVacantSmallUs);
 		EXPECT_EQ(r.net.taken, 0);
+		EXPECT_EQ(r.moved, 0);
 	}
 }
 
