Established instances take vacant pools before those that start

The plan counted an instance as ready 60 ms before it may claim, so a pool could still wait for one that had just started: with a process that is down for 150 ms, pools had no owner for 260 ms in 58 of 192 cases of rolling restarts.

--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -427,7 +427,7 @@
 	uint32_t count = list_candidates(cluster, now_us, list);
 	uint32_t same_domain = 0;
 	uint32_t established = 0;
-	uint32_t ready = 0;
+	bool established_first;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
@@ -435,21 +435,28 @@
 
 		same_domain += same;
 		established += same && list[i].established;
-		ready += same && list[i].rank.ready;
 	}
-	cluster->sole_claimant =
-		ready == 1 && !cluster->leaving &&
-		now_us >= cluster->opt.start_us + ESTABLISHED_US;
 	cluster->plan_shared =
 		same_domain >= PLAN_MIN_INSTANCES &&
 		ph_mechanism_on(cluster->opt.off, PH_MECHANISM_SHARED_PLAN);
 	/* The shared plan of a large domain spreads its pools over all
 	 * instances instead of waiting for as few as possible, but waits for
-	 * none where most have been running for long. */
-	if ((cluster->plan_shared && 2 * established < same_domain) ||
-	    !ph_mechanism_on(cluster->opt.off, PH_MECHANISM_READY_FIRST))
-		for (i = 0; i < count; i++)
+	 * none where most were established before. */
+	established_first =
+		ph_mechanism_on(cluster->opt.off, PH_MECHANISM_READY_FIRST) &&
+		established &&
+		(!cluster->plan_shared || 2 * established >= same_domain);
+	cluster->sole_claimant =
+		established_first && established == 1 && !cluster->leaving &&
+		now_us >= cluster->opt.start_us + ESTABLISHED_US;
+	for (i = 0; i < count; i++) {
+		if (established_first)
+			list[i].rank.ready = list[i].established;
+		else if (cluster->plan_shared ||
+			 !ph_mechanism_on(cluster->opt.off,
+					  PH_MECHANISM_READY_FIRST))
 			list[i].rank.ready = true;
+	}
 	for (i = 0; i < cluster->pool_count; i++) {
 		struct ph_pool_claim *p = &cluster->pools[cluster->by_name[i]];
 		struct candidate *c;
