--- a/src/poolmsg.h
+++ b/src/poolmsg.h
@@ -50,7 +50,7 @@
 };
 
 /** An instance of the sender's domain that the sender hears: the owner of one
- * of the domain's pools, or an instance that has become known lately. */
+ * of the domain's pools, or an instance that owns none. */
 struct ph_reported_owner {
 	/** "": it owns none of them. */
 	const char *pool_name;
