--- a/src/cluster_ownership.c
+++ b/src/cluster_ownership.c
@@ -43,9 +43,18 @@
 /* Number of live instances of a domain from which on its pools are claimed
  * without CLAIM_INTERVAL_US, since all of them compute the same claim plan. */
 #define PLAN_MIN_INSTANCES 4U
+/* Time since its start after which an instance counts as established: longer
+ * than it takes all instances to start at once, and less than the interval
+ * between two steps of a rolling restart, 1 s. */
+#define ESTABLISHED_US 700000U
 /* Least time between two offers of a pool to less loaded instances, and between
  * a claim and an offer. */
 #define OFFER_INTERVAL_US 1500000U
+/* Time since the latest start of an instance of the domain for which no pool is
+ * offered: two steps of a rolling restart, which come every 1 to 2 s. Each
+ * change of an owner costs its callers a wait, and the next step may undo it.
+ */
+#define OFFER_AFTER_START_US 4000000U
 /* An offer ends after this time if no instance claims the pool. */
 #define OFFER_DURATION_US 700000U
 /* A pool is offered only if the other instance, with the pool, would own less
@@ -53,6 +62,7 @@
 #define OFFER_MAX_LOAD_PERCENT 75U
 #define PERCENT 100U
 #define MS_PER_S 1000U
+#define US_PER_MS 1000U
 /* A fencing token is the Unix time in milliseconds, shifted left by this many
  * bits, with bits of a hash of the instance below. It stays below 2^53, beyond
  * which a JSON reader may round numbers. */
@@ -311,10 +321,26 @@
 	return r;
 }
 
+/* When a peer started, by the local monotonic clock: by the difference of the
+ * start times in the heartbeats, so that two instances that hear of each other
+ * late judge alike, but no later than it was first heard, as the clocks of the
+ * time of day may differ. */
+static uint64_t start_of(const struct ph_cluster *cluster,
+			 const struct ph_member *m)
+{
+	int64_t later_ms = (int64_t)(m->incarnation - cluster->opt.incarnation);
+	uint64_t later_us = (uint64_t)later_ms * US_PER_MS;
+	uint64_t start_us = cluster->opt.start_us + later_us;
+
+	if (later_ms < 0 && 0 - later_us > cluster->opt.start_us)
+		return 0;
+	return start_us < m->first_heard_us ? start_us : m->first_heard_us;
+}
+
 static struct rank rank_of(const struct ph_cluster *cluster,
 			   const struct ph_member *m, uint64_t now_us)
 {
-	struct rank r = { ready_to_claim(cluster, m->first_heard_us, now_us),
+	struct rank r = { ready_to_claim(cluster, start_of(cluster, m), now_us),
 			  m->claim_count, m->cpu_milli, m->incarnation,
 			  m->name };
 
@@ -342,6 +368,8 @@
 /* A live instance that may claim more pools, and its failure domain. */
 struct candidate {
 	struct rank rank;
+	/** It started before those that start at once now. */
+	bool established;
 	const char *domain;
 };
 
@@ -354,6 +382,8 @@
 	if (!cluster->leaving &&
 	    ph_claims_owned_count(cluster) < PH_CLAIMS_MAX) {
 		list[n].rank = rank_self(cluster, now_us);
+		list[n].established =
+			now_us >= cluster->opt.start_us + ESTABLISHED_US;
 		list[n++].domain = cluster->opt.domain;
 	}
 	for (m = cluster->first; m; m = m->next) {
@@ -361,6 +391,8 @@
 		    m->claim_count >= PH_CLAIMS_MAX)
 			continue;
 		list[n].rank = rank_of(cluster, m, now_us);
+		list[n].established =
+			now_us >= start_of(cluster, m) + ESTABLISHED_US;
 		list[n++].domain = m->domain;
 	}
 	return n;
@@ -399,19 +431,37 @@
 		cluster->mem->calloc(cluster->member_count + 1, sizeof(*list));
 	uint32_t count = list_candidates(cluster, now_us, list);
 	uint32_t same_domain = 0;
+	uint32_t established = 0;
+	bool established_first;
 	uint32_t i;
 
-	for (i = 0; i < count; i++)
-		same_domain += !strcmp(list[i].domain, cluster->opt.domain);
+	for (i = 0; i < count; i++) {
+		bool same = !strcmp(list[i].domain, cluster->opt.domain);
+
+		same_domain += same;
+		established += same && list[i].established;
+	}
 	cluster->plan_shared =
 		same_domain >= PLAN_MIN_INSTANCES &&
 		ph_mechanism_on(cluster->opt.off, PH_MECHANISM_SHARED_PLAN);
 	/* The shared plan of a large domain spreads its pools over all
-	 * instances instead of waiting for as few as possible. */
-	if (cluster->plan_shared ||
-	    !ph_mechanism_on(cluster->opt.off, PH_MECHANISM_READY_FIRST))
-		for (i = 0; i < count; i++)
+	 * instances instead of waiting for as few as possible, but waits for
+	 * none where most were established before. */
+	established_first =
+		ph_mechanism_on(cluster->opt.off, PH_MECHANISM_READY_FIRST) &&
+		established &&
+		(!cluster->plan_shared || 2 * established >= same_domain);
+	cluster->sole_claimant =
+		established_first && established == 1 && !cluster->leaving &&
+		now_us >= cluster->opt.start_us + ESTABLISHED_US;
+	for (i = 0; i < count; i++) {
+		if (established_first)
+			list[i].rank.ready = list[i].established;
+		else if (cluster->plan_shared ||
+			 !ph_mechanism_on(cluster->opt.off,
+					  PH_MECHANISM_READY_FIRST))
 			list[i].rank.ready = true;
+	}
 	for (i = 0; i < cluster->pool_count; i++) {
 		struct ph_pool_claim *p = &cluster->pools[cluster->by_name[i]];
 		struct candidate *c;
@@ -439,7 +489,10 @@
 	uint64_t own = hash & ((1U << TOKEN_SHIFT) - 1);
 	uint64_t ahead_ms = 1 + ((hash >> TOKEN_SHIFT) & (TOKEN_SPREAD_MS - 1));
 	uint64_t token = unix_ms << TOKEN_SHIFT | own;
+	uint64_t reported = ph_reports_token(cluster, p->name);
 
+	if (reported > p->highest_token)
+		p->highest_token = reported;
 	if (token <= p->highest_token)
 		token = ((p->highest_token >> TOKEN_SHIFT) + ahead_ms)
 				<< TOKEN_SHIFT |
@@ -522,12 +575,13 @@
  * committed claim or, for an instance of its domain, just claims by instances
  * of other domains. */
 static bool vacant(const struct ph_cluster *cluster,
-		   const struct ph_pool_claim *p)
+		   const struct ph_pool_claim *p, uint64_t now_us)
 {
 	const struct ph_member *m = p->committed_claimant;
 	bool in_domain = ph_pool_shard_in(p->name, cluster->opt.domain);
 
-	return !m || (in_domain && !ph_pool_shard_in(p->name, m->domain));
+	return (!m || (in_domain && !ph_pool_shard_in(p->name, m->domain))) &&
+	       !ph_reports_owned(cluster, p->name, now_us);
 }
 
 /* Claims a pool that the plan has assigned to this instance for long enough. */
@@ -555,14 +609,15 @@
 		p->vacant_since_us = now_us;
 	if (!p->assigned_to_self)
 		return;
-	if (now_us < p->contested_until_us)
+	if (now_us < p->contested_until_us ||
+	    (in_domain && ph_reports_incomplete(cluster, now_us)))
 		return;
 	/* The waits run at the same time. */
 	if (now_us < cluster->opt.start_us + start_delay_us ||
 	    now_us < p->vacant_since_us + claim_delay_us(cluster, p->name,
 							 in_domain, now_us))
 		return;
-	if (!(in_domain && cluster->plan_shared) &&
+	if (!(in_domain && (cluster->plan_shared || cluster->sole_claimant)) &&
 	    now_us < cluster->last_claim_us + CLAIM_INTERVAL_US)
 		return;
 	cluster->last_claim_us = now_us;
@@ -572,6 +627,17 @@
 
 /* ## Offers */
 
+/* Whether an instance of the own domain has started of late. */
+static bool started_of_late(const struct ph_cluster *cluster, uint64_t now_us)
+{
+	const struct ph_member *m = NULL;
+
+	while ((m = ph_cluster_next_in_domain(cluster, m, now_us)))
+		if (now_us < m->first_heard_us + OFFER_AFTER_START_US)
+			return true;
+	return false;
+}
+
 /* Whether a live peer of the own domain would, with one more pool, still own
  * far fewer pools per CPU than this instance. */
 static bool peer_has_spare_capacity(const struct ph_cluster *cluster,
@@ -602,6 +668,7 @@
 	    !ph_mechanism_on(cluster->opt.off, PH_MECHANISM_OFFERS) ||
 	    now_us < cluster->last_offer_us + OFFER_INTERVAL_US ||
 	    now_us < cluster->last_claim_us + OFFER_INTERVAL_US ||
+	    started_of_late(cluster, now_us) ||
 	    !peer_has_spare_capacity(cluster, now_us))
 		return;
 	for (i = 0; i < cluster->pool_count; i++) {
@@ -754,7 +821,7 @@
 
 		if (p->owned && outranked(cluster, p))
 			ph_claim_release(p, sink, ctx);
-		p->vacant = !p->owned && vacant(cluster, p);
+		p->vacant = !p->owned && vacant(cluster, p, now_us);
 		/* The other instance is heard by now. */
 		if (p->committed_claimant)
 			p->contested_until_us = 0;
