--- a/src/cluster.h
+++ b/src/cluster.h
@@ -133,8 +133,9 @@
 
 /**
  * Lists the owners of the pools of the own domain, and the other instances of
- * it that are heard, for a heartbeat to a peer that has become known lately. Returns their number, of at most PH_REPORTED_OWNERS_MAX; 0 for
- * other peers and for NULL.
+ * it that are heard, for a heartbeat to a peer that has become known lately.
+ * Returns their number, of at most PH_REPORTED_OWNERS_MAX; 0 for other peers
+ * and for NULL.
  */
 uint32_t ph_cluster_report_owners(const struct ph_cluster *cluster,
 				  uint64_t now_us, const struct ph_member *to,
