--- a/src/evacuation.c
+++ b/src/evacuation.c
@@ -6,8 +6,8 @@
 
 #define PART "evacuation"
 /* Period over which a domain's load is restored after an evacuation: executors
- * that were restarted meanwhile are slow for several seconds after their start
- * (coldLeftMs). */
+ * that were restarted meanwhile are slow for several seconds after their start.
+ */
 #define RETURN_US 10000000U
 /* Share of the load at the beginning of that period, in thousandths, so that
  * executors get some tasks by which they warm up. */
--- a/src/pool.c
+++ b/src/pool.c
@@ -10,7 +10,7 @@
 #define RETRY_MIN_US 1000000U
 #define RETRY_MAX_US 8000000U
 /* Retry time of batches that no executor of a domain in service could run: the
- * time within which the end of an evacuation takes effect (evacuateMs). */
+ * time within which the end of an evacuation takes effect. */
 #define NO_EXECUTOR_RETRY_US 5000000U
 #define US_PER_S 1000000U
 /* Part of the caller's timeout for which a batch may wait for its first start:
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -28,7 +28,7 @@
 /* Retry-after sent to the caller if no pool can be reached. */
 #define NO_POOL_RETRY_AFTER_US 1000000U
 /* Retry-after sent to the caller if all domains are evacuated: the time within
- * which the end of an evacuation takes effect everywhere (evacuateMs). */
+ * which the end of an evacuation takes effect everywhere. */
 #define EVACUATED_RETRY_AFTER_US 5000000U
 #define PERMILLE 1000U
 /* The choice of a pool among comparable ones uses the lower bits of the hash of
