--- a/src/pool_reserve.c
+++ b/src/pool_reserve.c
@@ -44,7 +44,9 @@
 
 	for (i = 0; i < count; i++)
 		ph_capacity_add(&used, &runs[i].need);
-	qsort(runs, count, sizeof(*runs), compare_ends);
+	/* Without runs the array may be NULL, which qsort() does not take. */
+	if (count)
+		qsort(runs, count, sizeof(*runs), compare_ends);
 	for (i = 0; i < count && !ph_capacity_fits(total, &used, need); i++) {
 		ph_capacity_sub(&used, &runs[i].need);
 		if (runs[i].end_us > from_us)
