--- a/review/standin-3/platform.c
+++ b/review/standin-3/platform.c
@@ -943,7 +943,8 @@
 
 static bool is_cut(const struct conn *c)
 {
-	return c->executor >= 0 && p.executors[c->executor].cut;
+	return c->executor >= 0 && (p.executors[c->executor].cut ||
+				    !p.executors[c->executor].up);
 }
 
 static void serve_waiting(struct conn *c)
@@ -1058,10 +1059,32 @@
 	pthread_mutex_unlock(&p.lock);
 }
 
+void executor_go_dark(int executor)
+{
+	struct executor *x = &p.executors[executor];
+
+	pthread_mutex_lock(&p.lock);
+	record("dark   executor=%s", x->id);
+	x->up = false;
+	while (x->run_count)
+		run_end(x, x->run_count - 1, "crash");
+	pthread_mutex_unlock(&p.lock);
+}
+
 void executor_restart(int executor)
 {
+	struct executor *x = &p.executors[executor];
+	int i;
+
 	pthread_mutex_lock(&p.lock);
-	executor_up(&p.executors[executor]);
+	/* Connections to a machine that lost power are reset by the next one
+	 * that starts there. */
+	if (x->listener >= 0)
+		close(x->listener);
+	for (i = 0; i < p.conn_count; i++)
+		if (p.conns[i].executor == executor)
+			conn_close(&p.conns[i]);
+	executor_up(x);
 	pthread_mutex_unlock(&p.lock);
 }
 
@@ -1098,6 +1121,36 @@
 	return p.held_s;
 }
 
+int pool_owner(const char *zone)
+{
+	char path[320];
+	char line[1024];
+	char sought[64];
+	double latest = 0;
+	int owner = -1;
+	int i;
+
+	snprintf(sought, sizeof(sought), "event=pool_acquired domain=%s ", zone);
+	for (i = 0; i < p.node_count; i++) {
+		FILE *f;
+
+		snprintf(path, sizeof(path), "%s/%s.log", p.folder,
+			 p.nodes[i].name);
+		f = fopen(path, "r");
+		while (f && fgets(line, sizeof(line), f)) {
+			double t = atof(line + 2);
+
+			if (strstr(line, sought) && t > latest) {
+				latest = t;
+				owner = i;
+			}
+		}
+		if (f)
+			fclose(f);
+	}
+	return owner;
+}
+
 int runs_of(const char *job_id, int executor)
 {
 	int n = 0;
--- a/review/standin-3/platform.h
+++ b/review/standin-3/platform.h
@@ -84,6 +84,8 @@
 /* ## Machines and executors */
 
 void node_signal(int node, int signal_number);
+/* The machine that acquired the zone's pool last, by the logs; -1: none. */
+int pool_owner(const char *zone);
 /* The next start of a task of this job, at any executor, gets no answer and is
  * carried out so much later, or as soon as the executor is up after that. */
 void hold_next_start(const char *job_id, int after_ms);
@@ -92,6 +94,8 @@
 double held_since_s(void);
 /* The executor's process ends: connections are reset, new ones refused. */
 void executor_crash(int executor);
+/* It loses power: it does not answer and resets nothing. */
+void executor_go_dark(int executor);
 /* It starts again under its id and knows nothing of before. */
 void executor_restart(int executor);
 /* The executor and all entry machines don't reach each other. */
