A next owner is told of starts that may still be carried out

A start gets no answer and is stopped, the task starts elsewhere, the pool is handed over, and the executor crashes and comes back under its id: it has forgotten the stop and carries the start out.

Cause: what an owner remembers of such starts (late_starts) is dropped with the pool, and the result of a batch that moves doesn't tell it. The next owner relied on one poll of the executor, which the restart undoes, and neither watched it while it was away nor stopped the run elsewhere.

Change: the result of a batch that moves names the starts of its tasks that may still be carried out, with executor, run number and age; the submitter passes them on with the resumed batch, and the next owner takes them over. Until the executor has answered a poll since, the task starts nowhere; if the poll doesn't show the run, it is stopped there, and is remembered like a start of the owner's own. Run numbers go on above these. A poll doesn't wait while a task waits for what it shows, and one of an executor that is away is repeated every 50 ms while a task waits for a stop there. Versions before ignore the fields, which are the last ones of their messages.

--- a/src/pool.c
+++ b/src/pool.c
@@ -129,6 +129,7 @@
 		batch_free(pool, b);
 	}
 	forget_closed(pool, UINT64_MAX);
+	ph_late_starts_forget_unlisted(pool, UINT64_MAX);
 	if (pool->own_crashes)
 		ph_crashes_free(pool->crashes);
 	pool->mem->free(pool->waiting);
@@ -223,12 +224,20 @@
 	for (i = 0; i < b->request->count; i++)
 		if (b->tasks[i].state == PH_BATCH_TASK_DONE)
 			ph_bit_set(result->done, i);
+	if (result->verdict == PH_VERDICT_MOVED)
+		ph_unconfirmed_collect(pool, b, now_us, &result->unconfirmed);
 	for (i = 0;
 	     result->verdict == PH_VERDICT_MOVED && i < b->request->count; i++)
 		result->possible_executor[result->count++] =
 			result->evacuated ? PH_EXECUTOR_NONE
 					  : task_possible_executor(b, i);
 	log_batch_end(b, result->verdict, result->reason, now_us);
+	if (result->unconfirmed.count)
+		ph_event(PART,
+			 "event=late_starts_handed_over job=%s pool=%s "
+			 "starts=%u complete=%d",
+			 b->request->job, pool->name, result->unconfirmed.count,
+			 !result->unconfirmed.incomplete);
 	pool->opt.sink->result(pool->opt.ctx, b->submitter, b->seq, result);
 }
 
@@ -723,6 +732,7 @@
 		 "event=batch_resumed job=%s submitter=%s seq=%llu "
 		 "tasks_left=%u",
 		 request->job, submitter, (unsigned long long)seq, b->left);
+	ph_late_starts_take_over(pool, b, now_us);
 	ph_poll_for_resumed(pool, b, now_us);
 	ph_pool_claim_orphans(pool, now_us);
 }
@@ -841,6 +851,7 @@
 			     now_us);
 		batch_remove(pool, b, now_us);
 	}
+	ph_late_starts_forget_unlisted(pool, UINT64_MAX);
 	for (x = pool->executors; x; x = x->next) {
 		if (x->poll_failures && !x->rejected_us)
 			ph_executor_lost(pool, x, PH_LOSS_POOL_RELEASED, NULL,
@@ -870,6 +881,7 @@
 	x->run_time_percent = PH_RUN_TIME_PERCENT;
 	x->next = pool->executors;
 	pool->executors = x;
+	ph_late_starts_executor_listed(pool, x);
 	return x;
 }
 
--- a/src/pool.h
+++ b/src/pool.h
@@ -208,6 +208,8 @@
 	/** Runs that were stopped as an earlier start of their task may still
 	 * be carried out. */
 	uint64_t stopped_for_late_starts;
+	/** Starts by earlier owners that may still be carried out. */
+	uint64_t late_starts_taken_over;
 	/** Orphaned runs that no batch claimed in time. */
 	uint64_t orphans_stopped;
 	/** Orphaned runs that resumed batches claimed. */
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -3,7 +3,8 @@
 
 /* Shared by the parts of the pool: pool.c (batches), pool_run.c (runs and run
  * commands), pool_lease.c (leases), pool_late.c (starts that a restarted
- * executor may carry out), pool_poll.c (polls of executors), pool_probe.c
+ * executor may carry out), pool_unconfirmed.c (what the submitters are told of
+ * them), pool_poll.c (polls of executors), pool_probe.c
  * (reachability of executors of other owners), pool_placement.c (in which order
  * tasks start, and on which executors), pool_evacuation.c (batches of an
  * evacuated failure domain). */
@@ -17,9 +18,6 @@
 /* Longest wait for a call's answer: leaves time to repeat a poll before the
  * lease that it renews expires. */
 #define PH_CALL_TIMEOUT_MAX_US 200000U
-/* Longest time after which a start that was not answered may still be carried
- * out: the platform's bound is "seconds". */
-#define PH_LATE_START_US 20000000U
 /* An executor grants a lease of at most this many lease durations to a command
  * whose lease end makes no sense on its clock. */
 #define PH_RESTARTED_LEASES 2U
@@ -147,6 +145,8 @@
 	/** Stopping, and its lease has expired or its executor has restarted,
 	 * but its start may still be carried out. */
 	bool forgotten;
+	/** An earlier owner has sent its start. */
+	bool taken_over;
 	/** Its start was refused since this run or a later one has been there:
 	 * a poll has to show whether one still runs. */
 	bool refused_as_old;
@@ -174,8 +174,18 @@
 	/** Hash of the job's id. */
 	uint64_t job_hash;
 	uint32_t index;
+	/** Hash of the executor's id. */
+	uint32_t executor;
 	uint64_t run;
 	uint64_t sent_us;
+	/** An earlier owner has sent it. */
+	bool taken_over;
+	/** Taken over, and no poll that was sent since has shown whether it was
+	 * carried out: nothing has been stopped. */
+	bool unverified;
+	/** When it was taken over, or its executor was listed if that was
+	 * later. */
+	uint64_t since_us;
 };
 
 /** In a placement round, what has been found out about batches that need
@@ -318,6 +328,9 @@
 	uint64_t token;
 	uint64_t last_call;
 	struct ph_executor *executors;
+	/** Late starts that were taken over, on executors that are not in the
+	 * list. */
+	struct ph_late_start *unlisted_late_starts;
 	struct ph_batch *batches;
 	/** Working array of a placement round: the batches that have waiting
 	 * tasks, and its size in entries. */
@@ -556,12 +569,32 @@
 /** Forgets the starts that can't be carried out any more. */
 void ph_late_starts_forget(struct ph_pool *pool, struct ph_executor *executor,
 			   uint64_t now_us);
+/** The same for those on executors that are not in the list. */
+void ph_late_starts_forget_unlisted(struct ph_pool *pool, uint64_t now_us);
+/** Takes over the unconfirmed starts that a resumed batch has brought. */
+void ph_late_starts_take_over(struct ph_pool *pool, struct ph_batch *batch,
+			      uint64_t now_us);
+/** An executor has become known: it may have late starts that were taken
+ * over. */
+void ph_late_starts_executor_listed(struct ph_pool *pool,
+				    struct ph_executor *executor);
+/** After an answered poll: forgets late starts that were taken over and that it
+ * shows to have been carried out, and stops the others. */
+void ph_late_starts_verify(struct ph_pool *pool, struct ph_executor *executor,
+			   const struct ph_poll_reply *reply, uint64_t now_us);
+/** Whether a late start of the task, on this executor, was taken over and is
+ * not verified yet. */
+bool ph_late_start_unverified(const struct ph_executor *executor,
+			      const struct ph_batch *batch, uint32_t index);
 /** Whether a start of the task may still be carried out on some executor. */
 bool ph_late_start_of_task(const struct ph_pool *pool,
 			   const struct ph_batch *batch, uint32_t index);
 /** Whether a batch waits for the task of a remembered start. */
 bool ph_late_starts_awaited(const struct ph_pool *pool,
 			    const struct ph_executor *executor);
+/** Whether a task waits until the executor's present or next incarnation has
+ * stopped a run of it that may not have begun. */
+bool ph_late_stop_awaited(const struct ph_pool *pool, const struct ph_run *run);
 /** Stops the tasks of remembered starts where they run now, and lets them wait,
  * if the executor may have crashed: its next incarnation would carry these
  * starts out before the owner reaches it. */
@@ -573,6 +606,14 @@
 void ph_late_starts_stop_again(struct ph_pool *pool,
 			       struct ph_executor *executor, uint64_t now_us);
 
+/* ## pool_unconfirmed.c */
+
+/** Lists all starts of a batch's unfinished tasks that may still be carried
+ * out. */
+void ph_unconfirmed_collect(const struct ph_pool *pool,
+			    const struct ph_batch *batch, uint64_t now_us,
+			    struct ph_unconfirmed *out);
+
 /* ## pool_poll.c */
 
 /** Whether a run that a poll doesn't report is gone: it is orphaned, or its
--- a/src/pool_lease.c
+++ b/src/pool_lease.c
@@ -367,6 +367,7 @@
 {
 	struct ph_executor *x;
 
+	ph_late_starts_forget_unlisted(pool, now_us);
 	for (x = pool->executors; x; x = x->next) {
 		ph_late_starts_forget(pool, x, now_us);
 		ph_late_starts_stop_elsewhere(pool, x, now_us);
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -423,11 +423,14 @@
 
 	if (!b->request->resumed || !b->waiting || ph_poll_since_batch(x, b))
 		return false;
-	for (i = 0; i < b->request->count; i++)
-		if (b->tasks[i].state == PH_BATCH_TASK_WAITING &&
-		    earlier_run_possible(pool, b, i, now_us) &&
-		    may_be_on(b, b->request->possible_executor[i], x, now_us))
+	for (i = 0; i < b->request->count; i++) {
+		if (b->tasks[i].state != PH_BATCH_TASK_WAITING)
+			continue;
+		if (ph_late_start_unverified(x, b, i) ||
+		    (earlier_run_possible(pool, b, i, now_us) &&
+		     may_be_on(b, b->request->possible_executor[i], x, now_us)))
 			return true;
+	}
 	return false;
 }
 
@@ -487,6 +490,19 @@
 	return false;
 }
 
+/* Whether an earlier owner may have started the task where no poll has shown
+ * since what became of that. */
+static bool awaits_verification(const struct ph_pool *pool,
+				const struct ph_batch *b, uint32_t index)
+{
+	const struct ph_executor *x;
+
+	for (x = pool->executors; x; x = x->next)
+		if (ph_late_start_unverified(x, b, index))
+			return true;
+	return false;
+}
+
 static bool may_start(const struct ph_pool *pool, const struct ph_batch *b,
 		      uint32_t index, uint64_t now_us)
 {
@@ -495,6 +511,7 @@
 	if (b->maybe_resumed || (b->owner_suspected && b->tasks[index].expired))
 		return false;
 	return earlier_run_gone(pool, b, index, now_us) &&
+	       !awaits_verification(pool, b, index) &&
 	       !has_run(pool, b->request->job, index);
 }
 
--- a/src/pool_poll.c
+++ b/src/pool_poll.c
@@ -55,6 +55,18 @@
 	return false;
 }
 
+/* Whether a task waits for the end of a run there that may not have begun. */
+static bool late_stops_awaited(const struct ph_pool *pool,
+			       const struct ph_executor *x)
+{
+	const struct ph_run *run;
+
+	for (run = x->runs; run; run = run->next)
+		if (ph_late_stop_awaited(pool, run))
+			return true;
+	return false;
+}
+
 /* Longest wait of a poll: until the progress of one of the executor's runs has
  * to be looked at. None if a task waits for what the poll shows. */
 static uint64_t wait_us(const struct ph_pool *pool, const struct ph_executor *x,
@@ -70,7 +82,8 @@
 	for (run = x->runs; run; run = run->next) {
 		uint64_t check_us;
 
-		if (run->refused_as_old)
+		if (run->refused_as_old ||
+		    (run->acked_us && ph_late_stop_awaited(pool, run)))
 			return 0;
 		if (!ph_mechanism_on(pool->opt.off,
 				     PH_MECHANISM_PROGRESS_CHECKS) ||
@@ -168,6 +181,8 @@
 	/* A single failure may be a lost message: retry at once. */
 	if (x->poll_failures && ph_late_starts_awaited(pool, x))
 		wait_us = AWAITED_POLL_RETRY_US;
+	else if (x->poll_failures && late_stops_awaited(pool, x))
+		wait_us = POLL_RETRY_US;
 	else if (x->poll_failures)
 		wait_us = (uint64_t)POLL_RETRY_US
 			  << (x->poll_failures < 4 ? x->poll_failures - 1 : 3);
@@ -475,6 +490,7 @@
 		expect_longest_lease(pool, x);
 	x->polled = true;
 	pool->accepted = true;
+	ph_late_starts_verify(pool, x, reply, now_us);
 	if (restarted)
 		ph_executor_lost(pool, x, PH_LOSS_RESTARTED, reply, now_us);
 	drop_absent(pool, x, reply, restarted, now_us);
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -478,6 +478,12 @@
 	if (reply->status == PH_CALL_OK) {
 		run->acked_us = now_us;
 		x->next_poll_us = now_us;
+		/* The poll that shows that it has ended can't wait for the one
+		 * under way. */
+		if (ph_late_stop_awaited(pool, run)) {
+			x->poll_call = 0;
+			pool->dirty = true;
+		}
 		log_late_stop(x, run, now_us);
 	} else if (reply->status == PH_CALL_FENCED) {
 		ph_pool_fenced_by(pool, x, now_us);
--- a/src/pool_types.c
+++ b/src/pool_types.c
@@ -11,6 +11,27 @@
 								       : hash;
 }
 
+void ph_unconfirmed_add(struct ph_unconfirmed *to,
+			const struct ph_unconfirmed_start *start)
+{
+	struct ph_unconfirmed_start *known;
+	uint32_t i;
+
+	for (i = 0; i < to->count; i++) {
+		known = &to->starts[i];
+		if (known->index != start->index || known->run != start->run ||
+		    known->executor != start->executor)
+			continue;
+		if (start->age_us < known->age_us)
+			known->age_us = start->age_us;
+		return;
+	}
+	if (to->count == PH_UNCONFIRMED_MAX)
+		to->incomplete = true;
+	else
+		to->starts[to->count++] = *start;
+}
+
 bool ph_capacity_fits(const struct ph_capacity *total,
 		      const struct ph_capacity *used,
 		      const struct ph_capacity *need)
--- a/src/pool_types.h
+++ b/src/pool_types.h
@@ -44,6 +44,37 @@
 /** Hash of an executor's id; never one of the two values above. */
 uint32_t ph_executor_hash(const char *executor);
 
+/** Longest time after which a start that was not answered may still be carried
+ * out: the platform's bound is "seconds". */
+#define PH_LATE_START_US 20000000U
+
+/** A start of a task that has not been answered, so that its executor, or a
+ * later incarnation of it, may still carry it out. */
+struct ph_unconfirmed_start {
+	uint32_t index;
+	/** Hash of the executor's id. */
+	uint32_t executor;
+	uint64_t run;
+	/** Time since it was sent, when the message that carries it was sent;
+	 * shorter by the time in transit when that arrives. */
+	uint64_t age_us;
+};
+
+/** Most unconfirmed starts in a message: one of each task of a job. */
+#define PH_UNCONFIRMED_MAX PH_MAX_TASKS
+
+/** The unconfirmed starts of a batch. */
+struct ph_unconfirmed {
+	uint32_t count;
+	/** There were more than fit. */
+	bool incomplete;
+	struct ph_unconfirmed_start starts[PH_UNCONFIRMED_MAX];
+};
+
+/** Adds a start, or makes one that is known as young as this one. */
+void ph_unconfirmed_add(struct ph_unconfirmed *to,
+			const struct ph_unconfirmed_start *start);
+
 /** A job's tasks for one pool. */
 struct ph_batch_request {
 	char job[PH_JOB_BYTES];
@@ -85,6 +116,8 @@
 	/** If resumed: hash of the executor that may be running each task, or
 	 * one of the special values. */
 	uint32_t possible_executor[PH_MAX_TASKS];
+	/** If resumed: starts by earlier owners. */
+	struct ph_unconfirmed unconfirmed;
 };
 
 /** An answer that takes more than this many latency targets is of no use to
@@ -162,6 +195,8 @@
 	/** With PH_VERDICT_MOVED: no task was ever started, here or by an
 	 * earlier owner. Versions before this one don't tell. */
 	bool not_started;
+	/** With PH_VERDICT_MOVED. Versions before this one don't tell. */
+	struct ph_unconfirmed unconfirmed;
 };
 
 /** An executor as listed by the platform. */
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -16,8 +16,9 @@
 #define CLAIM_FIELDS 9U
 #define SUSPECT_FIELDS 5U
 #define REPORTED_OWNER_FIELDS 5U
-#define BATCH_REQUEST_FIELDS 19U
-#define RESULT_FIELDS 7U
+#define BATCH_REQUEST_FIELDS 21U
+#define RESULT_FIELDS 9U
+#define START_FIELDS 4U
 #define LIST_FIELDS 5U
 #define EXECUTOR_FIELDS 10U
 #define EVACUATION_FIELDS 3U
@@ -84,6 +85,24 @@
 	msgpack_pack_uint64(pk, o->heard_ago_us);
 }
 
+static void put_start(msgpack_packer *pk, const struct ph_unconfirmed_start *s)
+{
+	msgpack_pack_uint32(pk, s->index);
+	msgpack_pack_uint32(pk, s->executor);
+	msgpack_pack_uint64(pk, s->run);
+	msgpack_pack_uint64(pk, s->age_us);
+}
+
+static void put_unconfirmed(msgpack_packer *pk, const struct ph_unconfirmed *u)
+{
+	uint32_t i;
+
+	msgpack_pack_uint32(pk, u->incomplete);
+	msgpack_pack_uint32(pk, u->count);
+	for (i = 0; i < u->count; i++)
+		put_start(pk, &u->starts[i]);
+}
+
 static void put_heartbeat(msgpack_packer *pk, const struct ph_poolmsg *m)
 {
 	uint32_t i;
@@ -134,6 +153,8 @@
 	msgpack_pack_uint32(pk, w->resumed);
 	put_bytes(pk, w->done, sizeof(w->done));
 	put_executor_ids(pk, w->possible_executor, w->resumed ? w->count : 0);
+	/* Last, since versions before this one don't have them. */
+	put_unconfirmed(pk, &w->unconfirmed);
 }
 
 static void put_result(msgpack_packer *pk, const struct ph_result *r)
@@ -146,6 +167,7 @@
 	/* Last, since versions before this one don't have it. */
 	msgpack_pack_uint32(pk, r->evacuated);
 	msgpack_pack_uint32(pk, r->not_started);
+	put_unconfirmed(pk, &r->unconfirmed);
 }
 
 static void put_executor(msgpack_packer *pk, const struct ph_executor_info *x)
@@ -203,9 +225,11 @@
 	case PH_POOLMSG_HEARTBEAT:
 		return heartbeat_fields(m);
 	case PH_POOLMSG_SUBMIT:
-		return 3 + BATCH_REQUEST_FIELDS;
+		return 3 + BATCH_REQUEST_FIELDS +
+		       m->batch_request->unconfirmed.count * START_FIELDS;
 	case PH_POOLMSG_RESULT:
-		return 1 + RESULT_FIELDS;
+		return 1 + RESULT_FIELDS +
+		       m->result.unconfirmed.count * START_FIELDS;
 	case PH_POOLMSG_CONFIG:
 		return 1;
 	case PH_POOLMSG_CONFIG_REQUEST:
@@ -422,6 +446,26 @@
 	o->heard_ago_us = get_u64(r);
 }
 
+static void get_start(struct reader *r, struct ph_unconfirmed_start *s)
+{
+	s->index = (uint32_t)get_uint(r, PH_MAX_TASKS - 1);
+	s->executor = get_u32(r);
+	s->run = get_u64(r);
+	s->age_us = get_u64(r);
+}
+
+static void get_unconfirmed(struct reader *r, struct ph_unconfirmed *u)
+{
+	uint32_t i;
+
+	if (r->bad || !r->left)
+		return;
+	u->incomplete = get_u32(r) != 0;
+	u->count = (uint32_t)get_uint(r, PH_UNCONFIRMED_MAX);
+	for (i = 0; i < u->count; i++)
+		get_start(r, &u->starts[i]);
+}
+
 static void get_heartbeat(struct reader *r, struct ph_poolmsg *m)
 {
 	uint32_t i;
@@ -486,6 +530,7 @@
 		    (w->resumed ? w->count : 0) ||
 	    !w->count)
 		r->bad = true;
+	get_unconfirmed(r, &w->unconfirmed);
 }
 
 static void get_result(struct reader *r, struct ph_poolmsg *m)
@@ -499,6 +544,7 @@
 		m->result.evacuated = get_u32(r) != 0;
 	if (!r->bad && r->left)
 		m->result.not_started = get_u32(r) != 0;
+	get_unconfirmed(r, &m->result.unconfirmed);
 }
 
 static void get_evacuation(const struct ph_mem *mem, struct reader *r,
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -65,6 +65,8 @@
 	uint64_t sent_us;
 	uint64_t first_sent_us;
 	bool accepted;
+	/** When the ages of the batch's unconfirmed starts were valid. */
+	uint64_t ages_us;
 	/** When the owner died or lost the pool; 0: it still owns it. */
 	uint64_t owner_lost_us;
 	/** During start-up: no pool has an owner yet. */
@@ -429,6 +431,24 @@
 
 /* ## Messages to owners */
 
+/* Brings the ages of the batch's unconfirmed starts up to date, and forgets
+ * those that can't be carried out any more. */
+static void update_ages(struct job *j, uint64_t now_us)
+{
+	struct ph_unconfirmed *u = &j->batch->unconfirmed;
+	uint64_t passed_us = now_us - j->ages_us;
+	uint32_t kept = 0;
+	uint32_t i;
+
+	j->ages_us = now_us;
+	for (i = 0; i < u->count; i++) {
+		u->starts[kept] = u->starts[i];
+		u->starts[kept].age_us += passed_us;
+		kept += u->starts[kept].age_us < PH_LATE_START_US;
+	}
+	u->count = kept;
+}
+
 static void send_batch(struct ph_submitter *s, struct job *j, uint64_t now_us)
 {
 	struct ph_poolmsg m = { .type = PH_POOLMSG_SUBMIT, .seq = j->seq };
@@ -436,6 +456,7 @@
 	m.pool = j->pool;
 	m.owner_incarnation = j->owner.incarnation;
 	j->batch->age_us = now_us - j->arrived_us;
+	update_ages(j, now_us);
 	m.batch_request = j->batch;
 	j->sent_us = now_us;
 	s->opt.sink->send(s->opt.ctx, &j->owner, &m);
@@ -741,6 +762,19 @@
 		j->accepted = true;
 }
 
+/* Keeps what an owner has told of starts that may still be carried out. */
+static void keep_starts(struct job *j, const struct ph_unconfirmed *told,
+			uint64_t now_us)
+{
+	struct ph_unconfirmed *kept = &j->batch->unconfirmed;
+	uint32_t i;
+
+	update_ages(j, now_us);
+	kept->incomplete = kept->incomplete || told->incomplete;
+	for (i = 0; i < told->count; i++)
+		ph_unconfirmed_add(kept, &told->starts[i]);
+}
+
 /* Marks the batch as resumed, with the executors where its tasks may be running
  * as the old owner reported them; unknown without its result. */
 static void set_run_locations(struct job *j, const struct ph_result *result)
@@ -756,11 +790,13 @@
 }
 
 /* Takes over the state of a batch that was returned. */
-static void take_state(struct job *j, const struct ph_result *result)
+static void take_state(struct job *j, const struct ph_result *result,
+		       uint64_t now_us)
 {
 	size_t i;
 
 	j->not_started = result->not_started && !j->batch->resumed;
+	keep_starts(j, &result->unconfirmed, now_us);
 	for (i = 0; i < sizeof(result->done); i++)
 		j->batch->done[i] |= result->done[i];
 	if (!j->not_started)
@@ -771,7 +807,7 @@
 static void wait_for_new_owner(struct job *j, const struct ph_result *result,
 			       uint64_t now_us)
 {
-	take_state(j, result);
+	take_state(j, result, now_us);
 	j->waiting_for_owner = true;
 	j->owner_lost_us = now_us;
 }
@@ -806,7 +842,7 @@
 {
 	ph_event(PART, "event=job_evacuated job=%s pool=%s owner=%s",
 		 j->batch->job, j->pool, j->owner.name);
-	take_state(j, result);
+	take_state(j, result, now_us);
 	note_evacuated(j);
 	forget_refusals(j);
 	dispatch(s, j, now_us);
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -112,6 +112,12 @@
 	return PH_CALL_OK;
 }
 
+static void aged(ph_unconfirmed *starts, uint64_t by_us)
+{
+	for (uint32_t i = 0; i < starts->count; i++)
+		starts->starts[i].age_us += by_us;
+}
+
 static ph_run_report seen(const World *w, const Run &r)
 {
 	ph_run_report s = {};
@@ -625,6 +631,22 @@
 	return submit_request(owner, w, duration);
 }
 
+ph_unconfirmed World::told_starts(const Owner *from, uint64_t seq)
+{
+	ph_unconfirmed told = {};
+	Told &before = told_before[requests[seq].job];
+
+	if (from->results.count(seq)) {
+		told = from->results.at(seq).unconfirmed;
+		aged(&told, now_us - from->result_us.at(seq));
+	}
+	aged(&before.starts, now_us - before.at_us);
+	for (uint32_t i = 0; i < before.starts.count; i++)
+		ph_unconfirmed_add(&told, &before.starts.starts[i]);
+	before = { told, now_us };
+	return told;
+}
+
 void World::resubmit(Owner *from, Owner *to, uint64_t seq)
 {
 	ph_batch_request *w = static_cast<ph_batch_request *>(
@@ -642,6 +664,7 @@
 		       from->results[seq].possible_executor,
 		       sizeof(w->possible_executor));
 	}
+	w->unconfirmed = told_starts(from, seq);
 	ph_pool_submit(to->pool, now_us, "submitter", seq, w);
 	ph_pool_handle_changes(to->pool, now_us);
 }
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -195,8 +195,18 @@
 	void crash(Executor *x, uint64_t down_us, bool silent = false);
 
       private:
+	/* The unconfirmed starts of a job's tasks, as its submitter knows
+	 * them. */
+	struct Told {
+		ph_unconfirmed starts = {};
+		uint64_t at_us = 0;
+	};
+
 	uint64_t last_seq = 0;
 	std::map<uint64_t, ph_batch_request> requests;
+	std::map<std::string, Told> told_before;
+
+	ph_unconfirmed told_starts(const Owner *from, uint64_t seq);
 
 	void step_executors();
 	friend struct Calls;
