Submitters are told of starts before their owner ends

A start gets no answer, its owner is killed 25 ms later, the next owner polls the executor and starts the task. The executor crashes; its next incarnation carries the start of the first owner out, whose lower token it takes, beside the run that the next owner has started elsewhere meanwhile.

Cause: only its sender knew of the start, and a killed, frozen or separated owner tells nobody. The next owner took one poll under its token for enough, which a restart undoes.

Change: the submitter of a batch knows before the owner ends. ACCEPTED leaves after the placement round in place of before it, with the starts of the round, and again after each later round that starts tasks of the batch; heartbeats of an owner name the starts of the receiver's batches that are still unconfirmed, which clears all others. The submitter passes what it knows on to the next owner, as after a hand-over. A start that was told of while its answer may have been on its way is in doubt: if its executor doesn't answer the next owner, the task waits no longer than it did before. One that had got no answer in time keeps its task waiting, as at its own owner.

Ruled out: that the next owner could exclude this alone. Without knowing the executor, each that is away would stop all resumed tasks.

--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -144,6 +144,10 @@
 			   uint64_t now_us);
 /** Handles the queued messages to this instance. */
 void ph_dispatcher_handle_local_messages(struct ph_dispatcher *d);
+/** Tells a submitter that its batch is accepted, and which starts of it may
+ * still be carried out; ctx is the dispatcher. */
+void ph_dispatcher_send_accepted(void *ctx, const char *submitter, uint64_t seq,
+				 const struct ph_unconfirmed *starts);
 /** Sends the result of a batch to its submitter, again and again until it is
  * acknowledged; ctx is the dispatcher. */
 void ph_dispatcher_send_result(void *ctx, const char *submitter, uint64_t seq,
--- a/src/dispatcher_peers.c
+++ b/src/dispatcher_peers.c
@@ -60,7 +60,21 @@
 	return NULL;
 }
 
-/* ## Results of this instance's pools */
+/* ## Batches of this instance's pools */
+
+void ph_dispatcher_send_accepted(void *ctx, const char *submitter, uint64_t seq,
+				 const struct ph_unconfirmed *starts)
+{
+	struct ph_dispatcher *d = ctx;
+	struct ph_poolmsg msg = { .type = PH_POOLMSG_ACCEPTED,
+				  .seq = seq,
+				  .clock_us = ph_clock_us() };
+	const char *addr = member_addr(d, submitter);
+
+	msg.result.unconfirmed = *starts;
+	if (addr)
+		ph_dispatcher_send(d, addr, &msg);
+}
 
 static void send_result(struct ph_dispatcher *d, struct ph_unacked_result *o,
 			uint64_t now_us)
@@ -234,8 +248,8 @@
 		ph_batch_request_free(d->mem, batch);
 		return;
 	}
-	ph_dispatcher_send(d, msg->addr, &reply);
 	if (find_result(d, msg->name, msg->seq)) {
+		ph_dispatcher_send(d, msg->addr, &reply);
 		ph_batch_request_free(d->mem, batch);
 		return;
 	}
@@ -248,6 +262,7 @@
 		mark_locations_unknown(batch);
 	}
 	if (!p) {
+		ph_dispatcher_send(d, msg->addr, &reply);
 		memcpy(moved.done, batch->done, sizeof(moved.done));
 		memcpy(moved.possible_executor, batch->possible_executor,
 		       sizeof(moved.possible_executor));
@@ -257,6 +272,9 @@
 		return;
 	}
 	ph_pool_submit(p->pool, now_us, msg->name, msg->seq, batch);
+	/* Else it is told so with the starts of the next placement round. */
+	if (!ph_pool_has_batch(p->pool, msg->name, msg->seq))
+		ph_dispatcher_send(d, msg->addr, &reply);
 	ph_dispatcher_check_submitters(d, p->pool, now_us);
 }
 
@@ -272,6 +290,7 @@
 		ph_dispatcher_shards_heard(d, msg, now_us);
 		request_config(d, msg, now_us);
 		ph_dispatcher_evacuation_heartbeat(d, msg, now_us);
+		ph_submitter_starts_reported(d->submitter, now_us, msg);
 		for (i = 0; i < msg->suspect_count; i++)
 			ph_crashes_heard(d->crashes, now_us, &msg->suspects[i]);
 		break;
@@ -279,7 +298,8 @@
 		handle_submit(d, msg, now_us);
 		break;
 	case PH_POOLMSG_ACCEPTED:
-		ph_submitter_accepted(d->submitter, msg->seq);
+		ph_submitter_accepted(d->submitter, now_us, msg->seq,
+				      msg->clock_us, &msg->result.unconfirmed);
 		break;
 	case PH_POOLMSG_RESULT:
 		reply.type = PH_POOLMSG_RESULT_ACK;
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -36,6 +36,7 @@
 	.poll = sink_poll,
 	.start = sink_start,
 	.stop = sink_stop,
+	.accepted = ph_dispatcher_send_accepted,
 	.result = ph_dispatcher_send_result,
 };
 
@@ -252,6 +253,11 @@
 	msg->evacuation_age_us = ph_evacuation_age_us(&d->evacuation, now_us);
 	msg->heard_ago_us =
 		m && m->heard_us ? now_us - m->heard_us : UINT64_MAX;
+	/* The receiver is not known: its batches are not either. */
+	msg->starts.incomplete = !m;
+	for (i = 0; m && i < d->pool_count; i++)
+		ph_pool_report_starts(d->pools[i].pool, now_us, m->name,
+				      &msg->starts);
 	for (i = 0; i < d->pool_count; i++) {
 		struct ph_claim *c = &msg->claims[msg->claim_count];
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -350,6 +350,17 @@
 	return NULL;
 }
 
+bool ph_pool_has_batch(const struct ph_pool *pool, const char *submitter,
+		       uint64_t seq)
+{
+	const struct ph_batch *b;
+
+	for (b = pool->batches; b; b = b->next)
+		if (b->seq == seq && !strcmp(b->submitter, submitter))
+			return true;
+	return false;
+}
+
 /* ## Resumed batches */
 
 static void claim_run(struct ph_pool *pool, struct ph_batch *b,
@@ -669,6 +680,7 @@
 	b->received_us = now_us;
 	b->arrived_us = now_us > request->age_us ? now_us - request->age_us : 0;
 	b->started = request->resumed;
+	b->report_due = true;
 	b->tasks = pool->mem->calloc(request->count, sizeof(*b->tasks));
 	b->left = request->count;
 	b->waiting = request->count;
@@ -696,8 +708,10 @@
 {
 	struct ph_batch *b;
 
-	if (batch_find(pool, submitter, seq) ||
-	    was_closed(pool, submitter, seq)) {
+	b = batch_find(pool, submitter, seq);
+	if (b)
+		b->report_due = true;
+	if (b || was_closed(pool, submitter, seq)) {
 		ph_batch_request_free(pool->mem, request);
 		return;
 	}
@@ -1019,6 +1033,7 @@
 	}
 	if (pool->dirty || now_us >= pool->placed_us + PLACE_EVERY_US)
 		ph_pool_place(pool, now_us);
+	ph_unconfirmed_tell(pool, now_us);
 }
 
 void ph_pool_handle_changes(struct ph_pool *pool, uint64_t now_us)
--- a/src/pool.h
+++ b/src/pool.h
@@ -24,6 +24,11 @@
 	 * is valid during the call only. */
 	void (*result)(void *ctx, const char *submitter, uint64_t seq,
 		       const struct ph_result *result);
+	/** The batch that was submitted as (submitter, seq) is accepted, and
+	 * tasks of it may have been started; starts are those that may still be
+	 * carried out. Called again after each round of starts. May be NULL. */
+	void (*accepted)(void *ctx, const char *submitter, uint64_t seq,
+			 const struct ph_unconfirmed *starts);
 };
 
 struct ph_batch;
@@ -121,6 +126,10 @@
 		    const char *submitter, uint64_t seq,
 		    struct ph_batch_request *request);
 
+/** Whether the pool has a batch. */
+bool ph_pool_has_batch(const struct ph_pool *pool, const char *submitter,
+		       uint64_t seq);
+
 /** The caller disconnected: stops the batch's runs and drops the batch without
  * a result. */
 void ph_pool_cancel(struct ph_pool *pool, uint64_t now_us,
@@ -163,6 +172,27 @@
 void ph_pool_stop_done(struct ph_pool *pool, uint64_t now_us, uint64_t call_id,
 		       const struct ph_run_command_reply *reply);
 
+/** Most starts in a report: what an owner has sent to executors that leave a
+ * share of the calls of one submitter unanswered. */
+#define PH_REPORTED_STARTS_MAX 64U
+
+/** The starts that may still be carried out, of all batches of a submitter. */
+struct ph_start_report {
+	uint32_t count;
+	/** There were more than fit. */
+	bool incomplete;
+	struct {
+		/** Number of the batch. */
+		uint64_t seq;
+		struct ph_unconfirmed_start start;
+	} starts[PH_REPORTED_STARTS_MAX];
+};
+
+/** Adds those of a pool to a report; none if it is not owned. */
+void ph_pool_report_starts(const struct ph_pool *pool, uint64_t now_us,
+			   const char *submitter,
+			   struct ph_start_report *report);
+
 /** Handles timeouts, lease renewals and starts; call at least every 20 ms. */
 void ph_pool_tick(struct ph_pool *pool, uint64_t now_us);
 
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -74,6 +74,8 @@
 	bool maybe_resumed;
 	/** Its submitter may take this owner for failed, and resume it. */
 	bool owner_suspected;
+	/** Its submitter has to be told that it was accepted, or of starts. */
+	bool report_due;
 	/** When this owner last started a task of it; 0: it has not. */
 	uint64_t last_started_us;
 	/** Core time, in millicore-microseconds, of waiting tasks that need the
@@ -183,6 +185,8 @@
 	/** Taken over, and no poll that was sent since has shown whether it was
 	 * carried out: nothing has been stopped. */
 	bool unverified;
+	/** The earlier owner had got no answer in time. */
+	bool unanswered;
 	/** When it was taken over, or its executor was listed if that was
 	 * later. */
 	uint64_t since_us;
@@ -582,10 +586,20 @@
  * shows to have been carried out, and stops the others. */
 void ph_late_starts_verify(struct ph_pool *pool, struct ph_executor *executor,
 			   const struct ph_poll_reply *reply, uint64_t now_us);
-/** Whether a late start of the task, on this executor, was taken over and is
- * not verified yet. */
-bool ph_late_start_unverified(const struct ph_executor *executor,
-			      const struct ph_batch *batch, uint32_t index);
+/** What is known of an earlier owner's start of a task on an executor. */
+enum ph_verification {
+	/** No such start, or a poll has shown what became of it. */
+	PH_START_VERIFIED,
+	/** The executor has not answered a poll since; the start was most
+	 * likely answered. */
+	PH_START_IN_DOUBT,
+	/** Nor has it; the start had got no answer. */
+	PH_START_UNANSWERED,
+};
+
+enum ph_verification
+ph_late_start_verification(const struct ph_executor *executor,
+			   const struct ph_batch *batch, uint32_t index);
 /** Whether a start of the task may still be carried out on some executor. */
 bool ph_late_start_of_task(const struct ph_pool *pool,
 			   const struct ph_batch *batch, uint32_t index);
@@ -613,6 +627,9 @@
 void ph_unconfirmed_collect(const struct ph_pool *pool,
 			    const struct ph_batch *batch, uint64_t now_us,
 			    struct ph_unconfirmed *out);
+/** Tells submitters of batches that were accepted, and of the starts of a
+ * placement round. */
+void ph_unconfirmed_tell(struct ph_pool *pool, uint64_t now_us);
 
 /* ## pool_poll.c */
 
--- a/src/pool_late.c
+++ b/src/pool_late.c
@@ -153,15 +153,21 @@
 	return false;
 }
 
-bool ph_late_start_unverified(const struct ph_executor *x,
-			      const struct ph_batch *b, uint32_t index)
+enum ph_verification ph_late_start_verification(const struct ph_executor *x,
+						const struct ph_batch *b,
+						uint32_t index)
 {
+	enum ph_verification found = PH_START_VERIFIED;
 	const struct ph_late_start *s;
 
-	for (s = x->late_starts; s; s = s->next)
-		if (s->unverified && is_of_task(s, b, index))
-			return true;
-	return false;
+	for (s = x->late_starts; s; s = s->next) {
+		if (!s->unverified || !is_of_task(s, b, index))
+			continue;
+		if (s->unanswered)
+			return PH_START_UNANSWERED;
+		found = PH_START_IN_DOUBT;
+	}
+	return found;
 }
 
 bool ph_late_starts_awaited(const struct ph_pool *pool,
@@ -243,6 +249,7 @@
 	s->sent_us = now_us > start->age_us ? now_us - start->age_us : 0;
 	s->taken_over = true;
 	s->unverified = true;
+	s->unanswered = start->unanswered;
 	s->since_us = x ? now_us : 0;
 	return true;
 }
@@ -353,6 +360,13 @@
 		}
 }
 
+/* Whether a start was most likely answered: as long as no poll has shown that
+ * it was not, nothing is stopped for it. */
+static bool in_doubt(const struct ph_late_start *s)
+{
+	return s->unverified && !s->unanswered;
+}
+
 void ph_late_starts_stop_elsewhere(struct ph_pool *pool, struct ph_executor *x,
 				   uint64_t now_us)
 {
@@ -365,7 +379,7 @@
 								: s->since_us;
 
 		if ((!refuses && now_us < heard_us + pool->opt.lease_us) ||
-		    !task_left(pool, s)) {
+		    in_doubt(s) || !task_left(pool, s)) {
 			at = &s->next;
 			continue;
 		}
--- a/src/pool_placement.c
+++ b/src/pool_placement.c
@@ -426,7 +426,7 @@
 	for (i = 0; i < b->request->count; i++) {
 		if (b->tasks[i].state != PH_BATCH_TASK_WAITING)
 			continue;
-		if (ph_late_start_unverified(x, b, i) ||
+		if (ph_late_start_verification(x, b, i) != PH_START_VERIFIED ||
 		    (earlier_run_possible(pool, b, i, now_us) &&
 		     may_be_on(b, b->request->possible_executor[i], x, now_us)))
 			return true;
@@ -491,15 +491,23 @@
 }
 
 /* Whether an earlier owner may have started the task where no poll has shown
- * since what became of that. */
+ * since what became of that. One that was most likely answered is over with its
+ * lease. */
 static bool awaits_verification(const struct ph_pool *pool,
-				const struct ph_batch *b, uint32_t index)
+				const struct ph_batch *b, uint32_t index,
+				uint64_t now_us)
 {
 	const struct ph_executor *x;
 
-	for (x = pool->executors; x; x = x->next)
-		if (ph_late_start_unverified(x, b, index))
+	for (x = pool->executors; x; x = x->next) {
+		enum ph_verification v =
+			ph_late_start_verification(x, b, index);
+
+		if (v == PH_START_UNANSWERED ||
+		    (v == PH_START_IN_DOUBT &&
+		     now_us < orphans_expired_us(pool, b)))
 			return true;
+	}
 	return false;
 }
 
@@ -511,7 +519,7 @@
 	if (b->maybe_resumed || (b->owner_suspected && b->tasks[index].expired))
 		return false;
 	return earlier_run_gone(pool, b, index, now_us) &&
-	       !awaits_verification(pool, b, index) &&
+	       !awaits_verification(pool, b, index, now_us) &&
 	       !has_run(pool, b->request->job, index);
 }
 
--- a/src/pool_run.c
+++ b/src/pool_run.c
@@ -262,6 +262,7 @@
 	batch->waiting--;
 	batch->request->possible_executor[index] = PH_EXECUTOR_NONE;
 	batch->started = true;
+	batch->report_due = true;
 	batch->last_started_us = now_us;
 	pool->counters.starts++;
 	command_init(pool, x, run, &command);
--- a/src/pool_types.c
+++ b/src/pool_types.c
@@ -24,6 +24,7 @@
 			continue;
 		if (start->age_us < known->age_us)
 			known->age_us = start->age_us;
+		known->unanswered = known->unanswered || start->unanswered;
 		return;
 	}
 	if (to->count == PH_UNCONFIRMED_MAX)
--- a/src/pool_types.h
+++ b/src/pool_types.h
@@ -55,6 +55,9 @@
 	/** Hash of the executor's id. */
 	uint32_t executor;
 	uint64_t run;
+	/** It has got no answer in time; else the answer may have been on its
+	 * way. */
+	bool unanswered;
 	/** Time since it was sent, when the message that carries it was sent;
 	 * shorter by the time in transit when that arrives. */
 	uint64_t age_us;
@@ -71,7 +74,7 @@
 	struct ph_unconfirmed_start starts[PH_UNCONFIRMED_MAX];
 };
 
-/** Adds a start, or makes one that is known as young as this one. */
+/** Adds a start, or updates one that is known. */
 void ph_unconfirmed_add(struct ph_unconfirmed *to,
 			const struct ph_unconfirmed_start *start);
 
--- a/src/pool_unconfirmed.c
+++ b/src/pool_unconfirmed.c
@@ -2,6 +2,8 @@
  * longer there: to the submitters of their batches, which pass it on to the
  * next owner. */
 
+#include <string.h>
+
 #include "ident.h"
 #include "pool_impl.h"
 
@@ -17,6 +19,7 @@
 			.index = s->index,
 			.executor = s->executor,
 			.run = s->run,
+			.unanswered = !s->unverified || s->unanswered,
 			.age_us = now_us - s->sent_us,
 		};
 
@@ -34,6 +37,7 @@
 		struct ph_unconfirmed_start start = {
 			.index = run->index,
 			.run = run->run,
+			.unanswered = run->state == PH_RUN_STOPPING,
 			.age_us = now_us - run->created_us,
 		};
 
@@ -88,3 +92,56 @@
 	out->incomplete = false;
 	visit_all(pool, now_us, collect, &c);
 }
+
+void ph_unconfirmed_tell(struct ph_pool *pool, uint64_t now_us)
+{
+	struct ph_unconfirmed starts;
+	struct ph_batch *b;
+
+	for (b = pool->batches; b; b = b->next) {
+		if (!b->report_due)
+			continue;
+		b->report_due = false;
+		if (!pool->opt.sink->accepted)
+			continue;
+		ph_unconfirmed_collect(pool, b, now_us, &starts);
+		pool->opt.sink->accepted(pool->opt.ctx, b->submitter, b->seq,
+					 &starts);
+	}
+}
+
+struct reporting {
+	const struct ph_pool *pool;
+	const char *submitter;
+	struct ph_start_report *report;
+};
+
+static void add_to_report(void *ctx, uint64_t job_hash,
+			  const struct ph_unconfirmed_start *start)
+{
+	struct reporting *r = ctx;
+	struct ph_start_report *report = r->report;
+	const struct ph_batch *b;
+
+	for (b = r->pool->batches; b; b = b->next) {
+		if (!concerns(b, job_hash, start) ||
+		    strcmp(b->submitter, r->submitter) != 0)
+			continue;
+		if (report->count == PH_REPORTED_STARTS_MAX) {
+			report->incomplete = true;
+			return;
+		}
+		report->starts[report->count].seq = b->seq;
+		report->starts[report->count++].start = *start;
+	}
+}
+
+void ph_pool_report_starts(const struct ph_pool *pool, uint64_t now_us,
+			   const char *submitter,
+			   struct ph_start_report *report)
+{
+	struct reporting r = { pool, submitter, report };
+
+	if (pool->owned)
+		visit_all(pool, now_us, add_to_report, &r);
+}
--- a/src/poolmsg.c
+++ b/src/poolmsg.c
@@ -12,13 +12,14 @@
  * list change without their entries, of the other bodies, and of one entry (a
  * claim, a suspect, a reported owner or an executor). */
 #define HEADER_FIELDS 6U
-#define HEARTBEAT_FIELDS 16U
+#define HEARTBEAT_FIELDS 18U
 #define CLAIM_FIELDS 9U
 #define SUSPECT_FIELDS 5U
 #define REPORTED_OWNER_FIELDS 5U
 #define BATCH_REQUEST_FIELDS 21U
 #define RESULT_FIELDS 9U
-#define START_FIELDS 4U
+#define START_FIELDS 5U
+#define ACCEPTED_FIELDS 4U
 #define LIST_FIELDS 5U
 #define EXECUTOR_FIELDS 10U
 #define EVACUATION_FIELDS 3U
@@ -90,6 +91,7 @@
 	msgpack_pack_uint32(pk, s->index);
 	msgpack_pack_uint32(pk, s->executor);
 	msgpack_pack_uint64(pk, s->run);
+	msgpack_pack_uint32(pk, s->unanswered);
 	msgpack_pack_uint64(pk, s->age_us);
 }
 
@@ -129,6 +131,13 @@
 	msgpack_pack_uint32(pk, m->reported_owner_count);
 	for (i = 0; i < m->reported_owner_count; i++)
 		put_reported_owner(pk, &m->reported_owners[i]);
+	/* Last, since versions before this one don't have them. */
+	msgpack_pack_uint32(pk, m->starts.incomplete);
+	msgpack_pack_uint32(pk, m->starts.count);
+	for (i = 0; i < m->starts.count; i++) {
+		msgpack_pack_uint64(pk, m->starts.starts[i].seq);
+		put_start(pk, &m->starts.starts[i].start);
+	}
 }
 
 static void put_batch_request(msgpack_packer *pk,
@@ -216,7 +225,8 @@
 {
 	return HEARTBEAT_FIELDS + m->claim_count * CLAIM_FIELDS +
 	       m->suspect_count * SUSPECT_FIELDS +
-	       m->reported_owner_count * REPORTED_OWNER_FIELDS;
+	       m->reported_owner_count * REPORTED_OWNER_FIELDS +
+	       m->starts.count * (1 + START_FIELDS);
 }
 
 static size_t body_fields(const struct ph_poolmsg *m)
@@ -227,6 +237,9 @@
 	case PH_POOLMSG_SUBMIT:
 		return 3 + BATCH_REQUEST_FIELDS +
 		       m->batch_request->unconfirmed.count * START_FIELDS;
+	case PH_POOLMSG_ACCEPTED:
+		return ACCEPTED_FIELDS +
+		       m->result.unconfirmed.count * START_FIELDS;
 	case PH_POOLMSG_RESULT:
 		return 1 + RESULT_FIELDS +
 		       m->result.unconfirmed.count * START_FIELDS;
@@ -258,6 +271,11 @@
 		msgpack_pack_uint64(pk, m->owner_incarnation);
 		put_batch_request(pk, m->batch_request);
 		break;
+	case PH_POOLMSG_ACCEPTED:
+		msgpack_pack_uint64(pk, m->seq);
+		msgpack_pack_uint64(pk, m->clock_us);
+		put_unconfirmed(pk, &m->result.unconfirmed);
+		break;
 	case PH_POOLMSG_RESULT:
 		msgpack_pack_uint64(pk, m->seq);
 		put_result(pk, &m->result);
@@ -451,6 +469,7 @@
 	s->index = (uint32_t)get_uint(r, PH_MAX_TASKS - 1);
 	s->executor = get_u32(r);
 	s->run = get_u64(r);
+	s->unanswered = get_u32(r) != 0;
 	s->age_us = get_u64(r);
 }
 
@@ -499,6 +518,15 @@
 	m->reported_owner_count = (uint32_t)get_uint(r, PH_REPORTED_OWNERS_MAX);
 	for (i = 0; i < m->reported_owner_count; i++)
 		get_reported_owner(r, &m->reported_owners[i]);
+	m->has_starts = !r->bad && r->left;
+	if (!m->has_starts)
+		return;
+	m->starts.incomplete = get_u32(r) != 0;
+	m->starts.count = (uint32_t)get_uint(r, PH_REPORTED_STARTS_MAX);
+	for (i = 0; i < m->starts.count; i++) {
+		m->starts.starts[i].seq = get_u64(r);
+		get_start(r, &m->starts.starts[i].start);
+	}
 }
 
 static void get_batch_request(const struct ph_mem *mem, struct reader *r,
@@ -604,6 +632,13 @@
 		m->batch_request = mem->calloc(1, sizeof(*m->batch_request));
 		get_batch_request(mem, r, m->batch_request);
 		break;
+	case PH_POOLMSG_ACCEPTED:
+		m->seq = get_u64(r);
+		if (r->bad || !r->left)
+			break;
+		m->clock_us = get_u64(r);
+		get_unconfirmed(r, &m->result.unconfirmed);
+		break;
 	case PH_POOLMSG_RESULT:
 		m->seq = get_u64(r);
 		get_result(r, m);
--- a/src/poolmsg.h
+++ b/src/poolmsg.h
@@ -24,6 +24,8 @@
 	PH_POOLMSG_HEARTBEAT = 1,
 	/** Batch request to the owner of a pool; resent until accepted. */
 	PH_POOLMSG_SUBMIT,
+	/** Also tells which starts of the batch may still be carried out; sent
+	 * again after each later round in which tasks of it were started. */
 	PH_POOLMSG_ACCEPTED,
 	/** Result of a batch; resent until acknowledged. */
 	PH_POOLMSG_RESULT,
@@ -80,8 +82,7 @@
 	const char *domain;
 	char addr[PH_ADDR_BYTES];
 	uint64_t incarnation;
-	/* The fields from here to reported_owners are those of
-	 * HEARTBEAT. */
+	/* The fields from here to starts are those of HEARTBEAT. */
 	/** The sender is stopping and claims no more pools. */
 	bool leaving;
 	uint64_t config_version;
@@ -90,7 +91,8 @@
 	uint64_t heard_ago_us;
 	/** Interval of the sender's heartbeats to the receiver. */
 	uint64_t interval_us;
-	/** The sender's monotonic clock. */
+	/** The sender's monotonic clock; also in ACCEPTED, where versions
+	 * before this one don't tell it (0). */
 	uint64_t clock_us;
 	/** CPU that the sender may use, in thousandths of a core. */
 	uint32_t cpu_milli;
@@ -125,6 +127,10 @@
 	 */
 	uint32_t reported_owner_count;
 	struct ph_reported_owner reported_owners[PH_REPORTED_OWNERS_MAX];
+	/** The starts of the receiver's batches that may still be carried out,
+	 * if has_starts: versions before this one don't tell them. */
+	bool has_starts;
+	struct ph_start_report starts;
 	/** Number that identifies a batch at the submitting instance; in all
 	 * types but HEARTBEAT, CONFIG_REQUEST, CONFIG, LIST,
 	 * EVACUATION_REQUEST and EVACUATION. */
@@ -135,6 +141,7 @@
 	uint64_t owner_incarnation;
 	/** SUBMIT: the batch request; owned by the message when decoded. */
 	struct ph_batch_request *batch_request;
+	/** RESULT; of ACCEPTED only unconfirmed. */
 	struct ph_result result;
 	/** CONFIG: the configuration; owned by the message when decoded. */
 	char *doc;
--- a/src/submitter.c
+++ b/src/submitter.c
@@ -65,6 +65,8 @@
 	uint64_t sent_us;
 	uint64_t first_sent_us;
 	bool accepted;
+	/** The owner's clock when it last told of starts; 0: it has not. */
+	uint64_t told_clock_us;
 	/** When the ages of the batch's unconfirmed starts were valid. */
 	uint64_t ages_us;
 	/** When the owner died or lost the pool; 0: it still owns it. */
@@ -535,6 +537,7 @@
 {
 	j->seq = ++s->last_seq;
 	j->accepted = false;
+	j->told_clock_us = 0;
 	j->owner_lost_us = 0;
 	j->waiting_for_owner = false;
 	j->not_started = false;
@@ -754,14 +757,6 @@
 	return count;
 }
 
-void ph_submitter_accepted(struct ph_submitter *s, uint64_t seq)
-{
-	struct job *j = find_job(s, seq);
-
-	if (j)
-		j->accepted = true;
-}
-
 /* Keeps what an owner has told of starts that may still be carried out. */
 static void keep_starts(struct job *j, const struct ph_unconfirmed *told,
 			uint64_t now_us)
@@ -775,6 +770,51 @@
 		ph_unconfirmed_add(kept, &told->starts[i]);
 }
 
+void ph_submitter_accepted(struct ph_submitter *s, uint64_t now_us,
+			   uint64_t seq, uint64_t clock_us,
+			   const struct ph_unconfirmed *starts)
+{
+	struct job *j = find_job(s, seq);
+
+	if (!j)
+		return;
+	j->accepted = true;
+	if (clock_us > j->told_clock_us)
+		j->told_clock_us = clock_us;
+	keep_starts(j, starts, now_us);
+}
+
+/* Whether a heartbeat tells all starts of a job that may still be carried out:
+ * its owner had accepted it by then, and told no more since. */
+static bool reports_all(const struct job *j, const struct ph_poolmsg *heartbeat)
+{
+	return heartbeat->has_starts && !heartbeat->starts.incomplete &&
+	       !j->waiting_for_owner && j->told_clock_us &&
+	       heartbeat->clock_us >= j->told_clock_us &&
+	       heartbeat->incarnation == j->owner.incarnation &&
+	       !strcmp(heartbeat->name, j->owner.name);
+}
+
+void ph_submitter_starts_reported(struct ph_submitter *s, uint64_t now_us,
+				  const struct ph_poolmsg *heartbeat)
+{
+	const struct ph_start_report *report = &heartbeat->starts;
+	struct ph_unconfirmed one = { .count = 1 };
+	struct job *j;
+	uint32_t i;
+
+	for (j = s->jobs; j; j = j->next)
+		if (reports_all(j, heartbeat))
+			j->batch->unconfirmed.count = 0;
+	for (i = 0; i < report->count; i++) {
+		j = find_job(s, report->starts[i].seq);
+		if (!j || j->waiting_for_owner)
+			continue;
+		one.starts[0] = report->starts[i].start;
+		keep_starts(j, &one, now_us);
+	}
+}
+
 /* Marks the batch as resumed, with the executors where its tasks may be running
  * as the old owner reported them; unknown without its result. */
 static void set_run_locations(struct job *j, const struct ph_result *result)
@@ -796,6 +836,9 @@
 	size_t i;
 
 	j->not_started = result->not_started && !j->batch->resumed;
+	/* An owner that had accepted the batch tells all. */
+	if (j->told_clock_us)
+		j->batch->unconfirmed.count = 0;
 	keep_starts(j, &result->unconfirmed, now_us);
 	for (i = 0; i < sizeof(result->done); i++)
 		j->batch->done[i] |= result->done[i];
--- a/src/submitter.h
+++ b/src/submitter.h
@@ -116,8 +116,17 @@
 size_t ph_submitter_cancel_job(struct ph_submitter *submitter, uint64_t now_us,
 			       const char *job);
 
-/** The owner of a pool has accepted a batch; it is not sent again. */
-void ph_submitter_accepted(struct ph_submitter *submitter, uint64_t seq);
+/** The owner of a pool has accepted a batch, which is not sent again, and told
+ * of starts that may still be carried out. clock_us is the owner's clock when
+ * it sent that; 0: unknown. */
+void ph_submitter_accepted(struct ph_submitter *submitter, uint64_t now_us,
+			   uint64_t seq, uint64_t clock_us,
+			   const struct ph_unconfirmed *starts);
+/** A heartbeat of an owner has told which starts of this instance's batches may
+ * still be carried out; others that it told of before can't be any more. */
+void ph_submitter_starts_reported(struct ph_submitter *submitter,
+				  uint64_t now_us,
+				  const struct ph_poolmsg *heartbeat);
 /** The owner of a pool has acknowledged a cancellation. */
 void ph_submitter_cancelled(struct ph_submitter *submitter, uint64_t seq);
 /**
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -434,13 +434,47 @@
 		o->results[seq] = *result;
 		o->result_us[seq] = o->world->now_us;
 	}
+
+	static void on_accepted(void *ctx, const char *, uint64_t seq,
+				const ph_unconfirmed *starts)
+	{
+		Owner *o = static_cast<Owner *>(ctx);
+
+		o->told[seq] = { o->world->now_us, *starts };
+		if (o->on_accepted)
+			o->on_accepted(seq, *starts);
+	}
 };
 
 static const ph_pool_sink sink = { Calls::on_poll, Calls::on_start,
-				   Calls::on_stop, Calls::on_result };
+				   Calls::on_stop, Calls::on_result,
+				   Calls::on_accepted };
 
 /* ## World */
 
+/* Interval at which owners tell in heartbeats which starts may still be carried
+ * out. */
+constexpr uint64_t kReportUs = 100 * kMs;
+
+void World::report_starts()
+{
+	for (Owner *o : owners) {
+		ph_start_report report = {};
+
+		if (o->frozen)
+			continue;
+		ph_pool_report_starts(o->pool, now_us, "submitter", &report);
+		for (auto &t : o->told) {
+			t.second.first = now_us;
+			t.second.second.count = 0;
+		}
+		for (uint32_t i = 0; i < report.count; i++)
+			ph_unconfirmed_add(
+				&o->told[report.starts[i].seq].second,
+				&report.starts[i].start);
+	}
+}
+
 World::World(size_t count, uint32_t cpu)
 {
 	ph_log_quiet(1);
@@ -585,6 +619,8 @@
 		}
 		now_us = tick;
 		step_executors();
+		if (now_us % kReportUs == 0)
+			report_starts();
 		for (Owner *o : owners)
 			if (!o->frozen)
 				ph_pool_tick(o->pool, now_us);
@@ -636,9 +672,14 @@
 	ph_unconfirmed told = {};
 	Told &before = told_before[requests[seq].job];
 
+	if (starts_untold)
+		return told;
 	if (from->results.count(seq)) {
 		told = from->results.at(seq).unconfirmed;
 		aged(&told, now_us - from->result_us.at(seq));
+	} else if (from->told.count(seq)) {
+		told = from->told.at(seq).second;
+		aged(&told, now_us - from->told.at(seq).first);
 	}
 	aged(&before.starts, now_us - before.at_us);
 	for (uint32_t i = 0; i < before.starts.count; i++)
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -134,6 +134,12 @@
 	std::map<uint64_t, ph_result> results;
 	/** Time of the result, by batch number. */
 	std::map<uint64_t, uint64_t> result_us;
+	/** What it told of starts that may still be carried out, and when, by
+	 * batch number. */
+	std::map<uint64_t, std::pair<uint64_t, ph_unconfirmed>> told;
+	/** Called when it tells that a batch is accepted. */
+	std::function<void(uint64_t seq, const ph_unconfirmed &starts)>
+		on_accepted;
 };
 
 struct World {
@@ -156,6 +162,8 @@
 	std::map<std::string, uint32_t> cpu_of;
 	/** The evacuated domains, for owners that are added later. */
 	const ph_evacuation *evacuation = nullptr;
+	/** Owners tell nothing of their starts, as an earlier version. */
+	bool starts_untold = false;
 	/** Share of its declared cores that a run is reported to use. */
 	uint32_t reported_cpu_percent = 100;
 
@@ -180,7 +188,7 @@
 	uint64_t submit_request(Owner *owner, const ph_batch_request &request,
 				uint64_t duration);
 	/** Submits a batch again, as resumed, to another owner; with the state
-	 * that "from" reported, if it did. */
+	 * that "from" reported, if it did, and what it told of starts. */
 	void resubmit(Owner *from, Owner *to, uint64_t seq);
 	/** True if the owner has reported this verdict. */
 	bool ended(const Owner *owner, uint64_t seq, ph_verdict verdict) const;
@@ -208,6 +216,7 @@
 
 	ph_unconfirmed told_starts(const Owner *from, uint64_t seq);
 
+	void report_starts();
 	void step_executors();
 	friend struct Calls;
 };
--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -420,6 +420,11 @@
 	PLANNED,
 	/* Planned, and once more 0.1 s later. */
 	PLANNED_TWICE,
+	KILLED,
+	/* It goes on after 0.9 s, and gives the pool up. */
+	FROZEN,
+	/* Planned; the next owner is killed 0.2 s later. */
+	PLANNED_AND_KILLED,
 };
 
 /* A start that is not answered, its executor's crash, and a change of the
@@ -433,16 +438,63 @@
 };
 
 constexpr uint64_t kNextOwnerMs = 20;
+/* Until the loss of an owner is noticed, and its pool claimed. */
+constexpr uint64_t kLossNoticedMs = 120;
 
 /* The next owner acquires the pool and gets the batch. */
 void take_over(World *w, Owner *from, Owner *to, uint64_t token, uint64_t seq)
 {
-	ph_pool_release(from->pool, w->now_us);
 	ph_pool_acquire(to->pool, w->now_us, token);
 	w->at(w->now_us + kNextOwnerMs * kMs,
 	      [=] { w->resubmit(from, to, seq); });
 }
 
+void hand_over(World *w, Owner *from, Owner *to, uint64_t token, uint64_t seq)
+{
+	ph_pool_release(from->pool, w->now_us);
+	take_over(w, from, to, token, seq);
+}
+
+/* The owner stands still, for ever or for for_us. */
+void lose_owner(World *w, Owner *from, Owner *to, uint64_t token, uint64_t seq,
+		uint64_t for_us = 0)
+{
+	from->frozen = true;
+	w->at(w->now_us + kLossNoticedMs * kMs,
+	      [=] { take_over(w, from, to, token, seq); });
+	if (for_us)
+		w->at(w->now_us + for_us, [=] {
+			from->frozen = false;
+			ph_pool_release(from->pool, w->now_us);
+		});
+}
+
+/* Schedules the changes of the owner; returns the last one. */
+Owner *change_owner(World *w, Owner *a, Change how, uint64_t at_us,
+		    uint64_t seq)
+{
+	bool twice = how == Change::PLANNED_TWICE ||
+		     how == Change::PLANNED_AND_KILLED;
+	Owner *b = w->add_owner();
+	Owner *c = twice ? w->add_owner() : b;
+
+	w->at(at_us, [=] {
+		if (how == Change::KILLED)
+			lose_owner(w, a, b, 2000, seq);
+		else if (how == Change::FROZEN)
+			lose_owner(w, a, b, 2000, seq, 900 * kMs);
+		else
+			hand_over(w, a, b, 2000, seq);
+	});
+	if (how == Change::PLANNED_TWICE)
+		w->at(at_us + 100 * kMs,
+		      [=] { hand_over(w, b, c, 3000, seq); });
+	if (how == Change::PLANNED_AND_KILLED)
+		w->at(at_us + 200 * kMs,
+		      [=] { lose_owner(w, b, c, 3000, seq); });
+	return c;
+}
+
 /* Plays it; the executor carries the start out as soon as it is back. Returns
  * whether the task ran once at a time and was done. */
 bool runs_once_after(const LateStartAndChange &c)
@@ -454,32 +506,22 @@
 	uint64_t t0 = w.now_us;
 	uint64_t seq;
 	Owner *last;
-	Owner *b;
 
-	/* The next owner prefers the one that fits more tightly. */
+	/* The next owners prefer the one that fits more tightly. */
 	w.executors.front().cpu = 12000;
-	b = w.add_owner();
-	last = b;
 	x->start_delay_us = (c.crash_ms + c.away_ms + 2) * kMs;
 	seq = w.submit(a, "a", 1, 9000 * kMs, 9000 * kMs, kLong, kLong);
 	w.at(t0 + 5 * kMs, [=] { x->start_delay_us = 0; });
-	w.at(t0 + c.change_ms * kMs,
-	     [&w, a, b, seq] { take_over(&w, a, b, 2000, seq); });
-	if (c.how == Change::PLANNED_TWICE) {
-		last = w.add_owner();
-		w.at(t0 + (c.change_ms + 100) * kMs,
-		     [&w, b, last, seq] { take_over(&w, b, last, 3000, seq); });
-	}
+	last = change_owner(&w, a, c.how, t0 + c.change_ms * kMs, seq);
 	w.at(t0 + c.crash_ms * kMs,
 	     [&w, x, &c] { w.crash(x, c.away_ms * kMs, c.silent); });
 	w.run_until(t0 + 25000 * kMs);
 	return !w.concurrent_runs && w.ended(last, seq, PH_VERDICT_DONE);
 }
 
-/* Guards against a start without an answer that the next owner doesn't know of:
- * its executor crashes, and its next incarnation carries the start out beside
- * the run that the next owner goes on with. */
-TEST(PoolIncarnations, ALateStartIsNoSecondRunAfterAHandOver)
+/* Plays all combinations of times in which the last owner has polled the
+ * executor before it crashes, taken_over_ms after the first change. */
+void expect_one_run(std::initializer_list<Change> hows, uint64_t taken_over_ms)
 {
 	const uint64_t changes_ms[] = { 2, 30, 150, 210, 800, 1900 };
 	const uint64_t crashes_ms[] = { 250, 1000, 2000, 3500 };
@@ -489,12 +531,12 @@
 	} absences[] = { { 150, false },  { 300, false }, { 800, false },
 			 { 4500, false }, { 1000, true }, { 4500, true } };
 
-	for (Change how : { Change::PLANNED, Change::PLANNED_TWICE })
+	for (Change how : hows)
 		for (uint64_t change_ms : changes_ms)
 			for (uint64_t crash_ms : crashes_ms)
 				for (const auto &absence : absences) {
-					/* The last owner has polled it. */
-					if (crash_ms < change_ms + 150)
+					if (crash_ms <
+					    change_ms + taken_over_ms)
 						continue;
 					EXPECT_TRUE(runs_once_after(
 						{ how, change_ms, crash_ms,
@@ -508,6 +550,22 @@
 				}
 }
 
+/* Guards against a start without an answer that the next owner doesn't know of:
+ * its executor crashes, and its next incarnation carries the start out beside
+ * the run that the next owner goes on with. */
+TEST(PoolIncarnations, ALateStartIsNoSecondRunAfterAHandOver)
+{
+	expect_one_run({ Change::PLANNED, Change::PLANNED_TWICE }, 150);
+}
+
+/* The same, if the owner that has sent the start can't tell the next one. */
+TEST(PoolIncarnations, ALateStartIsNoSecondRunAfterTheLossOfItsOwner)
+{
+	expect_one_run(
+		{ Change::KILLED, Change::FROZEN, Change::PLANNED_AND_KILLED },
+		400);
+}
+
 /* Times of what happens around the next owner's first poll of an executor, in
  * microseconds from when that poll is sent. */
 struct HandOver {
@@ -603,9 +661,15 @@
 TEST(PoolIncarnations, AResumedTaskWaitsForOnePollOnly)
 {
 	constexpr uint64_t poll_us = 2 * kLatencyUs;
-
-	for (bool told : { false, true }) {
-		SCOPED_TRACE(told);
+	const struct {
+		bool released;
+		/** The next owner knows which starts got no answer. */
+		bool told;
+	} cases[] = { { false, false }, { false, true }, { true, true } };
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(std::to_string(c.released) + " " +
+			     std::to_string(c.told));
 		World w(4, 16000);
 		Owner *a = ready_owner(&w);
 		Owner *b = w.add_owner();
@@ -621,7 +685,8 @@
 		w.run_until(w.now_us + 50 * kMs);
 		for (Executor &x : w.executors)
 			x.start_delay_us = 0;
-		if (told)
+		w.starts_untold = !c.told;
+		if (c.released)
 			ph_pool_release(a->pool, w.now_us);
 		a->frozen = true;
 		ph_pool_acquire(b->pool, w.now_us, 2000);
@@ -632,14 +697,14 @@
 			w.resubmit(a, b, seq);
 		/* What was told of is stopped first, and another poll shows
 		 * that it has ended. */
-		for (uint64_t n = 1; n <= (told ? 3 : 1); n++)
+		for (uint64_t n = 1; n <= (c.told ? 3 : 1); n++)
 			w.at(w.now_us + n * poll_us + n, [&w, b] {
 				ph_pool_handle_changes(b->pool, w.now_us);
 			});
 		w.run_until(w.now_us + kTickUs);
 		EXPECT_EQ(w.starts, 8);
 		EXPECT_LE(ph_pool_counters(b->pool)->polls - polls,
-			  (told ? 4 : 2) * w.executors.size());
+			  (c.told ? 4 : 2) * w.executors.size());
 	}
 }
 
--- a/test/test_poolmsg.cc
+++ b/test/test_poolmsg.cc
@@ -222,9 +222,14 @@
 	/* An array of up to 65535 elements, and the last numbers, of one byte
 	 * and of nine. */
 	ASSERT_EQ(bytes[0], '\xdc');
-	ASSERT_EQ(bytes[2], 22);
+	ASSERT_EQ(bytes[2], 24);
 	m.echo_us = 1ULL << 40;
 	ASSERT_EQ(encode(m).size(), bytes.size() + 8);
+	bytes.resize(bytes.size() - 2);
+	bytes[2] -= 2;
+	ASSERT_EQ(decode(bytes, &got), 0);
+	EXPECT_FALSE(got.has_starts);
+	ph_poolmsg_clear(ph_mem_default(), &got);
 	bytes.pop_back();
 	bytes[2]--;
 	ASSERT_EQ(decode(bytes, &got), 0);
@@ -279,8 +284,8 @@
 
 	u.count = 2;
 	u.incomplete = true;
-	u.starts[0] = { 3, 0xfffffff0, 1ULL << 53, 19999999 };
-	u.starts[1] = { PH_MAX_TASKS - 1, 7, 12, 0 };
+	u.starts[0] = { 3, 0xfffffff0, 1ULL << 53, true, 19999999 };
+	u.starts[1] = { PH_MAX_TASKS - 1, 7, 12, false, 0 };
 	return u;
 }
 
@@ -292,6 +297,7 @@
 		EXPECT_EQ(got.starts[i].index, want.starts[i].index);
 		EXPECT_EQ(got.starts[i].executor, want.starts[i].executor);
 		EXPECT_EQ(got.starts[i].run, want.starts[i].run);
+		EXPECT_EQ(got.starts[i].unanswered, want.starts[i].unanswered);
 		EXPECT_EQ(got.starts[i].age_us, want.starts[i].age_us);
 	}
 }
@@ -329,6 +335,27 @@
 	ASSERT_EQ(decode(encode(m), &got), 0);
 	expect_starts(got.batch_request->unconfirmed, starts());
 	ph_poolmsg_clear(ph_mem_default(), &got);
+
+	m = message(PH_POOLMSG_ACCEPTED);
+	m.clock_us = 1ULL << 45;
+	m.result.unconfirmed = starts();
+	ASSERT_EQ(decode(encode(m), &got), 0);
+	EXPECT_EQ(got.clock_us, 1ULL << 45);
+	expect_starts(got.result.unconfirmed, starts());
+	ph_poolmsg_clear(ph_mem_default(), &got);
+
+	m = message(PH_POOLMSG_HEARTBEAT);
+	m.starts.incomplete = true;
+	m.starts.count = 1;
+	m.starts.starts[0].seq = 1ULL << 60;
+	m.starts.starts[0].start = starts().starts[0];
+	ASSERT_EQ(decode(encode(m), &got), 0);
+	EXPECT_TRUE(got.has_starts);
+	EXPECT_TRUE(got.starts.incomplete);
+	ASSERT_EQ(got.starts.count, 1U);
+	EXPECT_EQ(got.starts.starts[0].seq, 1ULL << 60);
+	EXPECT_TRUE(got.starts.starts[0].start.unanswered);
+	ph_poolmsg_clear(ph_mem_default(), &got);
 }
 
 /* Guards against a batch of an earlier version, which doesn't tell of starts,
@@ -354,6 +381,24 @@
 	ph_poolmsg_clear(ph_mem_default(), &got);
 }
 
+/* The same for an acceptance. */
+TEST(PoolMsg, AnAcceptanceOfAnEarlierVersionIsDecoded)
+{
+	ph_poolmsg m = message(PH_POOLMSG_ACCEPTED);
+	std::string bytes = encode(m);
+	ph_poolmsg got;
+
+	/* An array of up to 15 elements, the last three of one byte each. */
+	ASSERT_EQ(bytes[0], '\x9a');
+	bytes.resize(bytes.size() - 3);
+	bytes[0] -= 3;
+	ASSERT_EQ(decode(bytes, &got), 0);
+	EXPECT_EQ(got.seq, m.seq);
+	EXPECT_EQ(got.clock_us, 0U);
+	EXPECT_EQ(got.result.unconfirmed.count, 0U);
+	ph_poolmsg_clear(ph_mem_default(), &got);
+}
+
 bool accepted(const ph_poolmsg &m)
 {
 	ph_poolmsg got;
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -275,10 +275,19 @@
 				i->cluster, g->w.now_us, p.first.c_str());
 			ph_pool_measure(p.second->pool, g->w.now_us, &c->load);
 		}
+		msg->has_starts = true;
+		msg->starts.incomplete = !m;
+		for (const auto &p : i->pools)
+			if (m)
+				ph_pool_report_starts(p.second->pool,
+						      g->w.now_us, m->name,
+						      &msg->starts);
 		g->refuse_if_gone(i->name, addr);
 		g->deliver(i, addr, [=](Instance *to) {
 			ph_cluster_heartbeat_received(to->cluster, g->w.now_us,
 						      msg.get());
+			ph_submitter_starts_reported(to->submitter, g->w.now_us,
+						     msg.get());
 		});
 	}
 
@@ -396,12 +405,11 @@
 		if (!ph_cluster_hears(to->cluster, w.now_us, from.c_str(),
 				      incarnation))
 			return;
-		deliver(to, from, [=](Instance *i) {
-			ph_submitter_accepted(i->submitter, seq);
-		});
 		for (const Unacked &u : to->unacked)
-			if (u.seq == seq)
+			if (u.seq == seq) {
+				send_accepted(to, seq, 0, {});
 				return;
+			}
 		if (owner_incarnation != to->incarnation) {
 			ph_result moved = {};
 
@@ -413,16 +421,30 @@
 				moved.possible_executor[i] =
 					PH_EXECUTOR_UNKNOWN;
 			to->unacked.push_back({ seq, moved, w.now_us, 0 });
+			send_accepted(to, seq, 0, {});
 			return;
 		}
 		ph_pool_submit(to->pools[pool]->pool, w.now_us, from.c_str(),
 			       seq,
 			       ph_batch_request_copy(ph_mem_default(), batch));
+		if (!ph_pool_has_batch(to->pools[pool]->pool, from.c_str(),
+				       seq))
+			send_accepted(to, seq, 0, {});
 		ph_pool_check_submitters(to->pools[pool]->pool, relies, surely,
 					 to);
 		ph_pool_handle_changes(to->pools[pool]->pool, w.now_us);
 	}
 
+	/* Tells a submitter that a batch is accepted, and of its starts. */
+	void send_accepted(Instance *o, uint64_t seq, uint64_t clock_us,
+			   const ph_unconfirmed &starts)
+	{
+		deliver(o, instances[seq >> kSeqShift]->name, [=](Instance *s) {
+			ph_submitter_accepted(s->submitter, w.now_us, seq,
+					      clock_us, &starts);
+		});
+	}
+
 	/* Sends results to the submitters, which are told apart by the upper
 	 * bits of the sequence numbers. */
 	void send_results(Instance *o)
@@ -516,6 +538,11 @@
 
 			ph_cluster_add_pools(i->cluster, &name, 1);
 			i->pools[p] = add_pool(p);
+			i->pools[p]->on_accepted =
+				[=](uint64_t seq,
+				    const ph_unconfirmed &starts) {
+					send_accepted(i, seq, w.now_us, starts);
+				};
 		}
 		for (auto &other : instances) {
 			ph_cluster_add_contact(i->cluster, other->name.c_str());
--- a/test/test_submitter.cc
+++ b/test/test_submitter.cc
@@ -170,6 +170,13 @@
 		ph_submitter_submit(submitter, now_us, token, w);
 	}
 
+	/* The owner of a pool accepts a batch, and tells of starts. */
+	void accept(uint64_t seq, const ph_unconfirmed &starts = {})
+	{
+		ph_submitter_accepted(submitter, now_us, seq,
+				      now_us + kClockAheadUs, &starts);
+	}
+
 	/** The owner returns the batch sent last as it has lost the pool. */
 	void returned(bool not_started)
 	{
@@ -496,7 +503,7 @@
 	f.receive_heartbeat("n2", "north", 5, 64000);
 	f.receive_heartbeat("s1", "south", 5, 64000);
 	f.submit(1);
-	ph_submitter_accepted(f.submitter, f.sent.back().seq);
+	f.accept(f.sent.back().seq);
 	for (int i = 0; i < 5; i++) {
 		f.advance(100 * kMs);
 		f.receive_heartbeat("n2", "north", 5, 64000);
@@ -557,7 +564,7 @@
 
 	f.receive_heartbeat("n2", "north", 5, 64000);
 	f.submit(1);
-	ph_submitter_accepted(f.submitter, f.sent.back().seq);
+	f.accept(f.sent.back().seq);
 	ph_submitter_stopping(f.submitter, f.now_us + kTimeLeftUs);
 	for (uint64_t t = 0; t + 20 * kMs < kTimeLeftUs; t += 20 * kMs) {
 		f.receive_heartbeat("n2", "north", 5, 64000);
@@ -597,7 +604,7 @@
 
 		f.receive_heartbeat("n2", "north", 5, 64000);
 		f.submit(1);
-		ph_submitter_accepted(f.submitter, f.sent.back().seq);
+		f.accept(f.sent.back().seq);
 		if (moved_result)
 			f.result(PH_VERDICT_MOVED);
 		f.advance(400 * kMs);
@@ -650,7 +657,7 @@
 
 		f.receive_heartbeat("n2", "north", 5, 64000);
 		f.submit(1);
-		ph_submitter_accepted(f.submitter, f.sent.back().seq);
+		f.accept(f.sent.back().seq);
 		if (c.other_pool)
 			f.receive_heartbeat("s1", "south", 5, 64000);
 		if (c.new_owner)
@@ -679,7 +686,7 @@
 
 		f.receive_heartbeat("n2", "north", 5, 64000);
 		f.submit(1);
-		ph_submitter_accepted(f.submitter, f.sent.back().seq);
+		f.accept(f.sent.back().seq);
 		f.returned(true);
 		f.advance(50 * kMs);
 		EXPECT_EQ(f.sent.size(), 1U);
@@ -717,7 +724,7 @@
 		f.receive_heartbeat("n2", "north", 5, 64000);
 		f.submit(1);
 		seq = f.sent.back().seq;
-		ph_submitter_accepted(f.submitter, seq);
+		f.accept(seq);
 		if (c.moved_result)
 			f.result(PH_VERDICT_MOVED);
 		f.advance(400 * kMs);
@@ -748,7 +755,7 @@
 		f.receive_heartbeat("n2", "north", 5, 64000);
 		f.submit(1);
 		if (accepted)
-			ph_submitter_accepted(f.submitter, f.sent.back().seq);
+			f.accept(f.sent.back().seq);
 		f.now_us += 50 * kMs;
 		f.receive_heartbeat("n2", "north", 0, 0, 0, 2);
 		f.advance(100 * kMs);
@@ -768,7 +775,7 @@
 
 	f.receive_heartbeat("n2", "north", 5, 64000);
 	f.submit(1);
-	ph_submitter_accepted(f.submitter, f.sent.back().seq);
+	f.accept(f.sent.back().seq);
 	f.advance(1500 * kMs);
 	ASSERT_EQ(f.answers.size(), 1U);
 	EXPECT_EQ(f.answers[0].outcome, PH_JOB_UNKNOWN);
@@ -784,7 +791,7 @@
 	f.receive_heartbeat("n2", "north", 5, 64000);
 	ASSERT_GE(f.sent.size(), 2U);
 	EXPECT_EQ(f.sent[0].seq, f.sent[1].seq);
-	ph_submitter_accepted(f.submitter, f.sent[0].seq);
+	f.accept(f.sent[0].seq);
 	size_t before = f.sent.size();
 
 	f.advance(200 * kMs);
