Random orders of owners' ends beside late starts; incomplete reports counted

Resubmission.ALateStartIsNoSecondRunHoweverItsOwnersEnd plays whole instances: one to three changes of the owner, each planned, by a kill or by a freeze, and then the crash and the return of the executor that holds the start.

Heartbeats that can't tell all starts are counted (peridothall_incomplete_start_reports_total).

--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -58,6 +58,9 @@
 	uint64_t unreadable;
 	/** Connections to peers that were replaced, by enum ph_link_doubt. */
 	uint64_t renewed[PH_LINK_DOUBTS];
+	/** Heartbeats that could not tell all starts which may still be carried
+	 * out. */
+	uint64_t incomplete_start_reports;
 	/** Proposed numbers of shards, by enum ph_shards_outcome. */
 	uint64_t shards_proposed[PH_SHARDS_OUTCOMES];
 	/** Entries of the last list of executors that were skipped. */
--- a/src/dispatcher_pools.c
+++ b/src/dispatcher_pools.c
@@ -229,6 +229,23 @@
 	msg->shards_revision = domain->plan.revision;
 }
 
+/* Tells a member which starts of its batches may still be carried out. Those of
+ * a receiver that is not known yet are not known either. */
+static void put_starts(struct ph_dispatcher *d, const struct ph_member *m,
+		       uint64_t now_us, struct ph_poolmsg *msg)
+{
+	size_t i;
+
+	if (!m) {
+		msg->starts.incomplete = true;
+		return;
+	}
+	for (i = 0; i < d->pool_count; i++)
+		ph_pool_report_starts(d->pools[i].pool, now_us, m->name,
+				      &msg->starts);
+	d->counters.incomplete_start_reports += msg->starts.incomplete;
+}
+
 static void sink_send_heartbeat(void *ctx, const char *addr,
 				const struct ph_member *m)
 {
@@ -253,11 +270,7 @@
 	msg->evacuation_age_us = ph_evacuation_age_us(&d->evacuation, now_us);
 	msg->heard_ago_us =
 		m && m->heard_us ? now_us - m->heard_us : UINT64_MAX;
-	/* The receiver is not known: its batches are not either. */
-	msg->starts.incomplete = !m;
-	for (i = 0; m && i < d->pool_count; i++)
-		ph_pool_report_starts(d->pools[i].pool, now_us, m->name,
-				      &msg->starts);
+	put_starts(d, m, now_us, msg);
 	for (i = 0; i < d->pool_count; i++) {
 		struct ph_claim *c = &msg->claims[msg->claim_count];
 
--- a/src/dispatcher_report.c
+++ b/src/dispatcher_report.c
@@ -96,6 +96,8 @@
 	put_counter(out, "peridothall_hangups_total", d->counters.disconnects);
 	put_counter(out, "peridothall_log_lines_dropped_total",
 		    ph_log_dropped());
+	put_counter(out, "peridothall_incomplete_start_reports_total",
+		    d->counters.incomplete_start_reports);
 	put_counter(out, "peridothall_store_unreadable_total",
 		    d->counters.unreadable);
 	for (i = 0; i < 4; i++)
--- a/test/pool_world.cc
+++ b/test/pool_world.cc
@@ -246,15 +246,16 @@
 
 					uint64_t born = x->started_ms;
 
+					auto late = [=] {
+						Executor *y = w->find(xid);
+
+						if (meets(y, born))
+							carry_out(y, limit);
+					};
+
+					x->held.push_back(late);
 					w->at(w->now_us + x->start_delay_us,
-					      [=] {
-						      Executor *y =
-							      w->find(xid);
-
-						      if (meets(y, born))
-							      carry_out(y,
-									limit);
-					      });
+					      late);
 					w->at(w->now_us + 200 * kMs, unknown);
 					return;
 				}
@@ -503,6 +504,12 @@
 	return nullptr;
 }
 
+void World::carry_out_held(const std::string &id)
+{
+	for (const auto &late : std::exchange(find(id)->held, {}))
+		late();
+}
+
 void World::crash(Executor *x, uint64_t down_us, bool silent)
 {
 	std::string id = x->id;
--- a/test/pool_world.h
+++ b/test/pool_world.h
@@ -90,6 +90,8 @@
 	/** A delayed start is accepted when it arrives: it is carried out even
 	 * if the end of its lease has passed by then. */
 	bool accepts_on_arrival = false;
+	/** The delayed starts that were not carried out yet. */
+	std::vector<std::function<void()>> held;
 	/** It is missing from the platform's list. */
 	bool unlisted = false;
 	/** Its answers don't tell its clock. */
@@ -197,6 +199,8 @@
 	/** The executor restarts with the same id and has forgotten all; its
 	 * clock begins anew. */
 	void restart(Executor *x) const;
+	/** Carries out the starts now that an executor has delayed so far. */
+	void carry_out_held(const std::string &id);
 	/** Ends everything on an executor, which no call reaches for down_us
 	 * and which then is a new incarnation. Until then it refuses
 	 * connections, or, if silent, leaves calls unanswered. */
--- a/test/test_resubmission.cc
+++ b/test/test_resubmission.cc
@@ -1564,6 +1564,146 @@
 		}
 }
 
+/* ## Starts that outlive their owner */
+
+/* Two domains' worth of instances in one domain, whose pool changes its owner
+ * up to three times, each time in another way, while a start gets no answer.
+ * Its executor crashes then, and carries the start out when it is back. */
+struct LateStartDay : Group {
+	std::string log;
+
+	explicit LateStartDay(unsigned seed) : Group({ "north" }, 4, seed)
+	{
+		for (int i = 0; i < 5; i++)
+			add("n" + std::to_string(i), "north");
+		run_for(1500 * kMs);
+	}
+
+	Instance *owner()
+	{
+		for (auto &i : instances)
+			if (!i->killed && !i->frozen_since_us &&
+			    ph_pool_owned(i->pools["north"]->pool))
+				return i.get();
+		return nullptr;
+	}
+
+	void note(const std::string &what)
+	{
+		log += std::to_string(w.now_us / kMs) + " " + what + "\n";
+	}
+
+	/* The instance that has the caller must stay. */
+	void change_owner(const std::string &submitter)
+	{
+		Instance *i = owner();
+		size_t how = random(3);
+
+		if (!i || i->name == submitter)
+			return;
+		note("owner " + i->name + " how " + std::to_string(how));
+		if (how == 0) {
+			leave(i);
+		} else if (how == 1) {
+			kill(i);
+		} else {
+			uint64_t for_us = (400 + random(1200)) * kMs;
+
+			freeze(i);
+			w.at(w.now_us + for_us, [=] {
+				if (!i->killed)
+					wake(i);
+			});
+		}
+	}
+
+	void crash(Executor *x, uint64_t away_us, bool silent)
+	{
+		std::string id = x->id;
+
+		note("crash for " + std::to_string(away_us / kMs) + " silent " +
+		     std::to_string(silent));
+		for (auto &i : instances)
+			unreachable.insert({ i->name, id });
+		x->down = true;
+		x->refuses = !silent;
+		w.restart(x);
+		w.at(w.now_us + away_us, [=] {
+			Executor *back = w.find(id);
+
+			unreachable.clear();
+			back->down = false;
+			back->refuses = false;
+			w.restart(back);
+		});
+	}
+
+	/* Returns the outcomes of the job. */
+	std::vector<ph_job_outcome> play()
+	{
+		bool silent = random(3) == 0;
+		uint64_t away_us = ((silent ? 1000 : 150) + random(2000)) * kMs;
+		std::string submitter;
+		uint64_t crash_us;
+		Executor *x;
+		size_t caller;
+		size_t changes = 1 + random(3);
+
+		for (auto &i : instances)
+			if (i.get() != owner())
+				submitter = i->name;
+		/* Placement fills this executor first. */
+		x = &w.executors.back();
+		x->start_delay_us = 60000 * kMs;
+		caller = submit(find(submitter), 1, 4000 * kMs, 30000 * kMs);
+		run_for((5 + random(1200)) * kMs);
+		x->start_delay_us = 0;
+		for (; changes; changes--) {
+			change_owner(submitter);
+			run_for(random(2) ? 20 * kMs : random(1200) * kMs);
+		}
+		/* The last owner has polled the executor. */
+		run_for(800 * kMs);
+		crash_us = w.now_us;
+		crash(x, away_us, silent);
+		carry_out_late(x, crash_us + away_us + 2 * kMs);
+		run_for(away_us + 14000 * kMs);
+		return callers[caller].answers;
+	}
+
+	/* Brings the held start's time forward. */
+	void carry_out_late(Executor *x, uint64_t at_us)
+	{
+		std::string id = x->id;
+
+		w.at(at_us, [=] { w.carry_out_held(id); });
+	}
+};
+
+/* Guards against a start that outlives its owner and its executor, beside
+ * another run of its task, whatever way the owners end in. DAYS_FROM and
+ * DAYS_TO set another range of seeds. */
+TEST(Resubmission, ALateStartIsNoSecondRunHoweverItsOwnersEnd)
+{
+	constexpr unsigned kDays = 60;
+	const char *from = getenv("DAYS_FROM");
+	const char *to = getenv("DAYS_TO");
+	unsigned first = from ? (unsigned)strtoul(from, nullptr, 10) : 1;
+	unsigned last = to ? (unsigned)strtoul(to, nullptr, 10) : kDays;
+
+	for (unsigned seed = first; seed <= last; seed++) {
+		LateStartDay day(seed);
+		std::vector<ph_job_outcome> answers = day.play();
+
+		EXPECT_EQ(day.w.concurrent_runs, 0) << "seed " << seed << "\n"
+						    << day.log;
+		EXPECT_EQ(answers,
+			  std::vector<ph_job_outcome>{ PH_JOB_COMPLETED })
+			<< "seed " << seed << "\n"
+			<< day.log;
+	}
+}
+
 /* ## Random disruptions */
 
 enum Kind {
