Model of a run: the pool changes its owner

runs.pml has a next owner, whose first poll raises the token, and which is told of a start that may still be carried out.

An owner that knows of no run of the task no longer stops it elsewhere when the executor is away: without that the model couldn't show the fault.

--- a/test/model/runs.pml
+++ b/test/model/runs.pml
@@ -18,6 +18,10 @@
  * not to reach the later one before the owner's next poll and stop do. No rule
  * excludes that; -DOPEN_WINDOW drops the assumption and must violate the
  * assertion.
+ *
+ * The pool changes its owner at most once, with the next owner's first poll.
+ * That one is told of a start which may still be carried out.
+ *
  * Each -DNO_... omits a rule and must violate it, too; see tools/model.sh.
  */
 #ifndef RESTARTS
@@ -67,6 +71,7 @@
 bool lease_unknown;	/* an answer came from another incarnation */
 bool elsewhere;		/* the task was started again */
 bool noticed;		/* that the executor is down */
+bool next_owner;	/* the pool has changed its owner */
 
 /* ## Answer to a poll, in transit */
 bool poll;
@@ -305,9 +310,13 @@
 	failed = true;
 	clear_poll();
 #ifndef NO_HEARD
-	elsewhere = false;
-	kept = false;
-	forget_stops()
+	if
+	:: state != DROPPED ->
+		elsewhere = false;
+		kept = false;
+		forget_stops()
+	:: else
+	fi
 #endif
 }
 
@@ -343,6 +352,41 @@
 	fi
 }
 
+/* The next owner polls the executor, which refuses starts under the earlier
+ * token from then on. A run that it finds is claimed, or stopped. */
+inline change_owner() {
+	next_owner = true;
+	clear_poll();
+	stop_answer = false;
+	failed = false;
+	known = incarnation;
+	refuses = true;
+	if
+	:: runs ->
+		count_found_lease();
+		begun = true;
+		acked = false;
+		state = (elsewhere -> STOPPING : RUNNING)
+	:: !runs && (state == DROPPED || begun) -> drop()
+	:: else ->
+#ifdef NO_HANDED_OVER_START
+		drop()
+#else
+		state = STOPPING;
+		acked = false
+#endif
+	fi
+}
+
+/* A found run may have the longest lease. */
+inline count_found_lease() {
+	lease_left = true;
+	lease_unknown = false;
+	known_lease = known_lease || foreign_lease;
+	foreign_lease = false;
+	answered_lease = false
+}
+
 #ifdef NO_EXPIRY_WAIT
 #define expired (failed)
 #else
@@ -406,6 +450,7 @@
 	:: d_step { start < LATE -> start_times_out() }
 	:: d_step { stop_answer -> stop_answered() }
 	:: d_step { poll -> poll_answered() }
+	:: d_step { !down && !next_owner -> change_owner() }
 	:: d_step { down && !noticed -> notice_absence() }
 	:: d_step {
 		poll || !failed ->
