--- a/test/test_pool_incarnations.cc
+++ b/test/test_pool_incarnations.cc
@@ -566,6 +566,54 @@
 		400);
 }
 
+struct Absence {
+	uint64_t away_ms;
+	bool silent;
+};
+
+/* Plays crashes of the executor at about the time of the change, so that the
+ * next owner has not polled it before. */
+void expect_one_run_beside_crash(uint64_t change_ms,
+				 const std::vector<Absence> &absences)
+{
+	const int crashes_after_ms[] = { -20, 10, 60, 140, 300 };
+
+	for (Change how : { Change::PLANNED, Change::KILLED, Change::FROZEN })
+		for (int after_ms : crashes_after_ms)
+			for (const Absence &absence : absences) {
+				auto crash_ms =
+					(uint64_t)((int)change_ms + after_ms);
+
+				EXPECT_TRUE(runs_once_after(
+					{ how, change_ms, crash_ms,
+					  absence.away_ms, absence.silent }))
+					<< (int)how << " change " << change_ms
+					<< " crash " << crash_ms << " away "
+					<< absence.away_ms << " silent "
+					<< absence.silent;
+			}
+}
+
+/* The same, if the executor crashes at about the time at which its owner is
+ * lost. */
+TEST(PoolIncarnations, ALateStartIsNoSecondRunIfItsExecutorIsLostWithItsOwner)
+{
+	expect_one_run_beside_crash(
+		25, { { 150, false }, { 800, false }, { 1000, true } });
+	expect_one_run_beside_crash(800, { { 150, false },
+					   { 800, false },
+					   { 2000, false },
+					   { 1000, true },
+					   { 2000, true } });
+}
+
+/* The same, if the start may just have been answered when its owner was lost,
+ * and the executor is away for longer than a resumed task waits for that. */
+TEST(PoolIncarnations, AStartInDoubtIsNoSecondRunIfItsExecutorIsAwayForLong)
+{
+	expect_one_run_beside_crash(25, { { 2000, false }, { 2000, true } });
+}
+
 /* Times of what happens around the next owner's first poll of an executor, in
  * microseconds from when that poll is sent. */
 struct HandOver {
