--- a/src/pool.c
+++ b/src/pool.c
@@ -339,8 +339,8 @@
 	batch_end(pool, b, now_us);
 }
 
-static struct ph_batch *batch_find(struct ph_pool *pool, const char *submitter,
-				   uint64_t seq)
+static struct ph_batch *batch_find(const struct ph_pool *pool,
+				   const char *submitter, uint64_t seq)
 {
 	struct ph_batch *b;
 
@@ -353,12 +353,7 @@
 bool ph_pool_has_batch(const struct ph_pool *pool, const char *submitter,
 		       uint64_t seq)
 {
-	const struct ph_batch *b;
-
-	for (b = pool->batches; b; b = b->next)
-		if (b->seq == seq && !strcmp(b->submitter, submitter))
-			return true;
-	return false;
+	return batch_find(pool, submitter, seq);
 }
 
 /* ## Resumed batches */
--- a/src/pool_impl.h
+++ b/src/pool_impl.h
@@ -593,10 +593,12 @@
 	/** The executor has not answered a poll since; the start was most
 	 * likely answered. */
 	PH_START_IN_DOUBT,
-	/** Nor has it; the start had got no answer. */
+	/** The same, but the start had got no answer in time. */
 	PH_START_UNANSWERED,
 };
 
+/** Tells it of the starts that were taken over; the worst if there are several.
+ */
 enum ph_verification
 ph_late_start_verification(const struct ph_executor *executor,
 			   const struct ph_batch *batch, uint32_t index);
--- a/src/pool_late.c
+++ b/src/pool_late.c
@@ -197,8 +197,8 @@
 
 /* ## Starts by earlier owners */
 
-static bool known(const struct ph_late_start *list, const char *job,
-		  const struct ph_unconfirmed_start *start)
+static bool is_known(const struct ph_late_start *list, const char *job,
+		     const struct ph_unconfirmed_start *start)
 {
 	const struct ph_late_start *s;
 
@@ -241,7 +241,7 @@
 	const char *job = b->request->job;
 	struct ph_late_start *s;
 
-	if (known(*list, job, start) ||
+	if (is_known(*list, job, start) ||
 	    (x && ph_run_find(x, job, start->index, start->run)))
 		return false;
 	s = late_start_add(pool, list, job, start->index, start->executor,
