Scenario runner: a closed link frees its port at once

Cause: while the relay's thread polls a listener that is closed, its port stays in use; the scripts wait 50 ms for that, which a busy machine exceeds.

Change: the listener is shut down before it is closed, which frees the port at once. No check is changed.

--- a/test/scenario.c
+++ b/test/scenario.c
@@ -325,6 +325,9 @@
 	for (i = 0; i < link_count; i++) {
 		if (strcmp(links[i].name, name) != 0 || links[i].listener < 0)
 			continue;
+		/* While the relay polls a closed listener, its port stays in
+		 * use. */
+		shutdown(links[i].listener, SHUT_RDWR);
 		close(links[i].listener);
 		links[i].listener = -1;
 	}
